--- /dev/null
+++ b/benchlink/src/main.rs
@@ -0,0 +1,347 @@
+//! The bench's wire: reads lines, calls the decisions, writes their answers. It decides nothing.
+
+mod boot;
+mod line;
+
+use base64::Engine;
+use bellsill::control::Dispatcher;
+use bellsill::interface::*;
+use line::{Bad, Line};
+use std::collections::HashMap;
+use std::io::{BufRead, Write};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+/// One instance and the names that the wire uses for what it knows.
+struct Instance {
+    dispatcher: Dispatcher,
+    names: boot::Names,
+    endpoints: Vec<String>,
+    endpoint_ids: HashMap<String, EndpointId>,
+}
+
+/// Writes the answers of one instance as actions of the wire.
+struct Writer<'a> {
+    out: &'a mut Vec<u8>,
+    instance: &'a str,
+    endpoints: &'a [String],
+}
+
+impl Writer<'_> {
+    fn action(&mut self, name: &str, rest: std::fmt::Arguments) {
+        writeln!(self.out, "{name} dispatcher={}{rest}", self.instance).expect("writing to memory");
+    }
+}
+
+impl Outlet for Writer<'_> {
+    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+        let to = &self.endpoints[endpoint.0 as usize];
+        self.action(
+            "SEND",
+            format_args!(" txn={:016x} give-up-after-ns={time_out} endpoint={to}", mail.0),
+        );
+    }
+    fn defer(&mut self, mail: MailId, come_back: Nanos) {
+        self.action(
+            "OVERLOAD_REPLY",
+            format_args!(" txn={:016x} backoff-ns={come_back}", mail.0),
+        );
+    }
+    fn bounce(&mut self, mail: MailId) {
+        self.action("END_FAILED", format_args!(" txn={:016x}", mail.0));
+    }
+    fn call_off(&mut self, mail: MailId, no: ConnectNo) {
+        self.action("CALL_OFF", format_args!(" txn={:016x} round-no={}", mail.0, no.0));
+    }
+    fn probe(&mut self, endpoint: EndpointId) {
+        let to = &self.endpoints[endpoint.0 as usize];
+        self.action("CHECK", format_args!(" endpoint={to}"));
+    }
+    fn wake(&mut self, after: Nanos) {
+        self.action("ARM", format_args!(" mark=wake sleep-for-ns={after}"));
+    }
+    fn log(&mut self, line: &str) {
+        self.action(
+            "LOG",
+            format_args!(" message={}", line.replace(['\n', '\r'], " ")),
+        );
+    }
+}
+
+struct Item {
+    endpoint: String,
+    locality: String,
+    shape: String,
+    belongs_to: DestinationId,
+    serving: bool,
+    power: Option<f64>,
+}
+
+#[derive(Default)]
+struct Link {
+    instances: HashMap<String, Instance>,
+    lists: HashMap<u64, Vec<Item>>,
+    now: Nanos,
+    out: Vec<u8>,
+}
+
+fn told(line: &Line) -> Result<Option<Told>, Bad> {
+    let Some(usage) = line.get("usage") else {
+        return Ok(None);
+    };
+    let (mut left, mut limit) = (None, None);
+    for pair in usage.split(',') {
+        let Some((name, value)) = pair.split_once(':') else {
+            continue;
+        };
+        let slot = match name {
+            "x0" => &mut left,
+            "x1" => &mut limit,
+            _ => continue,
+        };
+        *slot = Some(
+            value
+                .parse::<f64>()
+                .map_err(|_| line.bad("usage", "name:number pairs"))?,
+        );
+    }
+    Ok(left.zip(limit).map(|(left, limit)| Told { left, limit }))
+}
+
+impl Link {
+    fn event(&mut self, line: &Line) -> Result<(), Bad> {
+        let name = line.text("dispatcher")?;
+        let now = self.now;
+        match line.name {
+            "BOOT" => {
+                let (facts, names) = boot::read(line)?;
+                let dispatcher = Dispatcher::boot(now, facts);
+                let fresh = Instance {
+                    dispatcher,
+                    names,
+                    endpoints: vec![],
+                    endpoint_ids: HashMap::new(),
+                };
+                self.instances.insert(name.to_string(), fresh);
+                return Ok(());
+            }
+            "CRASH_NOW" => {
+                self.instances.remove(name);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let Some(it) = self.instances.get_mut(name) else {
+            return Ok(());
+        };
+        let news = if line.name == "MEMBERS" {
+            read_news(line, &self.lists, it)?
+        } else {
+            None
+        };
+        let from = self.out.len();
+        let out = &mut Writer {
+            out: &mut self.out,
+            instance: name,
+            endpoints: &it.endpoints,
+        };
+        let d = &mut it.dispatcher;
+        let names = &it.names;
+        let decided = catch_unwind(AssertUnwindSafe(|| -> Result<(), Bad> {
+            match line.name {
+                "MEMBERS" => {
+                    if let Some((scope, entries)) = news {
+                        d.list_news(now, scope, &entries, out);
+                    }
+                }
+                "CALL" => {
+                    let mail = NewMail {
+                        id: line.hex("txn")?,
+                        class: ClassId(names.find(&names.classes, line, "tier-class")?),
+                        account: match line.get("client-group") {
+                            None | Some("0") => None,
+                            Some(_) => Some(AccountId(names.find(&names.accounts, line, "client-group")?)),
+                        },
+                        key: line.maybe_num("resource")?.map(KeyId),
+                        destination: DestinationId(line.num("destination")?),
+                        due: line.num("due-ns")?,
+                    };
+                    d.mail_taken(now, mail, out);
+                }
+                "CLOSED_ATTEMPT" => {
+                    let note = line.maybe_num("note")?.unwrap_or(0);
+                    let end = ConnectEnd {
+                        mail: line.hex("txn")?,
+                        no: ConnectNo(line.num("round-no")? as u32),
+                        outcome: outcome(line, note)?,
+                        over: line.get("over") == Some("1"),
+                        took: line.maybe_num("wait-time-ns")?.unwrap_or(0),
+                        told: told(line)?,
+                    };
+                    d.connect_ended(now, end, out);
+                }
+                "CHECKED" => {
+                    if let Some(&endpoint) = it.endpoint_ids.get(line.text("endpoint")?) {
+                        d.probe_ended(now, endpoint, outcome(line, 0)?, told(line)?, out);
+                    }
+                }
+                "PEER" => {
+                    let raw = line.text("raw")?;
+                    let raw = if raw == "-" { "" } else { raw };
+                    let note = base64::engine::general_purpose::STANDARD.decode(raw);
+                    d.peer_note(now, &note.map_err(|_| line.bad("raw", "base64"))?, out);
+                }
+                "ABANDONED" => d.mail_withdrawn(now, line.hex("txn")?, out),
+                "DEADLINE_HIT" => d.woken(now, out),
+                "HEADERS" => {}
+                _ => return Err(line.bad("", "a known message name")),
+            }
+            Ok(())
+        }));
+        match decided {
+            Ok(done) => done,
+            Err(panic) => {
+                let text = panic
+                    .downcast_ref::<String>()
+                    .map(String::as_str)
+                    .or_else(|| panic.downcast_ref::<&str>().copied())
+                    .unwrap_or("panic")
+                    .replace(['\n', '\r'], " ");
+                self.out.truncate(from);
+                writeln!(self.out, "GIVE_IN dispatcher={name} message={text}").expect("writing to memory");
+                self.instances.remove(name);
+                Ok(())
+            }
+        }
+    }
+}
+
+fn outcome(line: &Line, note: u64) -> Result<Outcome, Bad> {
+    Ok(match line.num("disposition")? {
+        200 => Outcome::Relayed,
+        502 => Outcome::Errored,
+        429 => Outcome::Full(note.saturating_mul(1_000_000)),
+        408 => Outcome::TimedOut,
+        521 => Outcome::Unconnected,
+        520 => Outcome::Reset,
+        444 => Outcome::CalledOff,
+        409 => Outcome::Unsent(note == 1),
+        _ => return Err(line.bad("disposition", "a known outcome code")),
+    })
+}
+
+type News = Option<(ListScope, Vec<ListEntry>)>;
+
+fn read_news(line: &Line, lists: &HashMap<u64, Vec<Item>>, it: &mut Instance) -> Result<News, Bad> {
+    let scope = match line.text("scope")? {
+        "update" => ListScope::Update,
+        "replace" | "restored" => ListScope::Whole,
+        "unavailable" => return Ok(None),
+        _ => return Err(line.bad("scope", "update, replace, restored or unavailable")),
+    };
+    let items = lists
+        .get(&line.num("bank")?)
+        .ok_or_else(|| line.bad("bank", "the number of a list"))?;
+    let mut entries = Vec::with_capacity(items.len());
+    for item in items {
+        let next = EndpointId(it.endpoints.len() as u32);
+        let endpoint = *it.endpoint_ids.entry(item.endpoint.clone()).or_insert_with(|| {
+            it.endpoints.push(item.endpoint.clone());
+            next
+        });
+        entries.push(ListEntry {
+            endpoint,
+            destination: item.belongs_to,
+            zone: ZoneId(
+                it.names
+                    .zones
+                    .iter()
+                    .position(|z| *z == item.locality)
+                    .unwrap_or(usize::MAX),
+            ),
+            kind: KindId(
+                it.names
+                    .kinds
+                    .iter()
+                    .position(|k| *k == item.shape)
+                    .unwrap_or(usize::MAX),
+            ),
+            serving: item.serving,
+            listed_rate: item.power.filter(|_| it.names.rates_listed),
+        });
+    }
+    Ok(Some((scope, entries)))
+}
+
+fn read_item(line: &Line) -> Result<Item, Bad> {
+    if line.name != "ITEM" {
+        return Err(line.bad("", "ITEM"));
+    }
+    Ok(Item {
+        endpoint: line.text("endpoint")?.to_string(),
+        locality: line.get("locality").unwrap_or("").to_string(),
+        shape: line.get("shape").unwrap_or("").to_string(),
+        belongs_to: DestinationId(line.num("belongs-to")?),
+        serving: match line.text("state")? {
+            "SERVING" => true,
+            "DRAINING" | "DELETED" => false,
+            _ => return Err(line.bad("state", "SERVING, DRAINING or DELETED")),
+        },
+        power: match line.get("power-hint") {
+            Some(v) => Some(v.parse().map_err(|_| line.bad("power-hint", "a number"))?),
+            None => None,
+        },
+    })
+}
+
+fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), Bad> {
+    let mut link = Link::default();
+    let mut lines = input.lines();
+    let mut next = || {
+        lines
+            .next()
+            .transpose()
+            .map_err(|e| Bad(format!("cannot read input: {e}")))
+    };
+    let ended = || Bad("input ended inside a batch".into());
+    while let Some(text) = next()? {
+        if text.is_empty() {
+            continue;
+        }
+        let head = Line::read(&text)?;
+        if head.name != "BATCH" {
+            return Err(head.bad("", "BATCH"));
+        }
+        link.now = head.num("time-ns")?;
+        let seq = head.num("seq")?;
+        loop {
+            let text = next()?.ok_or_else(ended)?;
+            let line = Line::read(&text)?;
+            match line.name {
+                "" => {}
+                "EOF_BATCH" => break,
+                "DEFINE_LIST" => {
+                    let mut items = Vec::new();
+                    for _ in 0..line.num("items")? {
+                        items.push(read_item(&Line::read(&next()?.ok_or_else(ended)?)?)?);
+                    }
+                    link.lists.insert(line.num("bank")?, items);
+                }
+                _ => link.event(&line)?,
+            }
+        }
+        writeln!(link.out, "FINISHED seq={seq}").expect("writing to memory");
+        output
+            .write_all(&link.out)
+            .and_then(|()| output.flush())
+            .map_err(|e| Bad(e.to_string()))?;
+        link.out.clear();
+    }
+    Ok(())
+}
+
+fn main() {
+    if let Err(Bad(why)) = serve(std::io::stdin().lock(), std::io::stdout().lock()) {
+        eprintln!("bellsill-benchlink: {why}");
+        std::process::exit(2);
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,855 @@
+//! All decisions of a dispatcher: which mail goes out next, by which route, and when one is given up.
+//!
+//! Make one [`Dispatcher`] with [`Dispatcher::boot`]; then call the method for each thing that happens, with the
+//! clock and an [`Outlet`] that carries out the answers at once. Inputs, ids and the outlet's trait are in
+//! `src/interface.rs`; `docs/design.md` says why each part is there. Nothing here waits, sleeps or reads a clock.
+
+use crate::interface::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+
+const MS: Nanos = 1_000_000;
+const NEVER: Nanos = Nanos::MAX;
+/// Untold suspension: shorter than the spans in which limits are counted, so that little of one is slept through.
+const FIRST_WAIT: Nanos = 250 * MS;
+const LONGEST_WAIT: Nanos = 2_000 * MS;
+/// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
+const GAP_STEP: Nanos = 40 * MS;
+const LONGEST_GAP: Nanos = 1_000 * MS;
+const GAP_SHARE: f64 = 0.15;
+/// Refusals with nothing relayed between for so long are no limit's: the route was shut and returns cold.
+const SHUT_AFTER: Nanos = 2_500 * MS;
+/// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
+const SILENT_TIMES: f64 = 5.0;
+const SILENT_FLOOR: Nanos = 1_000 * MS;
+/// Time-outs, as multiples of the usual answer time, with floor and ceiling.
+const TIMEOUT_TIMES: f64 = 8.0;
+const TIMEOUT_FLOOR: Nanos = 2_000 * MS;
+const TIMEOUT_CEILING: Nanos = 8_000 * MS;
+/// The weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
+const FAIL_WEIGHT: f64 = 0.25;
+const FAIL_MARGIN: f64 = 0.4;
+/// Rest between trials of a suspect route, doubling while they fail; once-only mails stand back by the spare.
+const TRIAL_REST: Nanos = 400 * MS;
+const LONGEST_REST: Nanos = 1_600 * MS;
+const SPARE: Nanos = 2_500 * MS;
+/// Trials relayed in usual time that clear a suspect route.
+const PROOFS: u32 = 2;
+/// The weight of one answer in the usual answer times, and the usual time before any is known.
+const PACE_WEIGHT: f64 = 0.1;
+const FIRST_USUAL: f64 = 300e6;
+/// Over how long a route's own traffic is averaged for the cold budget.
+const TRAFFIC_SPAN: f64 = 8e9;
+/// The share of the slots that one destination may hold.
+const SLOT_SHARE: f64 = 0.5;
+/// An account's share may run ahead by so many seconds of it.
+const SHARE_DEPTH: f64 = 2.0;
+
+/// What differs by queue class, as far as it is read.
+struct ClassRow {
+    facts: ClassFacts,
+    /// Usual answer time over all routes, in nanoseconds.
+    usual: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    Out,
+    Relayed,
+    Deferred,
+    Bounced,
+    Withdrawn,
+}
+
+impl Stage {
+    fn ended(self) -> bool {
+        !matches!(self, Stage::Waiting | Stage::Out)
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Connect {
+    no: ConnectNo,
+    route: usize,
+    at: Nanos,
+}
+
+struct Mail {
+    class: usize,
+    importance: f64,
+    key: Option<KeyId>,
+    dest: DestinationId,
+    due: Nanos,
+    order: u64,
+    stage: Stage,
+    connects: u32,
+    out: Option<Connect>,
+    /// The first connect that may have run: when it was sent, and the zone it went to.
+    ran: Option<(Nanos, ZoneId)>,
+}
+
+#[derive(Default)]
+struct KeyLine {
+    mails: VecDeque<MailId>,
+    /// Ended mails whose last connect has no outcome yet.
+    loose: u32,
+    rest_until: Nanos,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mode {
+    Open,
+    Suspect {
+        next_trial: Nanos,
+        rest: Nanos,
+        proofs: u32,
+    },
+    Cold {
+        since: Nanos,
+    },
+}
+
+/// Endpoints, one place each.
+#[derive(Default)]
+struct Routes {
+    id: Vec<EndpointId>,
+    dest: Vec<DestinationId>,
+    zone: Vec<ZoneId>,
+    gate: Vec<usize>,
+    serving: Vec<bool>,
+    out: Vec<Vec<(Nanos, MailId)>>,
+    mode: Vec<Mode>,
+    fail: Vec<f64>,
+    pace: Vec<Option<f64>>,
+    sent_at: Vec<Nanos>,
+    /// Relayed mails a nanosecond of late, and when that was reckoned.
+    traffic: Vec<f64>,
+    traffic_at: Vec<Nanos>,
+    struck: Vec<bool>,
+}
+
+/// What a limit binds, one place each: a route where routes are apart, else all endpoints of a destination.
+#[derive(Default)]
+struct Gates {
+    told_until: Vec<Nanos>,
+    closed_until: Vec<Nanos>,
+    wait: Vec<Nanos>,
+    gap: Vec<Nanos>,
+    sent_at: Vec<Nanos>,
+    refused_at: Vec<Nanos>,
+    refused_since: Vec<Option<Nanos>>,
+}
+
+#[derive(Default)]
+struct Deck {
+    cards: Vec<usize>,
+    dealt: usize,
+    shared_gate: Option<usize>,
+}
+
+pub struct Dispatcher {
+    facts: BootFacts,
+    rng: Pcg64Mcg,
+    classes: Vec<ClassRow>,
+    /// For each account, what is left of its share, and when that was reckoned.
+    shares: Vec<(f64, Nanos)>,
+    routes: Routes,
+    gates: Gates,
+    index: BTreeMap<EndpointId, usize>,
+    decks: BTreeMap<DestinationId, Deck>,
+    mails: BTreeMap<MailId, Mail>,
+    keys: BTreeMap<KeyId, KeyLine>,
+    taken: u64,
+    held: usize,
+    out: usize,
+    no_slot_until: Nanos,
+    wake_at: Nanos,
+    now: Nanos,
+}
+
+impl Dispatcher {
+    pub fn boot(now: Nanos, facts: BootFacts) -> Self {
+        let usual = FIRST_USUAL;
+        Dispatcher {
+            rng: Pcg64Mcg::seed_from_u64(facts.seed),
+            classes: facts
+                .classes
+                .iter()
+                .map(|c| ClassRow {
+                    facts: c.clone(),
+                    usual,
+                })
+                .collect(),
+            shares: facts.accounts.iter().map(|_| (f64::MAX, now)).collect(),
+            routes: Routes::default(),
+            gates: Gates::default(),
+            index: BTreeMap::new(),
+            decks: BTreeMap::new(),
+            mails: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            taken: 0,
+            held: 0,
+            out: 0,
+            no_slot_until: 0,
+            wake_at: NEVER,
+            now,
+            facts,
+        }
+    }
+
+    pub fn list_news(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
+        if scope == ListScope::Whole {
+            self.routes.serving.fill(false);
+        }
+        for entry in entries {
+            let route = match self.index.get(&entry.endpoint) {
+                Some(&route) => route,
+                None if entry.serving => self.add_route(entry),
+                None => continue,
+            };
+            self.routes.serving[route] = entry.serving;
+        }
+        self.go_on(now, out);
+    }
+
+    pub fn mail_taken(&mut self, now: Nanos, new: NewMail, out: &mut impl Outlet) {
+        let row = &self.classes[new.class.0].facts;
+        let ordered = row.ordered;
+        let mut importance = row.importance;
+        if let Some(account) = new.account
+            && !self.within_share(account, now)
+        {
+            importance *= self.facts.over_share_worth;
+        }
+        let mail = Mail {
+            class: new.class.0,
+            importance,
+            key: new.key.filter(|_| ordered),
+            dest: new.destination,
+            due: new.due,
+            order: self.taken,
+            stage: Stage::Waiting,
+            connects: 0,
+            out: None,
+            ran: None,
+        };
+        if let Some(key) = mail.key {
+            self.keys.entry(key).or_default().mails.push_back(new.id);
+        }
+        self.taken += 1;
+        self.held += 1;
+        self.mails.insert(new.id, mail);
+        self.go_on(now, out);
+    }
+
+    pub fn connect_ended(&mut self, now: Nanos, end: ConnectEnd, out: &mut impl Outlet) {
+        self.now = now;
+        let Some(mail) = self.mails.get_mut(&end.mail) else {
+            return;
+        };
+        let Some(connect) = mail.out.filter(|c| c.no == end.no) else {
+            return;
+        };
+        let class = mail.class;
+        mail.out = None;
+        self.out -= 1;
+        self.routes.out[connect.route].retain(|c| c.1 != end.mail);
+        if end.outcome.may_have_run() && mail.ran.is_none() {
+            mail.ran = Some((connect.at, self.routes.zone[connect.route]));
+        }
+        self.learn(now, connect, class, &end, out);
+        if let Some(line) = mail_key(&self.mails, end.mail).and_then(|key| self.keys.get_mut(&key)) {
+            if matches!(
+                end.outcome,
+                Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff
+            ) {
+                line.rest_until = now + self.facts.key_rest + self.facts.tick;
+            }
+            if self.mails[&end.mail].stage.ended() {
+                line.loose -= 1;
+            }
+        }
+        let mail = &self.mails[&end.mail];
+        match mail.stage {
+            Stage::Out if end.outcome == Outcome::Relayed => self.shift(end.mail, Stage::Relayed, out),
+            Stage::Out if end.over => self.shift(end.mail, Stage::Withdrawn, out),
+            Stage::Out if self.may_go_again(mail, now) => self.shift(end.mail, Stage::Waiting, out),
+            Stage::Out => self.give_up(end.mail, now, out),
+            stage => self.shift(end.mail, stage, out),
+        }
+        self.go_on(now, out);
+    }
+
+    pub fn probe_ended(
+        &mut self,
+        now: Nanos,
+        endpoint: EndpointId,
+        outcome: Outcome,
+        _told: Option<Told>,
+        out: &mut impl Outlet,
+    ) {
+        let Some(&route) = self.index.get(&endpoint) else {
+            return;
+        };
+        if let Outcome::Full(told) = outcome {
+            self.refused(route, now, now, told);
+        }
+        self.go_on(now, out);
+    }
+
+    pub fn peer_note(&mut self, now: Nanos, _note: &[u8], out: &mut impl Outlet) {
+        self.go_on(now, out);
+    }
+
+    pub fn woken(&mut self, now: Nanos, out: &mut impl Outlet) {
+        if self.wake_at <= now {
+            self.wake_at = NEVER;
+        }
+        self.go_on(now, out);
+    }
+
+    pub fn mail_withdrawn(&mut self, now: Nanos, mail: MailId, out: &mut impl Outlet) {
+        if self.mails.get(&mail).is_some_and(|m| !m.stage.ended()) {
+            self.shift(mail, Stage::Withdrawn, out);
+        }
+        self.go_on(now, out);
+    }
+
+    fn add_route(&mut self, entry: &ListEntry) -> usize {
+        let apart = self.facts.apart.get(entry.kind.0).copied().unwrap_or(false);
+        let deck = self.decks.entry(entry.destination).or_default();
+        let gate = match deck.shared_gate {
+            Some(gate) if !apart => gate,
+            _ => self.gates.add(),
+        };
+        deck.shared_gate = Some(gate).filter(|_| !apart);
+        let route = self.routes.add(entry, gate);
+        deck.cards.push(route);
+        self.index.insert(entry.endpoint, route);
+        route
+    }
+
+    /// Whether one more mail is within the account's share, by this dispatcher's part of it.
+    fn within_share(&mut self, account: AccountId, now: Nanos) -> bool {
+        let rate = self.facts.accounts[account.0] / f64::from(self.facts.dispatchers);
+        let (left, at) = &mut self.shares[account.0];
+        *left = (*left + rate * (now - *at) as f64 / 1e9).min((rate * SHARE_DEPTH).max(1.0));
+        *at = now;
+        let within = *left >= 1.0;
+        if within {
+            *left -= 1.0;
+        }
+        within
+    }
+
+    /// The only place where a mail changes its stage: gives the final answers and keeps the counts.
+    fn shift(&mut self, id: MailId, to: Stage, out: &mut impl Outlet) {
+        let Some(mail) = self.mails.get_mut(&id) else {
+            return;
+        };
+        let from = std::mem::replace(&mut mail.stage, to);
+        let still_out = mail.out.is_some();
+        match to {
+            Stage::Deferred if from != to => {
+                let come_back = self.come_back(id);
+                out.defer(id, come_back);
+            }
+            Stage::Bounced if from != to => out.bounce(id),
+            _ => {}
+        }
+        if !to.ended() {
+            return;
+        }
+        if !from.ended() {
+            self.held -= 1;
+            if let Some(key) = mail_key(&self.mails, id) {
+                let line = self.keys.entry(key).or_default();
+                line.mails.retain(|m| *m != id);
+                line.loose += u32::from(still_out);
+            }
+        }
+        if !still_out {
+            self.mails.remove(&id);
+        }
+    }
+
+    /// Gives up a mail at once: deferred where trying again is harmless, else bounced.
+    fn give_up(&mut self, id: MailId, now: Nanos, out: &mut impl Outlet) {
+        let mail = &self.mails[&id];
+        let harmless = mail.out.is_none()
+            && match (mail.ran, self.classes[mail.class].facts.repeat) {
+                (None, _) | (_, Repeat::Redeliverable) => true,
+                (
+                    Some((at, _)),
+                    Repeat::Tagged {
+                        window,
+                        same_zone: false,
+                    },
+                ) => now < at + window / 2,
+                _ => false,
+            };
+        self.shift(id, if harmless { Stage::Deferred } else { Stage::Bounced }, out);
+    }
+
+    /// When a client had best come back: when a route of the destination opens again.
+    fn come_back(&self, id: MailId) -> Nanos {
+        let deck = self.decks.get(&self.mails[&id].dest);
+        let gates = deck
+            .into_iter()
+            .flat_map(|d| &d.cards)
+            .map(|&r| self.routes.gate[r]);
+        let soonest = gates.map(|g| self.gates.closed_until[g]).min().unwrap_or(0);
+        soonest.saturating_sub(self.now).min(self.facts.max_come_back)
+    }
+
+    /// Whether a mail that has no connect out may be sent once more.
+    fn may_go_again(&self, mail: &Mail, now: Nanos) -> bool {
+        mail.connects < self.facts.max_connects
+            && now + self.margin() < mail.due
+            && match (mail.ran, self.classes[mail.class].facts.repeat) {
+                (None, _) | (_, Repeat::Redeliverable) => true,
+                (Some((at, _)), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
+                (Some(_), Repeat::OnceOnly) => false,
+            }
+    }
+
+    /// How long before the end of its queue lifetime a mail is answered at the latest.
+    fn margin(&self) -> Nanos {
+        2 * self.facts.tick
+    }
+
+    fn usual(&self, route: usize, class: usize) -> f64 {
+        self.classes[class].usual * self.routes.pace[route].unwrap_or(1.0)
+    }
+
+    /// What one outcome tells of its route.
+    fn learn(&mut self, now: Nanos, connect: Connect, class: usize, end: &ConnectEnd, out: &mut impl Outlet) {
+        let route = connect.route;
+        let gate = self.routes.gate[route];
+        let late = end.took > self.silent_after(route, class);
+        match end.outcome {
+            Outcome::Relayed => {
+                self.gates.relayed(gate);
+                self.routes.count(route, now);
+                self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
+                if !late {
+                    let row = &mut self.classes[class];
+                    let pace = self.routes.pace[route].unwrap_or(1.0);
+                    row.usual += PACE_WEIGHT * (end.took as f64 / pace - row.usual);
+                    let seen = (end.took as f64 / row.usual).max(0.1);
+                    let weight = if self.routes.pace[route].is_none() {
+                        0.5
+                    } else {
+                        PACE_WEIGHT
+                    };
+                    self.routes.pace[route] = Some(pace + weight * (seen - pace));
+                }
+                self.cleared(route, now, late, out);
+            }
+            Outcome::Full(told) => self.refused(route, connect.at, now, told),
+            // A connection refused at once is a full table: no sign of sickness, but of a limit.
+            Outcome::Unconnected if end.took < self.facts.connect_timeout / 2 => {
+                self.refused(route, connect.at, now, 0);
+            }
+            Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
+                self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
+                let share = self.routes.fail[route];
+                if let Mode::Suspect { rest, .. } = self.routes.mode[route] {
+                    let rest = (rest * 2).min(LONGEST_REST);
+                    self.routes.mode[route] = Mode::Suspect {
+                        next_trial: now + rest,
+                        rest,
+                        proofs: 0,
+                    };
+                } else if share > self.median_fail() + FAIL_MARGIN
+                    || matches!(self.routes.mode[route], Mode::Cold { .. })
+                {
+                    let why = format!("failure share {share:.2}, fleet {:.2}", self.median_fail());
+                    self.suspect(route, now, &why, out);
+                }
+            }
+            Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
+            Outcome::Unsent(false) | Outcome::CalledOff => {}
+        }
+    }
+
+    /// A refusal as full: suspends the route, until its told wait ends or for a doubling short while, and widens
+    /// its gap. Connects already out when it was suspended do not double anything again: they tell nothing new.
+    fn refused(&mut self, route: usize, sent: Nanos, now: Nanos, told: Nanos) {
+        let gate = self.routes.gate[route];
+        let fresh = sent >= self.gates.refused_at[gate];
+        let since = *self.gates.refused_since[gate].get_or_insert(now);
+        self.gates.refuse(gate, now, told, fresh);
+        if now - since >= SHUT_AFTER || told >= SHUT_AFTER {
+            for other in 0..self.routes.id.len() {
+                self.routes.struck[other] |= self.routes.gate[other] == gate;
+            }
+        }
+    }
+
+    fn median_fail(&self) -> f64 {
+        let r = &self.routes;
+        let mut shares: Vec<f64> = (0..r.id.len())
+            .filter(|&i| r.serving[i])
+            .map(|i| r.fail[i])
+            .collect();
+        shares.sort_by(f64::total_cmp);
+        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    fn silent_after(&self, route: usize, class: usize) -> Nanos {
+        ((SILENT_TIMES * self.usual(route, class)) as Nanos).max(SILENT_FLOOR)
+    }
+
+    fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
+        self.routes.mode[route] = Mode::Suspect {
+            next_trial: now + TRIAL_REST,
+            rest: TRIAL_REST,
+            proofs: 0,
+        };
+        out.log(&format!("route {} suspect: {why}", self.routes.id[route].0));
+    }
+
+    /// A relayed mail speaks for its route: enough of them, in usual time, take it from suspect over cold to open.
+    fn cleared(&mut self, route: usize, now: Nanos, late: bool, out: &mut impl Outlet) {
+        let id = self.routes.id[route].0;
+        match self.routes.mode[route] {
+            Mode::Suspect { rest, proofs, .. } if !late && proofs + 1 >= PROOFS => {
+                let _ = rest;
+                self.routes.mode[route] = Mode::Cold { since: now };
+                out.log(&format!("route {id} returns cold: {PROOFS} trials relayed"));
+            }
+            Mode::Suspect { rest, proofs, .. } => {
+                let proofs = if late { 0 } else { proofs + 1 };
+                let next_trial = now + rest.min(self.facts.tip_window / 2);
+                self.routes.mode[route] = Mode::Suspect {
+                    next_trial,
+                    rest,
+                    proofs,
+                };
+            }
+            Mode::Cold { since } if now >= since + self.facts.ramp => {
+                self.routes.mode[route] = Mode::Open;
+                out.log(&format!("route {id} open: warm after {} ms", (now - since) / MS));
+            }
+            Mode::Open if self.routes.struck[route] => {
+                self.routes.mode[route] = Mode::Cold { since: now };
+                out.log(&format!("route {id} returns cold: relayed after long refusal"));
+            }
+            _ => {}
+        }
+        self.routes.struck[route] = false;
+    }
+
+    /// The space between sends to a cold route: this dispatcher's own former traffic there, cut to what a cold
+    /// destination bears, rising over the ramp.
+    fn cold_space(&self, route: usize, since: Nanos, now: Nanos) -> Nanos {
+        let f = &self.facts;
+        let warm = f.cold_share + (1.0 - f.cold_share) * ((now - since) as f64 / f.ramp as f64).min(1.0);
+        let rate = self.routes.traffic[route] * warm * f.tip_multiple;
+        ((1.0 / rate.max(1e-18)) as Nanos).min(f.tip_window)
+    }
+
+    /// When this mail may go by this route, as things stand; NEVER: not before something else happens.
+    fn opens_at(&self, route: usize, mail: &Mail, now: Nanos) -> Nanos {
+        let r = &self.routes;
+        let row = &self.classes[mail.class].facts;
+        if !r.serving[route] {
+            return NEVER;
+        }
+        if let (Some((_, zone)), Repeat::Tagged { same_zone: true, .. }) = (mail.ran, row.repeat)
+            && zone != r.zone[route]
+        {
+            return NEVER;
+        }
+        let mut at = self.gates.opens_at(r.gate[route]);
+        match r.mode[route] {
+            Mode::Open => {}
+            Mode::Suspect { .. } if !r.out[route].is_empty() => return NEVER,
+            Mode::Suspect { next_trial, .. } => {
+                at = at.max(next_trial + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
+            }
+            Mode::Cold { since } => at = at.max(r.sent_at[route] + self.cold_space(route, since, now)),
+        }
+        at
+    }
+
+    /// What the mail is worth if it is answered at a time.
+    fn worth_at(&self, mail: &Mail, at: Nanos) -> f64 {
+        let row = &self.classes[mail.class].facts;
+        let age = at.saturating_sub(mail.due.saturating_sub(row.lifetime));
+        if at >= mail.due {
+            return 0.0;
+        }
+        let late = age.saturating_sub(row.target_delay) as f64;
+        let share = if self.facts.halves {
+            0.5f64.powf(late / row.target_delay as f64).max(row.late_share)
+        } else {
+            1.0 - (1.0 - row.late_share) * late / (row.lifetime - row.target_delay).max(1) as f64
+        };
+        mail.importance * share
+    }
+
+    /// When the mail's turn comes among those of its key.
+    fn turn_at(&self, id: MailId, mail: &Mail) -> Nanos {
+        let Some(line) = mail.key.and_then(|key| self.keys.get(&key)) else {
+            return 0;
+        };
+        if line.mails.front() != Some(&id) || line.loose > 0 {
+            return NEVER;
+        }
+        if mail.connects > 0 { 0 } else { line.rest_until }
+    }
+
+    /// Everything that is due by now: silent routes, ends of queue lifetimes, holding room, sends, the next wake.
+    fn go_on(&mut self, now: Nanos, out: &mut impl Outlet) {
+        self.now = now;
+        self.watch_silence(now, out);
+        self.end_overdue(now, out);
+        self.make_room(now, out);
+        self.send_all(now, out);
+        let at = self.next_wake(now);
+        if at < self.wake_at {
+            self.wake_at = at;
+            out.wake(at - now);
+        }
+    }
+
+    /// Stops hung, silent and much slowed routes from taking up the slots, long before time-outs tell of them.
+    fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
+        for route in 0..self.routes.id.len() {
+            if matches!(self.routes.mode[route], Mode::Suspect { .. }) {
+                continue;
+            }
+            if let Some((at, age)) = self.oldest(route, now)
+                && now >= at
+            {
+                let why = format!("oldest connect {} ms unanswered", age / MS);
+                self.suspect(route, now, &why, out);
+            }
+        }
+    }
+
+    /// When the route's oldest connect is to be held for silence, and its age.
+    fn oldest(&self, route: usize, now: Nanos) -> Option<(Nanos, Nanos)> {
+        let outs = self.routes.out[route].iter();
+        outs.map(|&(at, id)| (at + self.silent_after(route, self.mails[&id].class), now - at))
+            .min()
+    }
+
+    fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
+        let margin = self.margin();
+        let over = |m: &Mail| match m.stage {
+            Stage::Waiting => now + margin >= m.due || !self.may_go_again(m, now),
+            Stage::Out => now >= m.due,
+            _ => false,
+        };
+        let overdue: Vec<MailId> = self
+            .mails
+            .iter()
+            .filter(|(_, m)| over(m))
+            .map(|(&id, _)| id)
+            .collect();
+        for id in overdue {
+            self.give_up(id, now, out);
+        }
+    }
+
+    /// Keeps a place free for the next mail: at a full hold the mail worth least is given up.
+    fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
+        while self.held >= self.facts.holding_room {
+            let waiting = self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting);
+            let worth = waiting.map(|(&id, m)| (self.worth_at(m, now), m.due, id));
+            let least = worth.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let Some((_, _, id)) = least else { return };
+            self.give_up(id, now, out);
+        }
+    }
+
+    fn send_all(&mut self, now: Nanos, out: &mut impl Outlet) {
+        if now < self.no_slot_until {
+            return;
+        }
+        while self.out < self.facts.slots {
+            let mut best: Option<(f64, u64, MailId)> = None;
+            for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
+                let worth = self.worth_at(mail, now);
+                let better = best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.order < b.1));
+                if better && self.turn_at(id, mail) <= now && self.has_route(mail, now) {
+                    best = Some((worth, mail.order, id));
+                }
+            }
+            let Some((_, _, id)) = best else { return };
+            let Some(route) = self.deal(id, now) else { return };
+            self.send(id, route, now, out);
+        }
+    }
+
+    fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
+        let Some(deck) = self.decks.get(&mail.dest) else {
+            return false;
+        };
+        let busy: usize = deck.cards.iter().map(|&r| self.routes.out[r].len()).sum();
+        busy < self.most_slots() && deck.cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
+    }
+
+    fn most_slots(&self) -> usize {
+        ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2)
+    }
+
+    /// Deals the next route from the destination's shuffled deck, passing over those not available.
+    fn deal(&mut self, id: MailId, now: Nanos) -> Option<usize> {
+        let mail = &self.mails[&id];
+        let dest = mail.dest;
+        let deck = &self.decks[&dest];
+        let open: Vec<bool> = deck
+            .cards
+            .iter()
+            .map(|&r| self.opens_at(r, mail, now) <= now)
+            .collect();
+        let deck = self.decks.get_mut(&dest)?;
+        if !open[deck.dealt..].contains(&true) {
+            deck.dealt = 0;
+        }
+        let open: Vec<usize> = (deck.dealt..deck.cards.len()).filter(|&i| open[i]).collect();
+        let pick = *open.get(self.rng.random_range(0..open.len().max(1)))?;
+        deck.cards.swap(deck.dealt, pick);
+        deck.dealt += 1;
+        Some(deck.cards[deck.dealt - 1])
+    }
+
+    fn send(&mut self, id: MailId, route: usize, now: Nanos, out: &mut impl Outlet) {
+        let usual = self.usual(route, self.mails[&id].class);
+        let margin = self.margin();
+        let Some(mail) = self.mails.get_mut(&id) else {
+            return;
+        };
+        let left = mail.due - now - margin;
+        let time_out = match self.classes[mail.class].facts.repeat {
+            // For a once-only mail a time-out is a bounce: it is waited for as long as may be.
+            Repeat::OnceOnly => left,
+            _ => ((TIMEOUT_TIMES * usual) as Nanos)
+                .clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING)
+                .min(left),
+        };
+        mail.out = Some(Connect {
+            no: ConnectNo(mail.connects),
+            route,
+            at: now,
+        });
+        mail.connects += 1;
+        self.out += 1;
+        self.routes.out[route].push((now, id));
+        self.routes.sent_at[route] = now;
+        self.gates.sent_at[self.routes.gate[route]] = now;
+        self.shift(id, Stage::Out, out);
+        out.connect(id, self.routes.id[route], time_out);
+    }
+
+    /// The next moment at which something may be due without any news.
+    fn next_wake(&self, now: Nanos) -> Nanos {
+        let mut at = NEVER;
+        let mut note = |t: Nanos| {
+            if t > now {
+                at = at.min(t);
+            }
+        };
+        for route in 0..self.routes.id.len() {
+            if !matches!(self.routes.mode[route], Mode::Suspect { .. }) {
+                note(self.oldest(route, now).map_or(NEVER, |o| o.0));
+            }
+        }
+        for (&id, mail) in self.mails.iter().filter(|(_, m)| !m.stage.ended()) {
+            note(if mail.stage == Stage::Out {
+                mail.due
+            } else {
+                mail.due.saturating_sub(self.margin())
+            });
+            if mail.stage == Stage::Waiting && self.out < self.facts.slots {
+                let turn = self.turn_at(id, mail);
+                for &route in self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards) {
+                    note(self.opens_at(route, mail, now).max(turn).max(self.no_slot_until));
+                }
+            }
+        }
+        at
+    }
+}
+
+fn mail_key(mails: &BTreeMap<MailId, Mail>, id: MailId) -> Option<KeyId> {
+    mails.get(&id).and_then(|m| m.key)
+}
+
+impl Routes {
+    fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
+        self.id.push(entry.endpoint);
+        self.dest.push(entry.destination);
+        self.zone.push(entry.zone);
+        self.gate.push(gate);
+        self.serving.push(true);
+        self.out.push(Vec::new());
+        self.mode.push(Mode::Open);
+        self.fail.push(0.0);
+        self.pace.push(None);
+        self.sent_at.push(0);
+        self.traffic.push(0.0);
+        self.traffic_at.push(0);
+        self.struck.push(false);
+        self.id.len() - 1
+    }
+
+    /// Counts a relayed mail into the route's traffic, while the route is open.
+    fn count(&mut self, route: usize, now: Nanos) {
+        if self.mode[route] == Mode::Open {
+            let faded = (-((now - self.traffic_at[route]) as f64) / TRAFFIC_SPAN).exp();
+            self.traffic[route] = self.traffic[route] * faded + 1.0 / TRAFFIC_SPAN;
+            self.traffic_at[route] = now;
+        }
+    }
+}
+
+impl Gates {
+    fn add(&mut self) -> usize {
+        self.told_until.push(0);
+        self.closed_until.push(0);
+        self.wait.push(FIRST_WAIT);
+        self.gap.push(0);
+        self.sent_at.push(0);
+        self.refused_at.push(0);
+        self.refused_since.push(None);
+        self.gap.len() - 1
+    }
+
+    fn opens_at(&self, gate: usize) -> Nanos {
+        self.told_until[gate]
+            .max(self.closed_until[gate])
+            .max(self.sent_at[gate] + self.gap[gate])
+    }
+
+    fn refuse(&mut self, gate: usize, now: Nanos, told: Nanos, fresh: bool) {
+        self.told_until[gate] = self.told_until[gate].max(now + told);
+        if told > 0 {
+            self.closed_until[gate] = self.closed_until[gate].max(now + told);
+        } else if fresh {
+            self.closed_until[gate] = self.closed_until[gate].max(now + self.wait[gate]);
+            self.wait[gate] = (self.wait[gate] * 2).min(LONGEST_WAIT);
+        }
+        if fresh {
+            self.gap[gate] = (self.gap[gate] * 2).clamp(GAP_STEP, LONGEST_GAP);
+            self.refused_at[gate] = now;
+        }
+    }
+
+    fn relayed(&mut self, gate: usize) {
+        self.wait[gate] = FIRST_WAIT;
+        self.refused_since[gate] = None;
+        let gap = self.gap[gate] as f64 * (1.0 - GAP_SHARE);
+        self.gap[gate] = if gap < GAP_STEP as f64 / 4.0 {
+            0
+        } else {
+            gap as Nanos
+        };
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,174 @@
+//! What goes into the decisions and what comes out of them: ids, plain inputs and the trait of answers.
+
+/// A time or a span, in whole nanoseconds.
+pub type Nanos = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MailId(pub u64);
+
+/// An endpoint; the front may number them as it likes, the same for as long as an instance lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DestinationId(pub u64);
+
+/// What mails of an ordered queue class are about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyId(pub u64);
+
+/// A row of [`BootFacts::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassId(pub usize);
+
+/// A row of [`BootFacts::accounts`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AccountId(pub usize);
+
+/// A row of [`BootFacts::apart`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KindId(pub usize);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneId(pub usize);
+
+/// The connects of one mail, counted from nought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectNo(pub u32);
+
+/// Whether a mail may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Redeliverable,
+    /// A repeat is dropped within `window` of the first send, by endpoints of the scope.
+    Tagged {
+        window: Nanos,
+        same_zone: bool,
+    },
+    OnceOnly,
+}
+
+#[derive(Clone, Debug)]
+pub struct ClassFacts {
+    pub importance: f64,
+    pub target_delay: Nanos,
+    pub lifetime: Nanos,
+    pub late_share: f64,
+    pub repeat: Repeat,
+    pub ordered: bool,
+}
+
+/// What an instance is told when it starts.
+#[derive(Clone, Debug)]
+pub struct BootFacts {
+    pub seed: u64,
+    pub dispatchers: u32,
+    pub classes: Vec<ClassFacts>,
+    /// For each account, the mails a second within its share, over all dispatchers.
+    pub accounts: Vec<f64>,
+    pub over_share_worth: f64,
+    /// For each kind of destination: are its endpoints separate routes?
+    pub apart: Vec<bool>,
+    /// Past the target delay importance falls by half with each further one (else evenly).
+    pub halves: bool,
+    pub slots: usize,
+    pub holding_room: usize,
+    pub max_connects: u32,
+    pub connect_timeout: Nanos,
+    pub may_probe: bool,
+    /// The longest time to come back that a client heeds; nought where none is heard.
+    pub max_come_back: Nanos,
+    pub cold_share: f64,
+    pub ramp: Nanos,
+    pub tip_multiple: f64,
+    pub tip_window: Nanos,
+    pub key_rest: Nanos,
+    pub tick: Nanos,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// Changed entries only.
+    Update,
+    /// The whole list; what is not in it is gone.
+    Whole,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ListEntry {
+    pub endpoint: EndpointId,
+    pub destination: DestinationId,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    /// False when it drains or is gone.
+    pub serving: bool,
+    /// Calls a second that the list gives for the limit, where it gives one.
+    pub listed_rate: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct NewMail {
+    pub id: MailId,
+    pub class: ClassId,
+    pub account: Option<AccountId>,
+    pub key: Option<KeyId>,
+    pub destination: DestinationId,
+    /// When its queue lifetime is up.
+    pub due: Nanos,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Relayed,
+    /// The destination answered with an error; it may have run.
+    Errored,
+    /// Refused as full, with the wait told (nought: none).
+    Full(Nanos),
+    TimedOut,
+    /// No connection could be had.
+    Unconnected,
+    Reset,
+    CalledOff,
+    /// Not sent at all; true: no slot was free.
+    Unsent(bool),
+}
+
+impl Outcome {
+    /// Whether the outcome leaves it open that the mail ran.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Full(_) | Outcome::Unconnected | Outcome::Unsent(_))
+    }
+}
+
+/// What a destination tells of its limit in an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// Share of the limit left.
+    pub left: f64,
+    /// The limit in calls a second; nought where there is none.
+    pub limit: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectEnd {
+    pub mail: MailId,
+    pub no: ConnectNo,
+    pub outcome: Outcome,
+    /// The mail is over by this outcome or was before.
+    pub over: bool,
+    /// Time since it was sent.
+    pub took: Nanos,
+    pub told: Option<Told>,
+}
+
+/// The answers of the decisions, carried out by whatever front stands before them.
+pub trait Outlet {
+    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos);
+    fn defer(&mut self, mail: MailId, come_back: Nanos);
+    fn bounce(&mut self, mail: MailId);
+    fn call_off(&mut self, mail: MailId, no: ConnectNo);
+    fn probe(&mut self, endpoint: EndpointId);
+    /// Asks for [`crate::control::Dispatcher::woken`] after this span.
+    fn wake(&mut self, after: Nanos);
+    fn log(&mut self, line: &str);
+}
