--- a/benchlink/src/boot.rs
+++ b/benchlink/src/boot.rs
@@ -16,10 +16,7 @@
 impl Names {
     pub fn find(&self, names: &[String], line: &Line, field: &str) -> Result<usize, Bad> {
         let name = line.text(field)?;
-        names
-            .iter()
-            .position(|n| n == name)
-            .ok_or_else(|| line.bad(field, "a name given in the settings"))
+        names.iter().position(|n| n == name).ok_or_else(|| line.bad(field, "a name given in the settings"))
     }
 }
 
@@ -32,9 +29,7 @@
     }
     fn need<T>(&self, path: &str, expected: &str, read: impl Fn(&'a Value) -> Option<T>) -> Result<T, Bad> {
         let field = format!("boot-info {path}");
-        self.at(path)
-            .and_then(read)
-            .ok_or_else(|| self.1.bad(&field, expected))
+        self.at(path).and_then(read).ok_or_else(|| self.1.bad(&field, expected))
     }
     fn num(&self, path: &str) -> Result<f64, Bad> {
         self.need(path, "a number", Value::as_f64)
@@ -52,11 +47,7 @@
         self.need(path, "a list", |v| v.as_array().map(Vec::as_slice))
     }
     fn words(&self, path: &str) -> Result<Vec<String>, Bad> {
-        let word = |v: &Value| {
-            v.as_str()
-                .map(str::to_string)
-                .ok_or_else(|| self.1.bad(path, "words"))
-        };
+        let word = |v: &Value| v.as_str().map(str::to_string).ok_or_else(|| self.1.bad(path, "words"));
         self.list(path)?.iter().map(word).collect()
     }
 }
@@ -65,16 +56,12 @@
     let r = Reader(v, line);
     let repeat = match r.word("repeat")? {
         "idempotent" => Repeat::Redeliverable,
-        "deduplicated" => Repeat::Tagged {
-            window: r.count("window-ns")?,
-            same_zone: r.word("dedup-scope")? != "all",
-        },
+        "deduplicated" => {
+            Repeat::Tagged { window: r.count("window-ns")?, same_zone: r.word("dedup-scope")? != "all" }
+        }
         "at_most_once" => Repeat::OnceOnly,
         _ => {
-            return Err(line.bad(
-                "boot-info services.repeat",
-                "idempotent, deduplicated or at_most_once",
-            ));
+            return Err(line.bad("boot-info services.repeat", "idempotent, deduplicated or at_most_once"));
         }
     };
     let facts = ClassFacts {
@@ -93,17 +80,9 @@
     let json: Value = serde_json::from_str(line.text("boot-info")?)
         .map_err(|e| line.bad("boot-info", &format!("JSON ({e})")))?;
     let r = Reader(&json, line);
-    let classes = r
-        .list("services")?
-        .iter()
-        .map(|c| class(c, line))
-        .collect::<Result<Vec<_>, _>>()?;
+    let classes = r.list("services")?.iter().map(|c| class(c, line)).collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes): (Vec<_>, Vec<_>) = classes.into_iter().unzip();
-    let realms = r
-        .at("realms")
-        .and_then(Value::as_array)
-        .map(Vec::as_slice)
-        .unwrap_or(&[]);
+    let realms = r.at("realms").and_then(Value::as_array).map(Vec::as_slice).unwrap_or(&[]);
     let mut accounts = Vec::new();
     let mut account_names = Vec::new();
     for realm in realms {
@@ -132,19 +111,12 @@
         max_connects: r.count("limits.max-attempts")? as u32,
         connect_timeout: r.count("limits.connect-timeout-ns")?,
         may_probe: r.flag("limits.may-probe"),
-        max_come_back: if r.flag("limits.retry-after") {
-            r.count("limits.max-retry-after-ns")?
-        } else {
-            0
-        },
+        max_come_back: if r.flag("limits.retry-after") { r.count("limits.max-retry-after-ns")? } else { 0 },
         cold_share: r.num("guarantees.cold-share")?,
         ramp: r.count("guarantees.ramp-time-ns")?,
         tip_multiple: r.num("guarantees.tip-multiple")?,
         tip_window: r.count("guarantees.overload-for-ns")?,
-        key_rest: r
-            .at("guarantees.turn-gap-ns")
-            .and_then(Value::as_u64)
-            .unwrap_or(0),
+        key_rest: r.at("guarantees.turn-gap-ns").and_then(Value::as_u64).unwrap_or(0),
         tick: r.count("tick-ns")?,
     };
     Ok((facts, names))
--- a/benchlink/src/line.rs
+++ b/benchlink/src/line.rs
@@ -51,8 +51,7 @@
     }
 
     pub fn num(&self, field: &str) -> Result<u64, Bad> {
-        self.maybe_num(field)?
-            .ok_or_else(|| self.bad(field, "a whole number"))
+        self.maybe_num(field)?.ok_or_else(|| self.bad(field, "a whole number"))
     }
 
     pub fn hex(&self, field: &str) -> Result<MailId, Bad> {
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -35,16 +35,10 @@
 impl Outlet for Writer<'_> {
     fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
         let to = &self.endpoints[endpoint.0 as usize];
-        self.action(
-            "SEND",
-            format_args!(" txn={:016x} give-up-after-ns={time_out} endpoint={to}", mail.0),
-        );
+        self.action("SEND", format_args!(" txn={:016x} give-up-after-ns={time_out} endpoint={to}", mail.0));
     }
     fn defer(&mut self, mail: MailId, come_back: Nanos) {
-        self.action(
-            "OVERLOAD_REPLY",
-            format_args!(" txn={:016x} backoff-ns={come_back}", mail.0),
-        );
+        self.action("OVERLOAD_REPLY", format_args!(" txn={:016x} backoff-ns={come_back}", mail.0));
     }
     fn bounce(&mut self, mail: MailId) {
         self.action("END_FAILED", format_args!(" txn={:016x}", mail.0));
@@ -60,10 +54,7 @@
         self.action("ARM", format_args!(" mark=wake sleep-for-ns={after}"));
     }
     fn log(&mut self, line: &str) {
-        self.action(
-            "LOG",
-            format_args!(" message={}", line.replace(['\n', '\r'], " ")),
-        );
+        self.action("LOG", format_args!(" message={}", line.replace(['\n', '\r'], " ")));
     }
 }
 
@@ -98,11 +89,7 @@
             "x1" => &mut limit,
             _ => continue,
         };
-        *slot = Some(
-            value
-                .parse::<f64>()
-                .map_err(|_| line.bad("usage", "name:number pairs"))?,
-        );
+        *slot = Some(value.parse::<f64>().map_err(|_| line.bad("usage", "name:number pairs"))?);
     }
     Ok(left.zip(limit).map(|(left, limit)| Told { left, limit }))
 }
@@ -115,12 +102,7 @@
             "BOOT" => {
                 let (facts, names) = boot::read(line)?;
                 let dispatcher = Dispatcher::boot(now, facts);
-                let fresh = Instance {
-                    dispatcher,
-                    names,
-                    endpoints: vec![],
-                    endpoint_ids: HashMap::new(),
-                };
+                let fresh = Instance { dispatcher, names, endpoints: vec![], endpoint_ids: HashMap::new() };
                 self.instances.insert(name.to_string(), fresh);
                 return Ok(());
             }
@@ -133,17 +115,9 @@
         let Some(it) = self.instances.get_mut(name) else {
             return Ok(());
         };
-        let news = if line.name == "MEMBERS" {
-            read_news(line, &self.lists, it)?
-        } else {
-            None
-        };
+        let news = if line.name == "MEMBERS" { read_news(line, &self.lists, it)? } else { None };
         let from = self.out.len();
-        let out = &mut Writer {
-            out: &mut self.out,
-            instance: name,
-            endpoints: &it.endpoints,
-        };
+        let out = &mut Writer { out: &mut self.out, instance: name, endpoints: &it.endpoints };
         let d = &mut it.dispatcher;
         let names = &it.names;
         let decided = catch_unwind(AssertUnwindSafe(|| -> Result<(), Bad> {
@@ -238,9 +212,7 @@
         "unavailable" => return Ok(None),
         _ => return Err(line.bad("scope", "update, replace, restored or unavailable")),
     };
-    let items = lists
-        .get(&line.num("bank")?)
-        .ok_or_else(|| line.bad("bank", "the number of a list"))?;
+    let items = lists.get(&line.num("bank")?).ok_or_else(|| line.bad("bank", "the number of a list"))?;
     let mut entries = Vec::with_capacity(items.len());
     for item in items {
         let next = EndpointId(it.endpoints.len() as u32);
@@ -251,20 +223,8 @@
         entries.push(ListEntry {
             endpoint,
             destination: item.belongs_to,
-            zone: ZoneId(
-                it.names
-                    .zones
-                    .iter()
-                    .position(|z| *z == item.locality)
-                    .unwrap_or(usize::MAX),
-            ),
-            kind: KindId(
-                it.names
-                    .kinds
-                    .iter()
-                    .position(|k| *k == item.shape)
-                    .unwrap_or(usize::MAX),
-            ),
+            zone: ZoneId(it.names.zones.iter().position(|z| *z == item.locality).unwrap_or(usize::MAX)),
+            kind: KindId(it.names.kinds.iter().position(|k| *k == item.shape).unwrap_or(usize::MAX)),
             serving: item.serving,
             listed_rate: item.power.filter(|_| it.names.rates_listed),
         });
@@ -296,12 +256,7 @@
 fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), Bad> {
     let mut link = Link::default();
     let mut lines = input.lines();
-    let mut next = || {
-        lines
-            .next()
-            .transpose()
-            .map_err(|e| Bad(format!("cannot read input: {e}")))
-    };
+    let mut next = || lines.next().transpose().map_err(|e| Bad(format!("cannot read input: {e}")));
     let ended = || Bad("input ended inside a batch".into());
     while let Some(text) = next()? {
         if text.is_empty() {
@@ -330,10 +285,7 @@
             }
         }
         writeln!(link.out, "FINISHED seq={seq}").expect("writing to memory");
-        output
-            .write_all(&link.out)
-            .and_then(|()| output.flush())
-            .map_err(|e| Bad(e.to_string()))?;
+        output.write_all(&link.out).and_then(|()| output.flush()).map_err(|e| Bad(e.to_string()))?;
         link.out.clear();
     }
     Ok(())
--- a/src/control.rs
+++ b/src/control.rs
@@ -101,14 +101,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Mode {
     Open,
-    Suspect {
-        next_trial: Nanos,
-        rest: Nanos,
-        proofs: u32,
-    },
-    Cold {
-        since: Nanos,
-    },
+    Suspect { next_trial: Nanos, rest: Nanos, proofs: u32 },
+    Cold { since: Nanos },
 }
 
 /// Endpoints, one place each.
@@ -174,14 +168,7 @@
         let usual = FIRST_USUAL;
         Dispatcher {
             rng: Pcg64Mcg::seed_from_u64(facts.seed),
-            classes: facts
-                .classes
-                .iter()
-                .map(|c| ClassRow {
-                    facts: c.clone(),
-                    usual,
-                })
-                .collect(),
+            classes: facts.classes.iter().map(|c| ClassRow { facts: c.clone(), usual }).collect(),
             shares: facts.accounts.iter().map(|_| (f64::MAX, now)).collect(),
             routes: Routes::default(),
             gates: Gates::default(),
@@ -261,10 +248,7 @@
         }
         self.learn(now, connect, class, &end, out);
         if let Some(line) = mail_key(&self.mails, end.mail).and_then(|key| self.keys.get_mut(&key)) {
-            if matches!(
-                end.outcome,
-                Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff
-            ) {
+            if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff) {
                 line.rest_until = now + self.facts.key_rest + self.facts.tick;
             }
             if self.mails[&end.mail].stage.ended() {
@@ -304,7 +288,9 @@
     }
 
     pub fn woken(&mut self, now: Nanos, out: &mut impl Outlet) {
-        if self.wake_at <= now {
+        // A wake may come a little early; taken for a stale one it would never be asked for again, and the mails
+        // that it was for would be lost.
+        if self.wake_at <= now + self.facts.tick {
             self.wake_at = NEVER;
         }
         self.go_on(now, out);
@@ -381,13 +367,7 @@
         let harmless = mail.out.is_none()
             && match (mail.ran, self.classes[mail.class].facts.repeat) {
                 (None, _) | (_, Repeat::Redeliverable) => true,
-                (
-                    Some((at, _)),
-                    Repeat::Tagged {
-                        window,
-                        same_zone: false,
-                    },
-                ) => now < at + window / 2,
+                (Some((at, _)), Repeat::Tagged { window, same_zone: false }) => now < at + window / 2,
                 _ => false,
             };
         self.shift(id, if harmless { Stage::Deferred } else { Stage::Bounced }, out);
@@ -396,10 +376,7 @@
     /// When a client had best come back: when a route of the destination opens again.
     fn come_back(&self, id: MailId) -> Nanos {
         let deck = self.decks.get(&self.mails[&id].dest);
-        let gates = deck
-            .into_iter()
-            .flat_map(|d| &d.cards)
-            .map(|&r| self.routes.gate[r]);
+        let gates = deck.into_iter().flat_map(|d| &d.cards).map(|&r| self.routes.gate[r]);
         let soonest = gates.map(|g| self.gates.closed_until[g]).min().unwrap_or(0);
         soonest.saturating_sub(self.now).min(self.facts.max_come_back)
     }
@@ -439,11 +416,7 @@
                     let pace = self.routes.pace[route].unwrap_or(1.0);
                     row.usual += PACE_WEIGHT * (end.took as f64 / pace - row.usual);
                     let seen = (end.took as f64 / row.usual).max(0.1);
-                    let weight = if self.routes.pace[route].is_none() {
-                        0.5
-                    } else {
-                        PACE_WEIGHT
-                    };
+                    let weight = if self.routes.pace[route].is_none() { 0.5 } else { PACE_WEIGHT };
                     self.routes.pace[route] = Some(pace + weight * (seen - pace));
                 }
                 self.cleared(route, now, late, out);
@@ -458,11 +431,7 @@
                 let share = self.routes.fail[route];
                 if let Mode::Suspect { rest, .. } = self.routes.mode[route] {
                     let rest = (rest * 2).min(LONGEST_REST);
-                    self.routes.mode[route] = Mode::Suspect {
-                        next_trial: now + rest,
-                        rest,
-                        proofs: 0,
-                    };
+                    self.routes.mode[route] = Mode::Suspect { next_trial: now + rest, rest, proofs: 0 };
                 } else if share > self.median_fail() + FAIL_MARGIN
                     || matches!(self.routes.mode[route], Mode::Cold { .. })
                 {
@@ -491,10 +460,7 @@
 
     fn median_fail(&self) -> f64 {
         let r = &self.routes;
-        let mut shares: Vec<f64> = (0..r.id.len())
-            .filter(|&i| r.serving[i])
-            .map(|i| r.fail[i])
-            .collect();
+        let mut shares: Vec<f64> = (0..r.id.len()).filter(|&i| r.serving[i]).map(|i| r.fail[i]).collect();
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
     }
@@ -504,11 +470,7 @@
     }
 
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
-        self.routes.mode[route] = Mode::Suspect {
-            next_trial: now + TRIAL_REST,
-            rest: TRIAL_REST,
-            proofs: 0,
-        };
+        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, rest: TRIAL_REST, proofs: 0 };
         out.log(&format!("route {} suspect: {why}", self.routes.id[route].0));
     }
 
@@ -524,11 +486,7 @@
             Mode::Suspect { rest, proofs, .. } => {
                 let proofs = if late { 0 } else { proofs + 1 };
                 let next_trial = now + rest.min(self.facts.tip_window / 2);
-                self.routes.mode[route] = Mode::Suspect {
-                    next_trial,
-                    rest,
-                    proofs,
-                };
+                self.routes.mode[route] = Mode::Suspect { next_trial, rest, proofs };
             }
             Mode::Cold { since } if now >= since + self.facts.ramp => {
                 self.routes.mode[route] = Mode::Open;
@@ -635,8 +593,7 @@
     /// When the route's oldest connect is to be held for silence, and its age.
     fn oldest(&self, route: usize, now: Nanos) -> Option<(Nanos, Nanos)> {
         let outs = self.routes.out[route].iter();
-        outs.map(|&(at, id)| (at + self.silent_after(route, self.mails[&id].class), now - at))
-            .min()
+        outs.map(|&(at, id)| (at + self.silent_after(route, self.mails[&id].class), now - at)).min()
     }
 
     fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
@@ -646,12 +603,7 @@
             Stage::Out => now >= m.due,
             _ => false,
         };
-        let overdue: Vec<MailId> = self
-            .mails
-            .iter()
-            .filter(|(_, m)| over(m))
-            .map(|(&id, _)| id)
-            .collect();
+        let overdue: Vec<MailId> = self.mails.iter().filter(|(_, m)| over(m)).map(|(&id, _)| id).collect();
         for id in overdue {
             self.give_up(id, now, out);
         }
@@ -704,11 +656,7 @@
         let mail = &self.mails[&id];
         let dest = mail.dest;
         let deck = &self.decks[&dest];
-        let open: Vec<bool> = deck
-            .cards
-            .iter()
-            .map(|&r| self.opens_at(r, mail, now) <= now)
-            .collect();
+        let open: Vec<bool> = deck.cards.iter().map(|&r| self.opens_at(r, mail, now) <= now).collect();
         let deck = self.decks.get_mut(&dest)?;
         if !open[deck.dealt..].contains(&true) {
             deck.dealt = 0;
@@ -730,15 +678,9 @@
         let time_out = match self.classes[mail.class].facts.repeat {
             // For a once-only mail a time-out is a bounce: it is waited for as long as may be.
             Repeat::OnceOnly => left,
-            _ => ((TIMEOUT_TIMES * usual) as Nanos)
-                .clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING)
-                .min(left),
+            _ => ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left),
         };
-        mail.out = Some(Connect {
-            no: ConnectNo(mail.connects),
-            route,
-            at: now,
-        });
+        mail.out = Some(Connect { no: ConnectNo(mail.connects), route, at: now });
         mail.connects += 1;
         self.out += 1;
         self.routes.out[route].push((now, id));
@@ -762,11 +704,7 @@
             }
         }
         for (&id, mail) in self.mails.iter().filter(|(_, m)| !m.stage.ended()) {
-            note(if mail.stage == Stage::Out {
-                mail.due
-            } else {
-                mail.due.saturating_sub(self.margin())
-            });
+            note(if mail.stage == Stage::Out { mail.due } else { mail.due.saturating_sub(self.margin()) });
             if mail.stage == Stage::Waiting && self.out < self.facts.slots {
                 let turn = self.turn_at(id, mail);
                 for &route in self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards) {
@@ -823,9 +761,7 @@
     }
 
     fn opens_at(&self, gate: usize) -> Nanos {
-        self.told_until[gate]
-            .max(self.closed_until[gate])
-            .max(self.sent_at[gate] + self.gap[gate])
+        self.told_until[gate].max(self.closed_until[gate]).max(self.sent_at[gate] + self.gap[gate])
     }
 
     fn refuse(&mut self, gate: usize, now: Nanos, told: Nanos, fresh: bool) {
@@ -846,10 +782,6 @@
         self.wait[gate] = FIRST_WAIT;
         self.refused_since[gate] = None;
         let gap = self.gap[gate] as f64 * (1.0 - GAP_SHARE);
-        self.gap[gate] = if gap < GAP_STEP as f64 / 4.0 {
-            0
-        } else {
-            gap as Nanos
-        };
+        self.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
     }
 }
