Bound once-only time-outs; old unanswered connects hold up no trial

Cause: once-only connects to hung routes held their slots for the whole queue lifetime, and one of them kept every trial of its route back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -525,7 +525,7 @@
         let mut at = self.gates.opens_at(r.gate[route]);
         match r.mode[route] {
             Mode::Open => {}
-            Mode::Suspect { .. } if !r.out[route].is_empty() => return NEVER,
+            Mode::Suspect { .. } if self.on_trial(route, now) => return NEVER,
             Mode::Suspect { next_trial, .. } => {
                 at = at.max(next_trial + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
             }
@@ -534,6 +534,12 @@
         at
     }
 
+    /// Whether a trial is out that may still be answered in usual time; connects older than that hold up none.
+    fn on_trial(&self, route: usize, now: Nanos) -> bool {
+        let young = |at: Nanos, id: MailId| now < at + self.silent_after(route, self.mails[&id].class);
+        self.routes.out[route].iter().any(|&(at, id)| young(at, id))
+    }
+
     /// What the mail is worth if it is answered at a time.
     fn worth_at(&self, mail: &Mail, at: Nanos) -> f64 {
         let row = &self.classes[mail.class].facts;
@@ -676,8 +682,9 @@
         };
         let left = mail.due - now - margin;
         let time_out = match self.classes[mail.class].facts.repeat {
-            // For a once-only mail a time-out is a bounce: it is waited for as long as may be.
-            Repeat::OnceOnly => left,
+            // For a once-only mail a time-out is a bounce, so a slow answer is worth a longer wait; but a slot held
+            // for all its lifetime by a route that hangs starves every other destination.
+            Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
             _ => ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left),
         };
         mail.out = Some(Connect { no: ConnectNo(mail.connects), route, at: now });
@@ -699,8 +706,8 @@
             }
         };
         for route in 0..self.routes.id.len() {
-            if !matches!(self.routes.mode[route], Mode::Suspect { .. }) {
-                note(self.oldest(route, now).map_or(NEVER, |o| o.0));
+            for &(at, id) in &self.routes.out[route] {
+                note(at + self.silent_after(route, self.mails[&id].class));
             }
         }
         for (&id, mail) in self.mails.iter().filter(|(_, m)| !m.stage.ended()) {
