--- a/src/control.rs
+++ b/src/control.rs
@@ -159,6 +159,8 @@
     held: usize,
     out: usize,
     no_slot_until: Nanos,
+    /// A connect has been called off whose end has not come yet.
+    called_off: Option<MailId>,
     wake_at: Nanos,
     now: Nanos,
 }
@@ -180,6 +182,7 @@
             held: 0,
             out: 0,
             no_slot_until: 0,
+            called_off: None,
             wake_at: NEVER,
             now,
             facts,
@@ -233,6 +236,7 @@
 
     pub fn connect_ended(&mut self, now: Nanos, end: ConnectEnd, out: &mut impl Outlet) {
         self.now = now;
+        self.called_off = self.called_off.filter(|m| *m != end.mail);
         let Some(mail) = self.mails.get_mut(&end.mail) else {
             return;
         };
@@ -574,6 +578,7 @@
         self.end_overdue(now, out);
         self.make_room(now, out);
         self.send_all(now, out);
+        self.free_slot(now, out);
         let at = self.next_wake(now);
         if at < self.wake_at {
             self.wake_at = at;
@@ -645,6 +650,30 @@
         }
     }
 
+    /// With all slots taken and a mail kept waiting by that alone, calls off the connect longest out beyond its
+    /// usual time on a suspect route. Stops hung, silent or crawling routes from starving all others; it could
+    /// bounce a once-only mail that would yet have been answered, so it acts on one at a time.
+    fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
+        if self.out < self.facts.slots || self.called_off.is_some() {
+            return;
+        }
+        let stuck =
+            (0..self.routes.id.len()).filter(|&r| matches!(self.routes.mode[r], Mode::Suspect { .. }));
+        let late =
+            |&(at, id): &(Nanos, MailId), r| now >= at + 2 * self.silent_after(r, self.mails[&id].class);
+        let stuck = stuck.flat_map(|r| self.routes.out[r].iter().filter(move |o| late(o, r)));
+        let Some(&(_, id)) = stuck.min() else { return };
+        let kept = |(&id, m): (&MailId, &Mail)| {
+            m.stage == Stage::Waiting && self.turn_at(id, m) <= now && self.has_route(m, now)
+        };
+        if let Some(connect) = self.mails[&id].out
+            && self.mails.iter().any(kept)
+        {
+            self.called_off = Some(id);
+            out.call_off(id, connect.no);
+        }
+    }
+
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
         let Some(deck) = self.decks.get(&mail.dest) else {
             return false;
