--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,8 @@
 const TRAFFIC_SPAN: f64 = 8e9;
 /// The share of the slots that one destination may hold.
 const SLOT_SHARE: f64 = 0.5;
+/// The share of the slots that all suspect routes together may hold.
+const TRIAL_SHARE: f64 = 0.25;
 /// An account's share may run ahead by so many seconds of it.
 const SHARE_DEPTH: f64 = 2.0;
 
@@ -529,7 +531,7 @@
         let mut at = self.gates.opens_at(r.gate[route]);
         match r.mode[route] {
             Mode::Open => {}
-            Mode::Suspect { .. } if self.on_trial(route, now) => return NEVER,
+            Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
             Mode::Suspect { next_trial, .. } => {
                 at = at.max(next_trial + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
             }
@@ -538,6 +540,14 @@
         at
     }
 
+    /// Whether suspect routes together hold all the slots that they may: many struck at once, each with its own
+    /// trial, would else leave none for the sound ones.
+    fn trials_full(&self) -> bool {
+        let suspect = |&r: &usize| matches!(self.routes.mode[r], Mode::Suspect { .. });
+        let held: usize = (0..self.routes.id.len()).filter(suspect).map(|r| self.routes.out[r].len()).sum();
+        held >= ((self.facts.slots as f64 * TRIAL_SHARE) as usize).max(1)
+    }
+
     /// Whether a trial is out that may still be answered in usual time; connects older than that hold up none.
     fn on_trial(&self, route: usize, now: Nanos) -> bool {
         let young = |at: Nanos, id: MailId| now < at + self.silent_after(route, self.mails[&id].class);
