--- a/src/control.rs
+++ b/src/control.rs
@@ -648,7 +648,7 @@
         while self.out < self.facts.slots {
             let mut best: Option<(f64, u64, MailId)> = None;
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
-                let worth = self.worth_at(mail, now);
+                let worth = self.worth_at(mail, now) / self.slot_time(mail);
                 let better = best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.order < b.1));
                 if better && self.turn_at(id, mail) <= now && self.has_route(mail, now) {
                     best = Some((worth, mail.order, id));
@@ -684,6 +684,12 @@
         }
     }
 
+    /// How long a connect of this mail will hold its slot, by the quickest of its routes.
+    fn slot_time(&self, mail: &Mail) -> f64 {
+        let routes = self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards);
+        routes.map(|&r| self.usual(r, mail.class)).fold(1e12, f64::min)
+    }
+
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
         let Some(deck) = self.decks.get(&mail.dest) else {
             return false;
