Send a suspect route through the cold ramp only if something failed there

Cause: a slow spell or one long answer made a route suspect, and a warm route then went through the whole cold ramp.

--- a/src/control.rs
+++ b/src/control.rs
@@ -123,6 +123,7 @@
     /// Relayed mails a nanosecond of late, and when that was reckoned.
     traffic: Vec<f64>,
     traffic_at: Vec<Nanos>,
+    /// Something failed there, or was refused for long, since it was last sound: it will return cold.
     struck: Vec<bool>,
 }
 
@@ -425,7 +426,7 @@
                     let weight = if self.routes.pace[route].is_none() { 0.5 } else { PACE_WEIGHT };
                     self.routes.pace[route] = Some(pace + weight * (seen - pace));
                 }
-                self.cleared(route, now, late, out);
+                self.cleared(route, now, end.took, late, out);
             }
             Outcome::Full(told) => self.refused(route, connect.at, now, told),
             // A connection refused at once is a full table: no sign of sickness, but of a limit.
@@ -436,11 +437,13 @@
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
                 let share = self.routes.fail[route];
                 if let Mode::Suspect { rest, .. } = self.routes.mode[route] {
+                    self.routes.struck[route] = true;
                     let rest = (rest * 2).min(LONGEST_REST);
                     self.routes.mode[route] = Mode::Suspect { next_trial: now + rest, rest, proofs: 0 };
                 } else if share > self.median_fail() + FAIL_MARGIN
                     || matches!(self.routes.mode[route], Mode::Cold { .. })
                 {
+                    self.routes.struck[route] = true;
                     let why = format!("failure share {share:.2}, fleet {:.2}", self.median_fail());
                     self.suspect(route, now, &why, out);
                 }
@@ -481,12 +484,17 @@
     }
 
     /// A relayed mail speaks for its route: enough of them, in usual time, take it from suspect over cold to open.
-    fn cleared(&mut self, route: usize, now: Nanos, late: bool, out: &mut impl Outlet) {
+    fn cleared(&mut self, route: usize, now: Nanos, took: Nanos, late: bool, out: &mut impl Outlet) {
         let id = self.routes.id[route].0;
         match self.routes.mode[route] {
-            Mode::Suspect { rest, proofs, .. } if !late && proofs + 1 >= PROOFS => {
-                let _ = rest;
+            // Nothing had failed or been refused: it was slow for a while, not out, and is not cold.
+            Mode::Suspect { .. } if !late && !self.routes.struck[route] => {
+                self.routes.mode[route] = Mode::Open;
+                out.log(&format!("route {id} open: relayed in {} ms, nothing failed", took / MS));
+            }
+            Mode::Suspect { proofs, .. } if !late && proofs + 1 >= PROOFS => {
                 self.routes.mode[route] = Mode::Cold { since: now };
+                self.routes.struck[route] = false;
                 out.log(&format!("route {id} returns cold: {PROOFS} trials relayed"));
             }
             Mode::Suspect { rest, proofs, .. } => {
@@ -499,12 +507,12 @@
                 out.log(&format!("route {id} open: warm after {} ms", (now - since) / MS));
             }
             Mode::Open if self.routes.struck[route] => {
+                self.routes.struck[route] = false;
                 self.routes.mode[route] = Mode::Cold { since: now };
                 out.log(&format!("route {id} returns cold: relayed after long refusal"));
             }
             _ => {}
         }
-        self.routes.struck[route] = false;
     }
 
     /// The space between sends to a cold route: this dispatcher's own former traffic there, cut to what a cold
