--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -155,7 +155,7 @@
                 }
                 "CHECKED" => {
                     if let Some(&endpoint) = it.endpoint_ids.get(line.text("endpoint")?) {
-                        d.probe_ended(now, endpoint, outcome(line, 0)?, told(line)?, out);
+                        d.probe_ended(now, endpoint, outcome(line, 0)?, out);
                     }
                 }
                 "PEER" => {
--- a/src/control.rs
+++ b/src/control.rs
@@ -111,7 +111,6 @@
 #[derive(Default)]
 struct Routes {
     id: Vec<EndpointId>,
-    dest: Vec<DestinationId>,
     zone: Vec<ZoneId>,
     gate: Vec<usize>,
     serving: Vec<bool>,
@@ -240,12 +239,8 @@
     pub fn connect_ended(&mut self, now: Nanos, end: ConnectEnd, out: &mut impl Outlet) {
         self.now = now;
         self.called_off = self.called_off.filter(|m| *m != end.mail);
-        let Some(mail) = self.mails.get_mut(&end.mail) else {
-            return;
-        };
-        let Some(connect) = mail.out.filter(|c| c.no == end.no) else {
-            return;
-        };
+        let Some(mail) = self.mails.get_mut(&end.mail) else { return };
+        let Some(connect) = mail.out.filter(|c| c.no == end.no) else { return };
         let class = mail.class;
         mail.out = None;
         self.out -= 1;
@@ -273,17 +268,8 @@
         self.go_on(now, out);
     }
 
-    pub fn probe_ended(
-        &mut self,
-        now: Nanos,
-        endpoint: EndpointId,
-        outcome: Outcome,
-        _told: Option<Told>,
-        out: &mut impl Outlet,
-    ) {
-        let Some(&route) = self.index.get(&endpoint) else {
-            return;
-        };
+    pub fn probe_ended(&mut self, now: Nanos, to: EndpointId, outcome: Outcome, out: &mut impl Outlet) {
+        let Some(&route) = self.index.get(&to) else { return };
         if let Outcome::Full(told) = outcome {
             self.refused(route, now, now, told);
         }
@@ -339,9 +325,7 @@
 
     /// The only place where a mail changes its stage: gives the final answers and keeps the counts.
     fn shift(&mut self, id: MailId, to: Stage, out: &mut impl Outlet) {
-        let Some(mail) = self.mails.get_mut(&id) else {
-            return;
-        };
+        let Some(mail) = self.mails.get_mut(&id) else { return };
         let from = std::mem::replace(&mut mail.stage, to);
         let still_out = mail.out.is_some();
         match to {
@@ -362,6 +346,8 @@
                 line.mails.retain(|m| *m != id);
                 line.loose += u32::from(still_out);
             }
+            let now = self.now;
+            self.keys.retain(|_, l| !l.mails.is_empty() || l.loose > 0 || l.rest_until > now);
         }
         if !still_out {
             self.mails.remove(&id);
@@ -594,8 +580,8 @@
         self.now = now;
         self.watch_silence(now, out);
         self.end_overdue(now, out);
-        self.make_room(now, out);
         self.send_all(now, out);
+        self.make_room(now, out);
         self.free_slot(now, out);
         let at = self.next_wake(now);
         if at < self.wake_at {
@@ -638,13 +624,17 @@
         }
     }
 
-    /// Keeps a place free for the next mail: at a full hold the mail worth least is given up.
+    /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up the
+    /// one worth least. Stops a struck destination's backlog from turning away the mails of all others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
         while self.held >= self.facts.holding_room {
-            let waiting = self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting);
-            let worth = waiting.map(|(&id, m)| (self.worth_at(m, now), m.due, id));
-            let least = worth.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            let Some((_, _, id)) = least else { return };
+            let mut waiting: BTreeMap<DestinationId, Vec<(f64, Nanos, MailId)>> = BTreeMap::new();
+            for (&id, m) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
+                waiting.entry(m.dest).or_default().push((self.worth_at(m, now), m.due, id));
+            }
+            let longest = waiting.into_values().max_by_key(Vec::len).unwrap_or_default();
+            let least = longest.iter().min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let Some(&(_, _, id)) = least else { return };
             self.give_up(id, now, out);
         }
     }
@@ -730,9 +720,7 @@
     fn send(&mut self, id: MailId, route: usize, now: Nanos, out: &mut impl Outlet) {
         let usual = self.usual(route, self.mails[&id].class);
         let margin = self.margin();
-        let Some(mail) = self.mails.get_mut(&id) else {
-            return;
-        };
+        let Some(mail) = self.mails.get_mut(&id) else { return };
         let left = mail.due - now - margin;
         let time_out = match self.classes[mail.class].facts.repeat {
             // For a once-only mail a time-out is a bounce, so a slow answer is worth a longer wait; but a slot held
@@ -783,7 +771,6 @@
 impl Routes {
     fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
         self.id.push(entry.endpoint);
-        self.dest.push(entry.destination);
         self.zone.push(entry.zone);
         self.gate.push(gate);
         self.serving.push(true);
--- /dev/null
+++ b/tests/plain.rs
@@ -0,0 +1,159 @@
+//! The mechanism itself, and each failure found, in plain cases.
+
+mod world;
+
+use bellsill::interface::*;
+use world::*;
+
+fn sends(w: &World, to: u32) -> usize {
+    w.o.sent.iter().filter(|s| s.to == to).count()
+}
+
+#[test]
+fn picks_are_even_in_short_runs() {
+    let mut w = World::new(facts());
+    for _ in 0..40 {
+        w.mail(0, 2, None, 12 * S);
+        w.pass(200 * MS);
+    }
+    for to in 8..12 {
+        assert_eq!(sends(&w, to), 10);
+    }
+}
+
+#[test]
+fn a_refused_mail_moves_straight_to_another_route() {
+    let mut w = World::new(facts());
+    w.o.ways[8] = Way::Refuses(3 * S);
+    for _ in 0..8 {
+        w.mail(0, 2, None, 12 * S);
+        w.pass(300 * MS);
+    }
+    assert_eq!((sends(&w, 8), w.o.relayed.len()), (1, 8));
+    let refused = w.o.sent.iter().position(|s| s.to == 8).expect("sent once");
+    let (first, next) = (&w.o.sent[refused], &w.o.sent[refused + 1]);
+    assert_eq!((next.mail, next.at), (first.mail, first.at + 20 * MS));
+}
+
+#[test]
+fn a_told_wait_closes_all_endpoints_that_share_a_limit() {
+    let mut w = World::new(facts());
+    w.o.ways.fill(Way::Refuses(2 * S));
+    w.mail(0, 0, None, 12 * S);
+    w.pass(S);
+    w.o.ways.fill(Way::Answers(100 * MS));
+    w.pass(10 * S);
+    assert_eq!(w.o.sent.len(), 2);
+    assert_eq!(w.o.sent[1].at, w.o.sent[0].at + 20 * MS + 2 * S, "the soonest reopening");
+}
+
+#[test]
+fn untold_suspension_doubles_and_is_reset_by_a_relayed_mail() {
+    let mut w = World::new(facts());
+    w.o.ways.fill(Way::Refuses(0));
+    w.mail(0, 0, None, 12 * S);
+    w.pass(1_500 * MS);
+    let waits = |w: &World| w.o.sent.windows(2).map(|p| p[1].at - p[0].at).collect::<Vec<_>>();
+    let grown = waits(&w);
+    assert!(grown.len() >= 2 && grown[1] > grown[0] * 3 / 2, "{grown:?}");
+    w.o.ways.fill(Way::Answers(100 * MS));
+    w.pass(5 * S);
+    assert_eq!(w.o.relayed.len(), 1);
+    let before = w.o.sent.len();
+    w.o.ways.fill(Way::Refuses(0));
+    w.mail(0, 0, None, 12 * S);
+    w.pass(S);
+    let again = waits(&w)[before];
+    assert!(again < grown[1], "{again} after a relayed mail, {grown:?} before");
+}
+
+#[test]
+fn refusals_open_a_gap_that_relayed_mails_close() {
+    let mut w = World::new(facts());
+    w.o.ways[..4].fill(Way::Refuses(100 * MS));
+    w.mail(0, 0, None, 12 * S);
+    w.pass(300 * MS);
+    w.o.ways.fill(Way::Answers(MS));
+    let from = w.o.sent.len();
+    for _ in 0..50 {
+        w.mail(0, 0, None, 12 * S);
+    }
+    w.pass(10 * S);
+    let gaps: Vec<Nanos> = w.o.sent[from..].windows(2).map(|p| p[1].at - p[0].at).collect();
+    assert!(gaps[1] > 10 * MS && gaps[48] < 2 * MS, "{gaps:?}");
+}
+
+#[test]
+fn a_mail_that_cannot_be_sent_is_deferred_with_a_time_to_come_back() {
+    let mut w = World::new(facts());
+    w.o.ways.fill(Way::Refuses(5 * S));
+    let id = w.mail(3, 0, None, 2 * S);
+    w.pass(3 * S);
+    assert_eq!(w.o.deferred.len(), 1);
+    assert!(w.o.deferred[0].0 == id && w.o.deferred[0].1 > S);
+}
+
+#[test]
+fn a_mail_for_an_unknown_destination_is_answered() {
+    let mut w = World::new(facts());
+    w.mail(3, 77, None, 2 * S);
+    w.pass(3 * S);
+    assert_eq!(w.o.deferred.len(), 1);
+}
+
+/// Found on head-office big-2: wakes that came a fraction early were lost, and mails with them.
+#[test]
+fn a_wake_that_comes_early_is_not_lost() {
+    let mut w = World::new(facts());
+    w.o.ways.fill(Way::Down);
+    for class in 0..4 {
+        w.mail(class, 1, Some(1), 12 * S);
+    }
+    w.pass(20 * S);
+    assert_eq!(w.o.deferred.len() + w.o.bounced.len(), 4);
+}
+
+/// Found on incident i6c01aa: once-only connects to hung routes held all slots for whole queue lifetimes.
+#[test]
+fn a_hung_destination_leaves_slots_to_others() {
+    let mut w = World::new(facts());
+    w.o.ways[..4].fill(Way::Hangs);
+    let mut sound = Vec::new();
+    for _ in 0..100 {
+        w.mail(3, 0, None, 12 * S);
+        sound.push(w.mail(0, 2, None, 12 * S));
+        w.pass(100 * MS);
+    }
+    w.pass(5 * S);
+    let relayed = sound.iter().filter(|m| w.o.relayed.contains(m)).count();
+    assert!(relayed >= 95, "only {relayed} of 100 relayed");
+}
+
+/// Found on incident ibd5a5f: a route that was slow for a moment was sent through the whole cold ramp.
+#[test]
+fn a_slow_spell_leaves_no_cold_ramp() {
+    let mut w = World::new(facts());
+    for slow in [false, true, false] {
+        w.o.ways[8..].fill(Way::Answers(if slow { 1_500 * MS } else { 100 * MS }));
+        for _ in 0..30 {
+            w.mail(0, 2, None, 12 * S);
+            w.pass(200 * MS);
+        }
+    }
+    assert!(w.o.lines.iter().any(|l| l.contains("suspect")));
+    assert!(!w.o.lines.iter().any(|l| l.contains("cold")), "{:?}", w.o.lines);
+}
+
+#[test]
+fn at_a_full_hold_the_mail_worth_least_gives_way() {
+    let mut w = World::new(BootFacts { over_share_worth: 1.0, ..facts() });
+    w.o.ways.fill(Way::Refuses(10 * S));
+    let first = w.mail(0, 0, None, 12 * S);
+    for _ in 0..58 {
+        w.mail(3, 0, None, 12 * S);
+    }
+    assert_eq!(w.o.deferred.first().map(|d| d.0), None);
+    w.pass(50 * MS);
+    w.mail(3, 0, None, 12 * S);
+    assert_eq!(w.o.deferred.first().map(|d| d.0), Some(first));
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,335 @@
+//! A scripted outlet that carries out the answers and checks the six rules at every one of them.
+#![allow(dead_code)]
+
+use bellsill::control::Dispatcher;
+use bellsill::interface::*;
+use std::collections::BTreeMap;
+
+pub const MS: Nanos = 1_000_000;
+pub const S: Nanos = 1_000 * MS;
+
+/// How an endpoint treats what comes to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Way {
+    Answers(Nanos),
+    Hangs,
+    Errs,
+    Refuses(Nanos),
+    Down,
+    TableFull,
+}
+
+pub struct Sent {
+    pub at: Nanos,
+    pub mail: MailId,
+    pub to: u32,
+    pub time_out: Nanos,
+}
+
+struct Known {
+    class: usize,
+    key: Option<KeyId>,
+    dest: u64,
+    due: Nanos,
+    connects: u32,
+    out: Option<(u32, Nanos)>,
+    ran: Option<(Nanos, usize)>,
+    ended: bool,
+}
+
+enum Due {
+    Wake,
+    End(MailId, Outcome),
+}
+
+pub struct Outside {
+    pub now: Nanos,
+    pub facts: BootFacts,
+    pub entries: Vec<ListEntry>,
+    pub ways: Vec<Way>,
+    pub sent: Vec<Sent>,
+    pub deferred: Vec<(MailId, Nanos)>,
+    pub bounced: Vec<MailId>,
+    pub relayed: Vec<MailId>,
+    pub lines: Vec<String>,
+    mails: BTreeMap<MailId, Known>,
+    order: BTreeMap<KeyId, Vec<MailId>>,
+    rests: BTreeMap<KeyId, (Nanos, MailId)>,
+    told: BTreeMap<u64, Nanos>,
+    due: BTreeMap<(Nanos, u64), Due>,
+    seq: u64,
+}
+
+/// Four endpoints to each of three destinations; of the last the endpoints are routes apart.
+pub fn facts() -> BootFacts {
+    let class = |importance, repeat, ordered| ClassFacts {
+        importance,
+        target_delay: 2 * S,
+        lifetime: 12 * S,
+        late_share: 0.4,
+        repeat,
+        ordered,
+    };
+    let tagged = |same_zone| Repeat::Tagged { window: 6 * S, same_zone };
+    BootFacts {
+        seed: 7,
+        dispatchers: 1,
+        classes: vec![
+            class(1.0, Repeat::Redeliverable, false),
+            class(2.0, tagged(false), false),
+            class(2.0, tagged(true), true),
+            class(4.0, Repeat::OnceOnly, true),
+        ],
+        accounts: vec![5.0],
+        over_share_worth: 0.1,
+        apart: vec![false, true],
+        halves: false,
+        slots: 8,
+        holding_room: 60,
+        max_connects: 6,
+        connect_timeout: S,
+        may_probe: true,
+        max_come_back: 2 * S,
+        cold_share: 0.2,
+        ramp: 10 * S,
+        tip_multiple: 2.0,
+        tip_window: 2 * S,
+        key_rest: 100 * MS,
+        tick: 5 * MS,
+    }
+}
+
+impl Outside {
+    fn gate(&self, to: u32) -> u64 {
+        let e = &self.entries[to as usize];
+        if self.facts.apart[e.kind.0] { 100 + u64::from(to) } else { e.destination.0 }
+    }
+    fn later(&mut self, at: Nanos, what: Due) {
+        self.seq += 1;
+        self.due.insert((at, self.seq), what);
+    }
+    /// What rule 2 says of one more connect, or of a deferral (which names no zone).
+    fn may_repeat(&self, mail: &Known, zone: Option<usize>) -> bool {
+        match (mail.ran, self.facts.classes[mail.class].repeat) {
+            (None, _) | (_, Repeat::Redeliverable) => true,
+            (Some(_), Repeat::OnceOnly) => false,
+            (Some((at, first)), Repeat::Tagged { window, same_zone }) => {
+                self.now < at + window && (!same_zone || zone == Some(first))
+            }
+        }
+    }
+    fn end(&mut self, id: MailId) {
+        let mail = self.mails.get_mut(&id).expect("a final answer for a mail that was taken");
+        assert!(!mail.ended, "rule 1: a second final answer for {id:?}");
+        assert!(self.now <= mail.due, "rule 1: {id:?} answered late");
+        mail.ended = true;
+        if let Some(line) = mail.key.and_then(|k| self.order.get_mut(&k)) {
+            line.retain(|m| *m != id);
+        }
+    }
+}
+
+impl Outlet for Outside {
+    fn connect(&mut self, id: MailId, endpoint: EndpointId, time_out: Nanos) {
+        let (now, to) = (self.now, endpoint.0);
+        let entry = self.entries[to as usize];
+        let mail = &self.mails[&id];
+        assert!(!mail.ended && now < mail.due, "rule 1: {id:?} sent after its end");
+        assert!(mail.out.is_none(), "rule 2: two connects of {id:?} at once");
+        assert!(self.may_repeat(mail, Some(entry.zone.0)), "rule 2: {id:?} may run twice");
+        assert!(entry.serving, "rule 3: {id:?} sent to an endpoint that drains or is gone");
+        assert_eq!(entry.destination.0, mail.dest, "a foreign destination");
+        let told = self.told.get(&self.gate(to)).copied().unwrap_or(0);
+        assert!(now >= told, "rule 5: {id:?} sent {} ns before the end of a told wait", told - now);
+        if let Some(key) = mail.key {
+            assert_eq!(self.order[&key].first(), Some(&id), "rule 6: {id:?} sent out of turn");
+            let other = |(m, k): (&MailId, &Known)| k.key == Some(key) && *m != id && k.out.is_some();
+            assert!(!self.mails.iter().any(other), "rule 6: an earlier connect has no outcome yet");
+            if let Some(&(until, by)) = self.rests.get(&key) {
+                assert!(now >= until || by == id, "rule 6: {id:?} sent while its key rests");
+            }
+        }
+        let out = self.mails.values().filter(|m| m.out.is_some()).count();
+        assert!(out < self.facts.slots, "a connect without a slot");
+        let mail = self.mails.get_mut(&id).expect("checked above");
+        mail.out = Some((to, now));
+        mail.connects += 1;
+        assert!(mail.connects <= self.facts.max_connects && now + time_out <= mail.due);
+        let (after, outcome) = match self.ways[to as usize] {
+            Way::Answers(after) => (after, Outcome::Relayed),
+            Way::Hangs => (time_out + 1, Outcome::TimedOut),
+            Way::Errs => (30 * MS, Outcome::Errored),
+            Way::Refuses(told) => (20 * MS, Outcome::Full(told)),
+            Way::Down => (self.facts.connect_timeout, Outcome::Unconnected),
+            Way::TableFull => (20 * MS, Outcome::Unconnected),
+        };
+        let (after, outcome) =
+            if after > time_out { (time_out, Outcome::TimedOut) } else { (after, outcome) };
+        self.sent.push(Sent { at: now, mail: id, to, time_out });
+        self.later(now + after.max(1), Due::End(id, outcome));
+    }
+    fn defer(&mut self, id: MailId, come_back: Nanos) {
+        let mail = &self.mails[&id];
+        assert!(mail.out.is_none() || mail.ended, "rule 2: {id:?} deferred with a connect out");
+        let zone = mail.ran.map(|_| usize::MAX);
+        assert!(self.may_repeat(mail, zone), "rule 2: {id:?} deferred though it may have run");
+        assert!(come_back <= self.facts.max_come_back);
+        self.end(id);
+        self.deferred.push((id, come_back));
+    }
+    fn bounce(&mut self, id: MailId) {
+        self.end(id);
+        self.bounced.push(id);
+    }
+    fn call_off(&mut self, id: MailId, no: ConnectNo) {
+        assert_eq!(no.0 + 1, self.mails[&id].connects, "called off a connect that is not out");
+        self.due.retain(|_, d| !matches!(d, Due::End(m, _) if *m == id));
+        self.later(self.now + 1, Due::End(id, Outcome::CalledOff));
+    }
+    fn probe(&mut self, endpoint: EndpointId) {
+        let told = self.told.get(&self.gate(endpoint.0)).copied().unwrap_or(0);
+        assert!(self.now >= told, "rule 5: probed before the end of a told wait");
+    }
+    fn wake(&mut self, after: Nanos) {
+        assert!(after > 0);
+        // As the bench does, a little early.
+        self.later(self.now + after.max(100) - 99, Due::Wake);
+    }
+    fn log(&mut self, line: &str) {
+        self.lines.push(line.to_string());
+    }
+}
+
+pub struct World {
+    pub d: Dispatcher,
+    pub o: Outside,
+    taken: u64,
+}
+
+impl World {
+    pub fn new(facts: BootFacts) -> Self {
+        let now = 1_000 * S;
+        let entry = |i: u32| ListEntry {
+            endpoint: EndpointId(i),
+            destination: DestinationId(u64::from(i / 4)),
+            zone: ZoneId((i % 2) as usize),
+            kind: KindId(usize::from(i >= 8)),
+            serving: true,
+            listed_rate: None,
+        };
+        let o = Outside {
+            now,
+            facts: facts.clone(),
+            entries: (0..12).map(entry).collect(),
+            ways: vec![Way::Answers(100 * MS); 12],
+            sent: vec![],
+            deferred: vec![],
+            bounced: vec![],
+            relayed: vec![],
+            lines: vec![],
+            mails: BTreeMap::new(),
+            order: BTreeMap::new(),
+            rests: BTreeMap::new(),
+            told: BTreeMap::new(),
+            due: BTreeMap::new(),
+            seq: 0,
+        };
+        let mut world = World { d: Dispatcher::boot(now, facts), o, taken: 0 };
+        world.list(ListScope::Whole);
+        world
+    }
+
+    pub fn list(&mut self, scope: ListScope) {
+        let entries: Vec<ListEntry> =
+            self.o.entries.iter().filter(|e| scope == ListScope::Update || e.serving).copied().collect();
+        self.d.list_news(self.o.now, scope, &entries, &mut self.o);
+    }
+
+    /// An endpoint starts or stops to serve, and the news of it comes.
+    pub fn serve(&mut self, to: u32, serving: bool, scope: ListScope) {
+        self.o.entries[to as usize].serving = serving;
+        self.list(scope);
+    }
+
+    pub fn mail(&mut self, class: usize, dest: u64, key: Option<u64>, lifetime: Nanos) -> MailId {
+        self.taken += 1;
+        let id = MailId(self.taken);
+        let key = key.filter(|_| self.o.facts.classes[class].ordered).map(KeyId);
+        let due = self.o.now + lifetime;
+        let known = Known { class, key, dest, due, connects: 0, out: None, ran: None, ended: false };
+        self.o.mails.insert(id, known);
+        if let Some(key) = key {
+            self.o.order.entry(key).or_default().push(id);
+        }
+        let account = Some(AccountId(0));
+        let (class, destination) = (ClassId(class), DestinationId(dest));
+        let new = NewMail { id, class, account, key, destination, due };
+        self.d.mail_taken(self.o.now, new, &mut self.o);
+        id
+    }
+
+    /// Killed and started again, with nothing but its list.
+    pub fn restart(&mut self) {
+        self.o.due.clear();
+        self.o.mails.clear();
+        self.o.order.clear();
+        self.o.rests.clear();
+        self.o.told.clear();
+        self.d = Dispatcher::boot(self.o.now, self.o.facts.clone());
+        self.list(ListScope::Whole);
+    }
+
+    pub fn withdraw(&mut self, id: MailId) {
+        if self.o.mails.get(&id).is_some_and(|m| !m.ended) {
+            self.o.end(id);
+        }
+        self.d.mail_withdrawn(self.o.now, id, &mut self.o);
+    }
+
+    /// Lets time pass; all that falls due on the way happens, and rule 1 is checked after each of it.
+    pub fn pass(&mut self, span: Nanos) {
+        let until = self.o.now + span;
+        while let Some((&(at, seq), _)) = self.o.due.iter().next().filter(|((at, _), _)| *at <= until) {
+            let what = self.o.due.remove(&(at, seq)).expect("just seen");
+            self.o.now = at;
+            match what {
+                Due::Wake => self.d.woken(at, &mut self.o),
+                Due::End(id, outcome) => self.ended(id, outcome),
+            }
+            self.check_due();
+        }
+        self.o.now = until;
+        self.check_due();
+    }
+
+    fn check_due(&self) {
+        let lost = self.o.mails.iter().find(|(_, m)| !m.ended && m.due < self.o.now);
+        assert!(lost.is_none(), "rule 1: {:?} has no final answer", lost.map(|l| l.0));
+    }
+
+    fn ended(&mut self, id: MailId, outcome: Outcome) {
+        let now = self.o.now;
+        let mail = self.o.mails.get_mut(&id).expect("an end for a mail that was taken");
+        let (to, at) = mail.out.take().expect("an end for a connect that is out");
+        let zone = self.o.entries[to as usize].zone.0;
+        if outcome.may_have_run() {
+            mail.ran.get_or_insert((at, zone));
+        }
+        let (key, over, no) = (mail.key, mail.ended, ConnectNo(mail.connects - 1));
+        if let (Outcome::TimedOut | Outcome::CalledOff, Some(key)) = (outcome, key) {
+            self.o.rests.insert(key, (now + self.o.facts.key_rest, id));
+        }
+        if let Outcome::Full(wait) = outcome {
+            let gate = self.o.gate(to);
+            let until = self.o.told.entry(gate).or_default();
+            *until = (*until).max(now + wait);
+        }
+        if outcome == Outcome::Relayed && !over {
+            self.o.end(id);
+            self.o.relayed.push(id);
+        }
+        let over = over || outcome == Outcome::Relayed;
+        let end = ConnectEnd { mail: id, no, outcome, over, took: now - at, told: None };
+        self.d.connect_ended(now, end, &mut self.o);
+    }
+}
