Give trials of suspect routes five seconds to answer

Cause: on a crawling route the trials of tagged mails timed out after 2 s, though the destination did the work.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,6 +34,8 @@
 const TRIAL_REST: Nanos = 400 * MS;
 const LONGEST_REST: Nanos = 1_600 * MS;
 const SPARE: Nanos = 2_500 * MS;
+/// How long a trial may take; short enough that a tagged mail can be repeated after it.
+const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
 /// Trials relayed in usual time that clear a suspect route.
 const PROOFS: u32 = 2;
 /// The weight of one answer in the usual answer times, and the usual time before any is known.
@@ -726,6 +728,8 @@
             // For a once-only mail a time-out is a bounce, so a slow answer is worth a longer wait; but a slot held
             // for all its lifetime by a route that hangs starves every other destination.
             Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
+            // A crawling route still answers: its trials are given the time, or all its work would be in vain.
+            _ if matches!(self.routes.mode[route], Mode::Suspect { .. }) => TRIAL_TIMEOUT.min(left),
             _ => ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left),
         };
         mail.out = Some(Connect { no: ConnectNo(mail.connects), route, at: now });
