--- a/src/control.rs
+++ b/src/control.rs
@@ -486,9 +486,8 @@
                 out.log(&format!("route {id} returns cold: {PROOFS} trials relayed"));
             }
             Mode::Suspect { rest, proofs, .. } => {
-                // A late answer is work done all the same: the next trial may follow, one at a time.
                 let proofs = if late { 0 } else { proofs + 1 };
-                let next_trial = if late { now } else { now + rest.min(self.facts.tip_window / 2) };
+                let next_trial = now + rest.min(self.facts.tip_window / 2);
                 self.routes.mode[route] = Mode::Suspect { next_trial, rest, proofs };
             }
             Mode::Cold { since } if now >= since + self.facts.ramp => {
