Rest the same short while between trials, without doubling

Cause: on routes that fail a part of their calls quickly, trials fell to one in two seconds though each costs 0.1 s of a slot.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,9 +30,8 @@
 /// The weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
 const FAIL_WEIGHT: f64 = 0.25;
 const FAIL_MARGIN: f64 = 0.4;
-/// Rest between trials of a suspect route, doubling while they fail; once-only mails stand back by the spare.
+/// Rest between trials of a suspect route; once-only mails stand back by the spare.
 const TRIAL_REST: Nanos = 400 * MS;
-const LONGEST_REST: Nanos = 1_600 * MS;
 const SPARE: Nanos = 2_500 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
@@ -105,7 +104,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Mode {
     Open,
-    Suspect { next_trial: Nanos, rest: Nanos, proofs: u32 },
+    Suspect { next_trial: Nanos, proofs: u32 },
     Cold { since: Nanos },
 }
 
@@ -424,10 +423,9 @@
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
                 let share = self.routes.fail[route];
-                if let Mode::Suspect { rest, .. } = self.routes.mode[route] {
+                if matches!(self.routes.mode[route], Mode::Suspect { .. }) {
                     self.routes.struck[route] = true;
-                    let rest = (rest * 2).min(LONGEST_REST);
-                    self.routes.mode[route] = Mode::Suspect { next_trial: now + rest, rest, proofs: 0 };
+                    self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, proofs: 0 };
                 } else if share > self.median_fail() + FAIL_MARGIN
                     || matches!(self.routes.mode[route], Mode::Cold { .. })
                 {
@@ -467,7 +465,7 @@
     }
 
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
-        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, rest: TRIAL_REST, proofs: 0 };
+        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, proofs: 0 };
         out.log(&format!("route {} suspect: {why}", self.routes.id[route].0));
     }
 
@@ -485,10 +483,9 @@
                 self.routes.struck[route] = false;
                 out.log(&format!("route {id} returns cold: {PROOFS} trials relayed"));
             }
-            Mode::Suspect { rest, proofs, .. } => {
+            Mode::Suspect { proofs, .. } => {
                 let proofs = if late { 0 } else { proofs + 1 };
-                let next_trial = now + rest.min(self.facts.tip_window / 2);
-                self.routes.mode[route] = Mode::Suspect { next_trial, rest, proofs };
+                self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, proofs };
             }
             Mode::Cold { since } if now >= since + self.facts.ramp => {
                 self.routes.mode[route] = Mode::Open;
