--- a/src/control.rs
+++ b/src/control.rs
@@ -144,8 +144,6 @@
     cards: Vec<usize>,
     dealt: usize,
     shared_gate: Option<usize>,
-    /// Waiting mails that are not once-only.
-    repeatable: usize,
 }
 
 pub struct Dispatcher {
@@ -236,7 +234,6 @@
         self.taken += 1;
         self.held += 1;
         self.mails.insert(new.id, mail);
-        self.count_waiting(new.id, 1);
         self.go_on(now, out);
     }
 
@@ -329,11 +326,8 @@
 
     /// The only place where a mail changes its stage: gives the final answers and keeps the counts.
     fn shift(&mut self, id: MailId, to: Stage, out: &mut impl Outlet) {
-        self.count_waiting(id, -1);
         let Some(mail) = self.mails.get_mut(&id) else { return };
         let from = std::mem::replace(&mut mail.stage, to);
-        self.count_waiting(id, 1);
-        let mail = &self.mails[&id];
         let still_out = mail.out.is_some();
         match to {
             Stage::Deferred if from != to => {
@@ -361,16 +355,6 @@
         }
     }
 
-    /// Counts a mail in or out of those that its destination's suspect routes can be tried with.
-    fn count_waiting(&mut self, id: MailId, by: isize) {
-        let Some(mail) = self.mails.get(&id).filter(|m| m.stage == Stage::Waiting) else { return };
-        if self.classes[mail.class].facts.repeat != Repeat::OnceOnly
-            && let Some(deck) = self.decks.get_mut(&mail.dest)
-        {
-            deck.repeatable = deck.repeatable.saturating_add_signed(by);
-        }
-    }
-
     /// Gives up a mail at once: deferred where trying again is harmless, else bounced.
     fn give_up(&mut self, id: MailId, now: Nanos, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
@@ -542,13 +526,7 @@
             Mode::Open => {}
             Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
             Mode::Suspect { next_trial, .. } => {
-                // A once-only mail would be lost by a failed trial: where something failed, it serves as one only
-                // if no other can.
-                let last = row.repeat == Repeat::OnceOnly && r.struck[route];
-                if last && self.decks.get(&mail.dest).is_some_and(|d| d.repeatable > 0) {
-                    return NEVER;
-                }
-                at = at.max(next_trial + if last { SPARE } else { 0 });
+                at = at.max(next_trial + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
             }
             Mode::Cold { since } => at = at.max(r.sent_at[route] + self.cold_space(route, since, now)),
         }
