--- a/src/control.rs
+++ b/src/control.rs
@@ -118,7 +118,6 @@
     out: Vec<Vec<(Nanos, MailId)>>,
     mode: Vec<Mode>,
     fail: Vec<f64>,
-    failed_at: Vec<Nanos>,
     pace: Vec<Option<f64>>,
     sent_at: Vec<Nanos>,
     /// Relayed mails a nanosecond of late, and when that was reckoned.
@@ -422,7 +421,6 @@
                 self.refused(route, connect.at, now, 0);
             }
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
-                self.routes.failed_at[route] = now;
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
                 let share = self.routes.fail[route];
                 if matches!(self.routes.mode[route], Mode::Suspect { .. }) {
@@ -525,13 +523,6 @@
         }
         let mut at = self.gates.opens_at(r.gate[route]);
         match r.mode[route] {
-            // After a fresh failure a once-only mail waits for another mail's word on the route.
-            _ if row.repeat == Repeat::OnceOnly
-                && r.fail[route] >= FAIL_WEIGHT
-                && r.mode[route] == Mode::Open =>
-            {
-                at = at.max(r.failed_at[route] + SPARE);
-            }
             Mode::Open => {}
             Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
             Mode::Suspect { next_trial, .. } => {
@@ -787,7 +778,6 @@
         self.out.push(Vec::new());
         self.mode.push(Mode::Open);
         self.fail.push(0.0);
-        self.failed_at.push(0);
         self.pace.push(None);
         self.sent_at.push(0);
         self.traffic.push(0.0);
