Let a cold route bear 1.4 times its former traffic's part

Cause: backlogs drained slowly after outages; a warm route that did not refuse had room over what it took.

--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,8 @@
 /// The weight of one answer in the usual answer times, and the usual time before any is known.
 const PACE_WEIGHT: f64 = 0.1;
 const FIRST_USUAL: f64 = 300e6;
+/// What a warm route can take over what it took: it was not full, or it would have refused.
+const COLD_ROOM: f64 = 1.4;
 /// Over how long a route's own traffic is averaged for the cold budget.
 const TRAFFIC_SPAN: f64 = 8e9;
 /// The share of the slots that one destination may hold.
@@ -505,7 +507,7 @@
     fn cold_space(&self, route: usize, since: Nanos, now: Nanos) -> Nanos {
         let f = &self.facts;
         let warm = f.cold_share + (1.0 - f.cold_share) * ((now - since) as f64 / f.ramp as f64).min(1.0);
-        let rate = self.routes.traffic[route] * warm * f.tip_multiple;
+        let rate = self.routes.traffic[route] * COLD_ROOM * warm * f.tip_multiple;
         ((1.0 / rate.max(1e-18)) as Nanos).min(f.tip_window)
     }
 
