--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 /// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
-const GAP_SHARE: f64 = 0.25;
+const GAP_SHARE: f64 = 0.08;
 /// Refusals with nothing relayed between for so long are no limit's: the route was shut and returns cold.
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
