--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 /// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
-const GAP_SHARE: f64 = 0.08;
+const GAP_SHARE: f64 = 0.15;
 /// Refusals with nothing relayed between for so long are no limit's: the route was shut and returns cold.
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
@@ -402,6 +402,12 @@
         let route = connect.route;
         let gate = self.routes.gate[route];
         let late = end.took > self.silent_after(route, class);
+        // Told that less than one call is left of the limit, the next would surely be refused: no call is spent on
+        // learning it. A late report may hold a free route back, but no longer than the first untold suspension.
+        if end.told.is_some_and(|t| t.limit > 0.0 && t.left * t.limit < 1.0) {
+            let closed = &mut self.gates.closed_until[gate];
+            *closed = (*closed).max(now + FIRST_WAIT);
+        }
         match end.outcome {
             Outcome::Relayed => {
                 self.gates.relayed(gate);
