--- a/src/control.rs
+++ b/src/control.rs
@@ -402,12 +402,6 @@
         let route = connect.route;
         let gate = self.routes.gate[route];
         let late = end.took > self.silent_after(route, class);
-        // Told that less than one call is left of the limit, the next would surely be refused: no call is spent on
-        // learning it. A late report may hold a free route back, but no longer than the first untold suspension.
-        if end.told.is_some_and(|t| t.limit > 0.0 && t.left * t.limit < 1.0) {
-            let closed = &mut self.gates.closed_until[gate];
-            *closed = (*closed).max(now + FIRST_WAIT);
-        }
         match end.outcome {
             Outcome::Relayed => {
                 self.gates.relayed(gate);
