A full connection table suspends its endpoint alone

Cause: connects refused for a full table of connections suspended the whole destination, though siblings have tables of their own. The lock-out itself stays: some dispatchers find no place at all.

--- a/src/control.rs
+++ b/src/control.rs
@@ -121,6 +121,9 @@
     mode: Vec<Mode>,
     fail: Vec<f64>,
     pace: Vec<Option<f64>>,
+    /// Suspended alone until then, its table of connections being full, and for how long the next time.
+    full_until: Vec<Nanos>,
+    full_wait: Vec<Nanos>,
     sent_at: Vec<Nanos>,
     /// Relayed mails a nanosecond of late, and when that was reckoned.
     traffic: Vec<f64>,
@@ -405,6 +408,7 @@
         match end.outcome {
             Outcome::Relayed => {
                 self.gates.relayed(gate);
+                self.routes.full_wait[route] = FIRST_WAIT;
                 self.routes.count(route, now);
                 self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
                 if !late {
@@ -418,9 +422,12 @@
                 self.cleared(route, now, end.took, late, out);
             }
             Outcome::Full(told) => self.refused(route, connect.at, now, told),
-            // A connection refused at once is a full table: no sign of sickness, but of a limit.
+            // No connection, said at once: the endpoint's table is full, whatever its siblings' are. It alone is
+            // suspended, as for an untold refusal. An endpoint that is down and says so is met in the same way.
             Outcome::Unconnected if end.took < self.facts.connect_timeout / 2 => {
-                self.refused(route, connect.at, now, 0);
+                let wait = self.routes.full_wait[route];
+                self.routes.full_until[route] = now + wait;
+                self.routes.full_wait[route] = (wait * 2).min(LONGEST_WAIT);
             }
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
@@ -523,7 +530,7 @@
         {
             return NEVER;
         }
-        let mut at = self.gates.opens_at(r.gate[route]);
+        let mut at = self.gates.opens_at(r.gate[route]).max(r.full_until[route]);
         match r.mode[route] {
             Mode::Open => {}
             Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
@@ -781,6 +788,8 @@
         self.mode.push(Mode::Open);
         self.fail.push(0.0);
         self.pace.push(None);
+        self.full_until.push(0);
+        self.full_wait.push(FIRST_WAIT);
         self.sent_at.push(0);
         self.traffic.push(0.0);
         self.traffic_at.push(0);
