Give back idle connections for a while after a full table

Cause: nine dispatchers' idle connections filled the tables of endpoints that take few; the others found no place and held mails to the end of their queue lifetimes.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -50,6 +50,10 @@
         let to = &self.endpoints[endpoint.0 as usize];
         self.action("CHECK", format_args!(" endpoint={to}"));
     }
+    fn hang_up(&mut self, endpoint: EndpointId) {
+        let to = &self.endpoints[endpoint.0 as usize];
+        self.action("SHUT_IDLE", format_args!(" endpoint={to}"));
+    }
     fn wake(&mut self, after: Nanos) {
         self.action("ARM", format_args!(" mark=wake sleep-for-ns={after}"));
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,8 @@
 const SLOT_SHARE: f64 = 0.5;
 /// The share of the slots that all suspect routes together may hold.
 const TRIAL_SHARE: f64 = 0.25;
+/// For how long after a full table idle connections there are given back.
+const TIGHT: Nanos = 15_000 * MS;
 /// An account's share may run ahead by so many seconds of it.
 const SHARE_DEPTH: f64 = 2.0;
 
@@ -124,6 +126,7 @@
     /// Suspended alone until then, its table of connections being full, and for how long the next time.
     full_until: Vec<Nanos>,
     full_wait: Vec<Nanos>,
+    tight_until: Vec<Nanos>,
     sent_at: Vec<Nanos>,
     /// Relayed mails a nanosecond of late, and when that was reckoned.
     traffic: Vec<f64>,
@@ -272,6 +275,11 @@
             stage => self.shift(end.mail, stage, out),
         }
         self.go_on(now, out);
+        // Idle connections held to a full table lock other dispatchers out; each new one costs a handshake, so
+        // they are given back only for a while after the table was seen full.
+        if now < self.routes.tight_until[connect.route] {
+            out.hang_up(self.routes.id[connect.route]);
+        }
     }
 
     pub fn probe_ended(&mut self, now: Nanos, to: EndpointId, outcome: Outcome, out: &mut impl Outlet) {
@@ -428,6 +436,7 @@
                 let wait = self.routes.full_wait[route];
                 self.routes.full_until[route] = now + wait;
                 self.routes.full_wait[route] = (wait * 2).min(LONGEST_WAIT);
+                self.routes.tight_until[route] = now + TIGHT;
             }
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
@@ -790,6 +799,7 @@
         self.pace.push(None);
         self.full_until.push(0);
         self.full_wait.push(FIRST_WAIT);
+        self.tight_until.push(0);
         self.sent_at.push(0);
         self.traffic.push(0.0);
         self.traffic_at.push(0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -168,6 +168,8 @@
     fn bounce(&mut self, mail: MailId);
     fn call_off(&mut self, mail: MailId, no: ConnectNo);
     fn probe(&mut self, endpoint: EndpointId);
+    /// Closes the idle connections to an endpoint.
+    fn hang_up(&mut self, endpoint: EndpointId);
     /// Asks for [`crate::control::Dispatcher::woken`] after this span.
     fn wake(&mut self, after: Nanos);
     fn log(&mut self, line: &str);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -52,6 +52,7 @@
     pub bounced: Vec<MailId>,
     pub relayed: Vec<MailId>,
     pub lines: Vec<String>,
+    pub hung_up: Vec<u32>,
     mails: BTreeMap<MailId, Known>,
     order: BTreeMap<KeyId, Vec<MailId>>,
     rests: BTreeMap<KeyId, (Nanos, MailId)>,
@@ -190,6 +191,9 @@
         let told = self.told.get(&self.gate(endpoint.0)).copied().unwrap_or(0);
         assert!(self.now >= told, "rule 5: probed before the end of a told wait");
     }
+    fn hang_up(&mut self, endpoint: EndpointId) {
+        self.hung_up.push(endpoint.0);
+    }
     fn wake(&mut self, after: Nanos) {
         assert!(after > 0);
         // As the bench does, a little early.
@@ -227,6 +231,7 @@
             bounced: vec![],
             relayed: vec![],
             lines: vec![],
+            hung_up: vec![],
             mails: BTreeMap::new(),
             order: BTreeMap::new(),
             rests: BTreeMap::new(),
