--- a/src/control.rs
+++ b/src/control.rs
@@ -49,7 +49,7 @@
 /// The share of the slots that all suspect routes together may hold.
 const TRIAL_SHARE: f64 = 0.25;
 /// For how long after a full table idle connections there are given back.
-const TIGHT: Nanos = 5_000 * MS;
+const TIGHT: Nanos = 15_000 * MS;
 /// An account's share may run ahead by so many seconds of it.
 const SHARE_DEPTH: f64 = 2.0;
 
