Give up a stuck mail that has held up others of its key for a target delay

Cause: an ordered mail that may have run can only be repeated in its zone; while the route there hung, all later mails of its key waited.

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,8 @@
 const SLOT_SHARE: f64 = 0.5;
 /// The share of the slots that all suspect routes together may hold.
 const TRIAL_SHARE: f64 = 0.25;
+/// More mails than this in a key's line, with a stuck one at its head, are worth more than that one.
+const KEY_BEHIND: usize = 1;
 /// For how long after a full table idle connections there are given back.
 const TIGHT: Nanos = 15_000 * MS;
 /// An account's share may run ahead by so many seconds of it.
@@ -631,7 +633,7 @@
     fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
         let margin = self.margin();
         let over = |m: &Mail| match m.stage {
-            Stage::Waiting => now + margin >= m.due || !self.may_go_again(m, now),
+            Stage::Waiting => now + margin >= m.due || !self.may_go_again(m, now) || self.blocks_key(m),
             Stage::Out => now >= m.due,
             _ => false,
         };
@@ -641,6 +643,17 @@
         }
     }
 
+    /// Whether a mail that may have run holds up others of its key while all routes that it may still take are
+    /// suspect: it is given up for theirs. Could lose a mail whose route returns the next moment.
+    fn blocks_key(&self, mail: &Mail) -> bool {
+        let behind = mail.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
+        let patience = self.classes[mail.class].facts.target_delay;
+        let Some((at, zone)) = mail.ran.filter(|_| behind > KEY_BEHIND) else { return false };
+        let deck = self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards);
+        let sound = |r: usize| self.routes.serving[r] && !matches!(self.routes.mode[r], Mode::Suspect { .. });
+        self.now >= at + patience && !deck.into_iter().any(|&r| self.routes.zone[r] == zone && sound(r))
+    }
+
     /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up the
     /// one worth least. Stops a struck destination's backlog from turning away the mails of all others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
