--- a/src/control.rs
+++ b/src/control.rs
@@ -546,8 +546,7 @@
             Mode::Open => {}
             Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
             Mode::Suspect { next_trial, .. } => {
-                let costly = row.repeat == Repeat::OnceOnly || row.ordered;
-                at = at.max(next_trial + if costly { SPARE } else { 0 });
+                at = at.max(next_trial + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
             }
             Mode::Cold { since } => at = at.max(r.sent_at[route] + self.cold_space(route, since, now)),
         }
