--- a/src/control.rs
+++ b/src/control.rs
@@ -35,13 +35,11 @@
 const SPARE: Nanos = 2_500 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
-/// Trials relayed in usual time that clear a suspect route.
-const PROOFS: u32 = 2;
 /// The weight of one answer in the usual answer times, and the usual time before any is known.
 const PACE_WEIGHT: f64 = 0.1;
 const FIRST_USUAL: f64 = 300e6;
-/// What a warm route can take over what it took: it was not full, or it would have refused.
-const COLD_ROOM: f64 = 1.4;
+/// What a warm route can take over what it took: it had room, or it would have refused.
+const COLD_ROOM: f64 = 1.2;
 /// Over how long a route's own traffic is averaged for the cold budget.
 const TRAFFIC_SPAN: f64 = 8e9;
 /// The share of the slots that one destination may hold.
@@ -110,7 +108,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Mode {
     Open,
-    Suspect { next_trial: Nanos, proofs: u32 },
+    Suspect { next_trial: Nanos },
     Cold { since: Nanos },
 }
 
@@ -445,7 +443,7 @@
                 let share = self.routes.fail[route];
                 if matches!(self.routes.mode[route], Mode::Suspect { .. }) {
                     self.routes.struck[route] = true;
-                    self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, proofs: 0 };
+                    self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST };
                 } else if share > self.median_fail() + FAIL_MARGIN
                     || matches!(self.routes.mode[route], Mode::Cold { .. })
                 {
@@ -485,39 +483,30 @@
     }
 
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
-        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, proofs: 0 };
+        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST };
         out.log(&format!("route {} suspect: {why}", self.routes.id[route].0));
     }
 
-    /// A relayed mail speaks for its route: enough of them, in usual time, take it from suspect over cold to open.
+    /// A relayed mail speaks for its route: one in usual time takes it from suspect over cold to open. A route where
+    /// nothing had failed or been refused was slow for a while, not out, and is not cold.
     fn cleared(&mut self, route: usize, now: Nanos, took: Nanos, late: bool, out: &mut impl Outlet) {
+        let was = self.routes.mode[route];
+        let mode = match was {
+            Mode::Suspect { .. } if late => Mode::Suspect { next_trial: now + TRIAL_REST },
+            Mode::Suspect { .. } | Mode::Open if self.routes.struck[route] => Mode::Cold { since: now },
+            Mode::Cold { since } if now < since + self.facts.ramp => was,
+            _ => Mode::Open,
+        };
+        self.routes.mode[route] = mode;
+        let word = match (was, mode) {
+            (Mode::Suspect { .. } | Mode::Open, Mode::Cold { .. }) => "returns cold",
+            (Mode::Suspect { .. } | Mode::Cold { .. }, Mode::Open) => "open",
+            _ => return,
+        };
+        self.routes.struck[route] = false;
+        let share = self.routes.fail[route];
         let id = self.routes.id[route].0;
-        match self.routes.mode[route] {
-            // Nothing had failed or been refused: it was slow for a while, not out, and is not cold.
-            Mode::Suspect { .. } if !late && !self.routes.struck[route] => {
-                self.routes.mode[route] = Mode::Open;
-                out.log(&format!("route {id} open: relayed in {} ms, nothing failed", took / MS));
-            }
-            Mode::Suspect { proofs, .. } if !late && proofs + 1 >= PROOFS => {
-                self.routes.mode[route] = Mode::Cold { since: now };
-                self.routes.struck[route] = false;
-                out.log(&format!("route {id} returns cold: {PROOFS} trials relayed"));
-            }
-            Mode::Suspect { proofs, .. } => {
-                let proofs = if late { 0 } else { proofs + 1 };
-                self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, proofs };
-            }
-            Mode::Cold { since } if now >= since + self.facts.ramp => {
-                self.routes.mode[route] = Mode::Open;
-                out.log(&format!("route {id} open: warm after {} ms", (now - since) / MS));
-            }
-            Mode::Open if self.routes.struck[route] => {
-                self.routes.struck[route] = false;
-                self.routes.mode[route] = Mode::Cold { since: now };
-                out.log(&format!("route {id} returns cold: relayed after long refusal"));
-            }
-            _ => {}
-        }
+        out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
     /// The space between sends to a cold route: this dispatcher's own former traffic there, cut to what a cold
