--- a/src/control.rs
+++ b/src/control.rs
@@ -50,8 +50,6 @@
 const KEY_BEHIND: usize = 1;
 /// For how long after a full table idle connections there are given back.
 const TIGHT: Nanos = 15_000 * MS;
-/// An account's share may run ahead by so many seconds of it.
-const SHARE_DEPTH: f64 = 2.0;
 
 /// What differs by queue class, as far as it is read.
 struct ClassRow {
@@ -85,7 +83,6 @@
 
 struct Mail {
     class: usize,
-    importance: f64,
     key: Option<KeyId>,
     dest: DestinationId,
     due: Nanos,
@@ -123,9 +120,10 @@
     mode: Vec<Mode>,
     fail: Vec<f64>,
     pace: Vec<Option<f64>>,
-    /// Suspended alone until then, its table of connections being full, and for how long the next time.
-    full_until: Vec<Nanos>,
-    full_wait: Vec<Nanos>,
+    /// Suspended until then, and for how long the next time if no wait is told.
+    closed_until: Vec<Nanos>,
+    wait: Vec<Nanos>,
+    /// Its table of connections was seen full not long before.
     tight_until: Vec<Nanos>,
     sent_at: Vec<Nanos>,
     /// Relayed mails a nanosecond of late, and when that was reckoned.
@@ -138,9 +136,6 @@
 /// What a limit binds, one place each: a route where routes are apart, else all endpoints of a destination.
 #[derive(Default)]
 struct Gates {
-    told_until: Vec<Nanos>,
-    closed_until: Vec<Nanos>,
-    wait: Vec<Nanos>,
     gap: Vec<Nanos>,
     sent_at: Vec<Nanos>,
     refused_at: Vec<Nanos>,
@@ -158,8 +153,6 @@
     facts: BootFacts,
     rng: Pcg64Mcg,
     classes: Vec<ClassRow>,
-    /// For each account, what is left of its share, and when that was reckoned.
-    shares: Vec<(f64, Nanos)>,
     routes: Routes,
     gates: Gates,
     index: BTreeMap<EndpointId, usize>,
@@ -182,7 +175,6 @@
         Dispatcher {
             rng: Pcg64Mcg::seed_from_u64(facts.seed),
             classes: facts.classes.iter().map(|c| ClassRow { facts: c.clone(), usual }).collect(),
-            shares: facts.accounts.iter().map(|_| (f64::MAX, now)).collect(),
             routes: Routes::default(),
             gates: Gates::default(),
             index: BTreeMap::new(),
@@ -217,17 +209,9 @@
 
     pub fn mail_taken(&mut self, now: Nanos, new: NewMail, out: &mut impl Outlet) {
         let row = &self.classes[new.class.0].facts;
-        let ordered = row.ordered;
-        let mut importance = row.importance;
-        if let Some(account) = new.account
-            && !self.within_share(account, now)
-        {
-            importance *= self.facts.over_share_worth;
-        }
         let mail = Mail {
             class: new.class.0,
-            importance,
-            key: new.key.filter(|_| ordered),
+            key: new.key.filter(|_| row.ordered),
             dest: new.destination,
             due: new.due,
             order: self.taken,
@@ -319,24 +303,14 @@
         };
         deck.shared_gate = Some(gate).filter(|_| !apart);
         let route = self.routes.add(entry, gate);
+        // A wait told before it was listed binds it too.
+        let closed = self.routes.of_gate(gate).map(|r| self.routes.closed_until[r]).max();
+        self.routes.closed_until[route] = closed.unwrap_or(0);
         deck.cards.push(route);
         self.index.insert(entry.endpoint, route);
         route
     }
 
-    /// Whether one more mail is within the account's share, by this dispatcher's part of it.
-    fn within_share(&mut self, account: AccountId, now: Nanos) -> bool {
-        let rate = self.facts.accounts[account.0] / f64::from(self.facts.dispatchers);
-        let (left, at) = &mut self.shares[account.0];
-        *left = (*left + rate * (now - *at) as f64 / 1e9).min((rate * SHARE_DEPTH).max(1.0));
-        *at = now;
-        let within = *left >= 1.0;
-        if within {
-            *left -= 1.0;
-        }
-        within
-    }
-
     /// The only place where a mail changes its stage: gives the final answers and keeps the counts.
     fn shift(&mut self, id: MailId, to: Stage, out: &mut impl Outlet) {
         let Some(mail) = self.mails.get_mut(&id) else { return };
@@ -383,8 +357,8 @@
     /// When a client had best come back: when a route of the destination opens again.
     fn come_back(&self, id: MailId) -> Nanos {
         let deck = self.decks.get(&self.mails[&id].dest);
-        let gates = deck.into_iter().flat_map(|d| &d.cards).map(|&r| self.routes.gate[r]);
-        let soonest = gates.map(|g| self.gates.closed_until[g]).min().unwrap_or(0);
+        let routes = deck.into_iter().flat_map(|d| &d.cards).filter(|&&r| self.routes.serving[r]);
+        let soonest = routes.map(|&r| self.routes.closed_until[r]).min().unwrap_or(0);
         soonest.saturating_sub(self.now).min(self.facts.max_come_back)
     }
 
@@ -415,8 +389,10 @@
         let late = end.took > self.silent_after(route, class);
         match end.outcome {
             Outcome::Relayed => {
-                self.gates.relayed(gate);
-                self.routes.full_wait[route] = FIRST_WAIT;
+                self.gates.refused_since[gate] = None;
+                let gap = self.gates.gap[gate] as f64 * (1.0 - GAP_SHARE);
+                self.gates.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
+                self.routes.of_gate(gate).for_each(|r| self.routes.wait[r] = FIRST_WAIT);
                 self.routes.count(route, now);
                 self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
                 if !late {
@@ -433,15 +409,13 @@
             // No connection, said at once: the endpoint's table is full, whatever its siblings' are. It alone is
             // suspended, as for an untold refusal. An endpoint that is down and says so is met in the same way.
             Outcome::Unconnected if end.took < self.facts.connect_timeout / 2 => {
-                let wait = self.routes.full_wait[route];
-                self.routes.full_until[route] = now + wait;
-                self.routes.full_wait[route] = (wait * 2).min(LONGEST_WAIT);
+                self.routes.suspend(route, now, 0);
                 self.routes.tight_until[route] = now + TIGHT;
             }
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
                 let share = self.routes.fail[route];
-                if matches!(self.routes.mode[route], Mode::Suspect { .. }) {
+                if self.routes.suspect(route) {
                     self.routes.struck[route] = true;
                     self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST };
                 } else if share > self.median_fail() + FAIL_MARGIN
@@ -457,17 +431,21 @@
         }
     }
 
-    /// A refusal as full: suspends the route, until its told wait ends or for a doubling short while, and widens
-    /// its gap. Connects already out when it was suspended do not double anything again: they tell nothing new.
+    /// A refusal as full: suspends all that the limit binds, until its told wait ends or for a doubling short while,
+    /// and widens the gap. Connects already out at the last refusal double nothing again: they tell nothing new.
     fn refused(&mut self, route: usize, sent: Nanos, now: Nanos, told: Nanos) {
         let gate = self.routes.gate[route];
         let fresh = sent >= self.gates.refused_at[gate];
         let since = *self.gates.refused_since[gate].get_or_insert(now);
-        self.gates.refuse(gate, now, told, fresh);
-        if now - since >= SHUT_AFTER || told >= SHUT_AFTER {
-            for other in 0..self.routes.id.len() {
-                self.routes.struck[other] |= self.routes.gate[other] == gate;
+        if fresh {
+            self.gates.gap[gate] = (self.gates.gap[gate] * 2).clamp(GAP_STEP, LONGEST_GAP);
+            self.gates.refused_at[gate] = now;
+        }
+        for route in self.routes.of_gate(gate) {
+            if fresh || told > 0 {
+                self.routes.suspend(route, now, told);
             }
+            self.routes.struck[route] |= now - since >= SHUT_AFTER || told >= SHUT_AFTER;
         }
     }
 
@@ -530,7 +508,8 @@
         {
             return NEVER;
         }
-        let mut at = self.gates.opens_at(r.gate[route]).max(r.full_until[route]);
+        let gate = r.gate[route];
+        let mut at = r.closed_until[route].max(self.gates.sent_at[gate] + self.gates.gap[gate]);
         match r.mode[route] {
             Mode::Open => {}
             Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
@@ -545,8 +524,8 @@
     /// Whether suspect routes together hold all the slots that they may: many struck at once, each with its own
     /// trial, would else leave none for the sound ones.
     fn trials_full(&self) -> bool {
-        let suspect = |&r: &usize| matches!(self.routes.mode[r], Mode::Suspect { .. });
-        let held: usize = (0..self.routes.id.len()).filter(suspect).map(|r| self.routes.out[r].len()).sum();
+        let suspect = (0..self.routes.id.len()).filter(|&r| self.routes.suspect(r));
+        let held: usize = suspect.map(|r| self.routes.out[r].len()).sum();
         held >= ((self.facts.slots as f64 * TRIAL_SHARE) as usize).max(1)
     }
 
@@ -569,7 +548,7 @@
         } else {
             1.0 - (1.0 - row.late_share) * late / (row.lifetime - row.target_delay).max(1) as f64
         };
-        mail.importance * share
+        row.importance * share
     }
 
     /// When the mail's turn comes among those of its key.
@@ -601,7 +580,7 @@
     /// Stops hung, silent and much slowed routes from taking up the slots, long before time-outs tell of them.
     fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
         for route in 0..self.routes.id.len() {
-            if matches!(self.routes.mode[route], Mode::Suspect { .. }) {
+            if self.routes.suspect(route) {
                 continue;
             }
             if let Some((at, age)) = self.oldest(route, now)
@@ -639,7 +618,7 @@
         let patience = self.classes[mail.class].facts.target_delay;
         let Some((at, zone)) = mail.ran.filter(|_| behind > KEY_BEHIND) else { return false };
         let deck = self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards);
-        let sound = |r: usize| self.routes.serving[r] && !matches!(self.routes.mode[r], Mode::Suspect { .. });
+        let sound = |r: usize| self.routes.serving[r] && !self.routes.suspect(r);
         self.now >= at + patience && !deck.into_iter().any(|&r| self.routes.zone[r] == zone && sound(r))
     }
 
@@ -684,8 +663,7 @@
         if self.out < self.facts.slots || self.called_off.is_some() {
             return;
         }
-        let stuck =
-            (0..self.routes.id.len()).filter(|&r| matches!(self.routes.mode[r], Mode::Suspect { .. }));
+        let stuck = (0..self.routes.id.len()).filter(|&r| self.routes.suspect(r));
         let late =
             |&(at, id): &(Nanos, MailId), r| now >= at + 2 * self.silent_after(r, self.mails[&id].class);
         let stuck = stuck.flat_map(|r| self.routes.out[r].iter().filter(move |o| late(o, r)));
@@ -746,7 +724,7 @@
             // for all its lifetime by a route that hangs starves every other destination.
             Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
             // A crawling route still answers: its trials are given the time, or all its work would be in vain.
-            _ if matches!(self.routes.mode[route], Mode::Suspect { .. }) => TRIAL_TIMEOUT.min(left),
+            _ if self.routes.suspect(route) => TRIAL_TIMEOUT.min(left),
             _ => ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left),
         };
         mail.out = Some(Connect { no: ConnectNo(mail.connects), route, at: now });
@@ -799,8 +777,8 @@
         self.mode.push(Mode::Open);
         self.fail.push(0.0);
         self.pace.push(None);
-        self.full_until.push(0);
-        self.full_wait.push(FIRST_WAIT);
+        self.closed_until.push(0);
+        self.wait.push(FIRST_WAIT);
         self.tight_until.push(0);
         self.sent_at.push(0);
         self.traffic.push(0.0);
@@ -809,6 +787,24 @@
         self.id.len() - 1
     }
 
+    /// The routes that one limit binds.
+    fn of_gate(&self, gate: usize) -> impl Iterator<Item = usize> + use<> {
+        let bound: Vec<usize> = (0..self.gate.len()).filter(|&r| self.gate[r] == gate).collect();
+        bound.into_iter()
+    }
+
+    fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
+        let wait = if told > 0 { told } else { self.wait[route] };
+        self.closed_until[route] = self.closed_until[route].max(now + wait);
+        if told == 0 {
+            self.wait[route] = (wait * 2).min(LONGEST_WAIT);
+        }
+    }
+
+    fn suspect(&self, route: usize) -> bool {
+        matches!(self.mode[route], Mode::Suspect { .. })
+    }
+
     /// Counts a relayed mail into the route's traffic, while the route is open.
     fn count(&mut self, route: usize, now: Nanos) {
         if self.mode[route] == Mode::Open {
@@ -821,38 +817,10 @@
 
 impl Gates {
     fn add(&mut self) -> usize {
-        self.told_until.push(0);
-        self.closed_until.push(0);
-        self.wait.push(FIRST_WAIT);
         self.gap.push(0);
         self.sent_at.push(0);
         self.refused_at.push(0);
         self.refused_since.push(None);
         self.gap.len() - 1
     }
-
-    fn opens_at(&self, gate: usize) -> Nanos {
-        self.told_until[gate].max(self.closed_until[gate]).max(self.sent_at[gate] + self.gap[gate])
-    }
-
-    fn refuse(&mut self, gate: usize, now: Nanos, told: Nanos, fresh: bool) {
-        self.told_until[gate] = self.told_until[gate].max(now + told);
-        if told > 0 {
-            self.closed_until[gate] = self.closed_until[gate].max(now + told);
-        } else if fresh {
-            self.closed_until[gate] = self.closed_until[gate].max(now + self.wait[gate]);
-            self.wait[gate] = (self.wait[gate] * 2).min(LONGEST_WAIT);
-        }
-        if fresh {
-            self.gap[gate] = (self.gap[gate] * 2).clamp(GAP_STEP, LONGEST_GAP);
-            self.refused_at[gate] = now;
-        }
-    }
-
-    fn relayed(&mut self, gate: usize) {
-        self.wait[gate] = FIRST_WAIT;
-        self.refused_since[gate] = None;
-        let gap = self.gap[gate] as f64 * (1.0 - GAP_SHARE);
-        self.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
-    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -21,10 +21,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassId(pub usize);
 
-/// A row of [`BootFacts::accounts`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AccountId(pub usize);
-
 /// A row of [`BootFacts::apart`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KindId(pub usize);
@@ -64,9 +60,6 @@
     pub seed: u64,
     pub dispatchers: u32,
     pub classes: Vec<ClassFacts>,
-    /// For each account, the mails a second within its share, over all dispatchers.
-    pub accounts: Vec<f64>,
-    pub over_share_worth: f64,
     /// For each kind of destination: are its endpoints separate routes?
     pub apart: Vec<bool>,
     /// Past the target delay importance falls by half with each further one (else evenly).
@@ -110,7 +103,6 @@
 pub struct NewMail {
     pub id: MailId,
     pub class: ClassId,
-    pub account: Option<AccountId>,
     pub key: Option<KeyId>,
     pub destination: DestinationId,
     /// When its queue lifetime is up.
