--- a/benchlink/src/boot.rs
+++ b/benchlink/src/boot.rs
@@ -9,7 +9,6 @@
     pub classes: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
-    pub rates_listed: bool,
 }
 
 impl Names {
@@ -81,12 +80,7 @@
     let r = Reader(&json, line);
     let classes = r.list("services")?.iter().map(|c| class(c, line)).collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes): (Vec<_>, Vec<_>) = classes.into_iter().unzip();
-    let names = Names {
-        classes: class_names,
-        kinds: r.words("flavors")?,
-        zones: r.words("dcs")?,
-        rates_listed: matches!(r.word("weights")?, "nominal" | "rough"),
-    };
+    let names = Names { classes: class_names, kinds: r.words("flavors")?, zones: r.words("dcs")? };
     let own = r.list("family-info.own-limits")?;
     let facts = BootFacts {
         seed,
@@ -98,7 +92,6 @@
         holding_room: r.count("limits.max-open")? as usize,
         max_connects: r.count("limits.max-attempts")? as u32,
         connect_timeout: r.count("limits.connect-timeout-ns")?,
-        may_probe: r.flag("limits.may-probe"),
         max_come_back: if r.flag("limits.retry-after") { r.count("limits.max-retry-after-ns")? } else { 0 },
         cold_share: r.num("guarantees.cold-share")?,
         ramp: r.count("guarantees.ramp-time-ns")?,
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -68,7 +68,6 @@
     shape: String,
     belongs_to: DestinationId,
     serving: bool,
-    power: Option<f64>,
 }
 
 #[derive(Default)]
@@ -79,25 +78,6 @@
     out: Vec<u8>,
 }
 
-fn told(line: &Line) -> Result<Option<Told>, Bad> {
-    let Some(usage) = line.get("usage") else {
-        return Ok(None);
-    };
-    let (mut left, mut limit) = (None, None);
-    for pair in usage.split(',') {
-        let Some((name, value)) = pair.split_once(':') else {
-            continue;
-        };
-        let slot = match name {
-            "x0" => &mut left,
-            "x1" => &mut limit,
-            _ => continue,
-        };
-        *slot = Some(value.parse::<f64>().map_err(|_| line.bad("usage", "name:number pairs"))?);
-    }
-    Ok(left.zip(limit).map(|(left, limit)| Told { left, limit }))
-}
-
 impl Link {
     fn event(&mut self, line: &Line) -> Result<(), Bad> {
         let name = line.text("dispatcher")?;
@@ -149,7 +129,6 @@
                         outcome: outcome(line, note)?,
                         over: line.get("over") == Some("1"),
                         took: line.maybe_num("wait-time-ns")?.unwrap_or(0),
-                        told: told(line)?,
                     };
                     d.connect_ended(now, end, out);
                 }
@@ -226,7 +205,6 @@
             zone: ZoneId(it.names.zones.iter().position(|z| *z == item.locality).unwrap_or(usize::MAX)),
             kind: KindId(it.names.kinds.iter().position(|k| *k == item.shape).unwrap_or(usize::MAX)),
             serving: item.serving,
-            listed_rate: item.power.filter(|_| it.names.rates_listed),
         });
     }
     Ok(Some((scope, entries)))
@@ -246,10 +224,6 @@
             "DRAINING" | "DELETED" => false,
             _ => return Err(line.bad("state", "SERVING, DRAINING or DELETED")),
         },
-        power: match line.get("power-hint") {
-            Some(v) => Some(v.parse().map_err(|_| line.bad("power-hint", "a number"))?),
-            None => None,
-        },
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -234,7 +234,7 @@
         self.called_off = self.called_off.filter(|m| *m != end.mail);
         let Some(mail) = self.mails.get_mut(&end.mail) else { return };
         let Some(connect) = mail.out.filter(|c| c.no == end.no) else { return };
-        let class = mail.class;
+        let (class, key) = (mail.class, mail.key);
         mail.out = None;
         self.out -= 1;
         self.routes.out[connect.route].retain(|c| c.1 != end.mail);
@@ -242,7 +242,7 @@
             mail.ran = Some((connect.at, self.routes.zone[connect.route]));
         }
         self.learn(now, connect, class, &end, out);
-        if let Some(line) = mail_key(&self.mails, end.mail).and_then(|key| self.keys.get_mut(&key)) {
+        if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
             if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff) {
                 line.rest_until = now + self.facts.key_rest + self.facts.tick;
             }
@@ -315,7 +315,7 @@
     fn shift(&mut self, id: MailId, to: Stage, out: &mut impl Outlet) {
         let Some(mail) = self.mails.get_mut(&id) else { return };
         let from = std::mem::replace(&mut mail.stage, to);
-        let still_out = mail.out.is_some();
+        let (key, still_out) = (mail.key, mail.out.is_some());
         match to {
             Stage::Deferred if from != to => {
                 let come_back = self.come_back(id);
@@ -329,8 +329,7 @@
         }
         if !from.ended() {
             self.held -= 1;
-            if let Some(key) = mail_key(&self.mails, id) {
-                let line = self.keys.entry(key).or_default();
+            if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
                 line.mails.retain(|m| *m != id);
                 line.loose += u32::from(still_out);
             }
@@ -553,9 +552,7 @@
 
     /// When the mail's turn comes among those of its key.
     fn turn_at(&self, id: MailId, mail: &Mail) -> Nanos {
-        let Some(line) = mail.key.and_then(|key| self.keys.get(&key)) else {
-            return 0;
-        };
+        let Some(line) = mail.key.and_then(|key| self.keys.get(&key)) else { return 0 };
         if line.mails.front() != Some(&id) || line.loose > 0 {
             return NEVER;
         }
@@ -686,9 +683,7 @@
     }
 
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
-        let Some(deck) = self.decks.get(&mail.dest) else {
-            return false;
-        };
+        let Some(deck) = self.decks.get(&mail.dest) else { return false };
         let busy: usize = deck.cards.iter().map(|&r| self.routes.out[r].len()).sum();
         busy < self.most_slots() && deck.cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
     }
@@ -763,10 +758,6 @@
     }
 }
 
-fn mail_key(mails: &BTreeMap<MailId, Mail>, id: MailId) -> Option<KeyId> {
-    mails.get(&id).and_then(|m| m.key)
-}
-
 impl Routes {
     fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
         self.id.push(entry.endpoint);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,7 +68,6 @@
     pub holding_room: usize,
     pub max_connects: u32,
     pub connect_timeout: Nanos,
-    pub may_probe: bool,
     /// The longest time to come back that a client heeds; nought where none is heard.
     pub max_come_back: Nanos,
     pub cold_share: f64,
@@ -95,8 +94,6 @@
     pub kind: KindId,
     /// False when it drains or is gone.
     pub serving: bool,
-    /// Calls a second that the list gives for the limit, where it gives one.
-    pub listed_rate: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -132,15 +129,6 @@
     }
 }
 
-/// What a destination tells of its limit in an answer.
-#[derive(Clone, Copy, Debug)]
-pub struct Told {
-    /// Share of the limit left.
-    pub left: f64,
-    /// The limit in calls a second; nought where there is none.
-    pub limit: f64,
-}
-
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectEnd {
     pub mail: MailId,
@@ -150,7 +138,6 @@
     pub over: bool,
     /// Time since it was sent.
     pub took: Nanos,
-    pub told: Option<Told>,
 }
 
 /// The answers of the decisions, carried out by whatever front stands before them.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -101,6 +101,20 @@
     assert_eq!(w.o.deferred.len(), 1);
 }
 
+/// Found by the random runs: an endpoint listed during its siblings' told wait was sent to at once.
+#[test]
+fn a_told_wait_binds_an_endpoint_listed_later() {
+    let mut w = World::new(facts());
+    w.o.ways.fill(Way::Refuses(2 * S));
+    w.mail(0, 0, None, 12 * S);
+    w.pass(100 * MS);
+    w.o.entries.push(ListEntry { endpoint: EndpointId(12), ..w.o.entries[0] });
+    w.o.ways.push(Way::Answers(100 * MS));
+    w.list(ListScope::Update);
+    w.pass(S);
+    assert_eq!(w.o.sent.len(), 1);
+}
+
 /// Found on head-office big-2: wakes that came a fraction early were lost, and mails with them.
 #[test]
 fn a_wake_that_comes_early_is_not_lost() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -87,7 +87,6 @@
         holding_room: 60,
         max_connects: 6,
         connect_timeout: S,
-        may_probe: true,
         max_come_back: 2 * S,
         cold_share: 0.2,
         ramp: 10 * S,
@@ -217,7 +216,6 @@
             zone: ZoneId((i % 2) as usize),
             kind: KindId(usize::from(i >= 8)),
             serving: true,
-            listed_rate: None,
         };
         let o = Outside {
             now,
@@ -331,7 +329,7 @@
             self.o.relayed.push(id);
         }
         let over = over || outcome == Outcome::Relayed;
-        let end = ConnectEnd { mail: id, no, outcome, over, took: now - at, told: None };
+        let end = ConnectEnd { mail: id, no, outcome, over, took: now - at };
         self.d.connect_ended(now, end, &mut self.o);
     }
 }
