--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
 const SILENT_TIMES: f64 = 5.0;
-const SILENT_FLOOR: Nanos = 1_000 * MS;
+const SILENT_FLOOR: Nanos = 700 * MS;
 /// Time-outs, as multiples of the usual answer time, with floor and ceiling.
 const TIMEOUT_TIMES: f64 = 8.0;
 const TIMEOUT_FLOOR: Nanos = 2_000 * MS;
