--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -94,7 +94,9 @@
                 self.instances.remove(name);
                 return Ok(());
             }
-            _ => {}
+            "MEMBERS" | "CALL" | "CLOSED_ATTEMPT" | "CHECKED" | "PEER" | "ABANDONED" | "DEADLINE_HIT"
+            | "HEADERS" => {}
+            _ => return Err(line.bad("", "a known message name")),
         }
         let Some(it) = self.instances.get_mut(name) else {
             return Ok(());
@@ -145,8 +147,8 @@
                 }
                 "ABANDONED" => d.mail_withdrawn(now, line.hex("txn")?, out),
                 "DEADLINE_HIT" => d.woken(now, out),
-                "HEADERS" => {}
-                _ => return Err(line.bad("", "a known message name")),
+                // Streams do not occur here.
+                _ => {}
             }
             Ok(())
         }));
