--- a/src/control.rs
+++ b/src/control.rs
@@ -105,8 +105,14 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Mode {
     Open,
-    Suspect { next_trial: Nanos },
-    Cold { since: Nanos },
+    /// `since`: it was cold from then on when it became suspect.
+    Suspect {
+        next_trial: Nanos,
+        since: Option<Nanos>,
+    },
+    Cold {
+        since: Nanos,
+    },
 }
 
 /// Endpoints, one place each.
@@ -416,7 +422,7 @@
                 let share = self.routes.fail[route];
                 if self.routes.suspect(route) {
                     self.routes.struck[route] = true;
-                    self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST };
+                    self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, since: None };
                 } else if share > self.median_fail() + FAIL_MARGIN
                     || matches!(self.routes.mode[route], Mode::Cold { .. })
                 {
@@ -460,7 +466,8 @@
     }
 
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
-        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST };
+        let since = if let Mode::Cold { since } = self.routes.mode[route] { Some(since) } else { None };
+        self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, since };
         out.log(&format!("route {} suspect: {why}", self.routes.id[route].0));
     }
 
@@ -469,8 +476,10 @@
     fn cleared(&mut self, route: usize, now: Nanos, took: Nanos, late: bool, out: &mut impl Outlet) {
         let was = self.routes.mode[route];
         let mode = match was {
-            Mode::Suspect { .. } if late => Mode::Suspect { next_trial: now + TRIAL_REST },
+            Mode::Suspect { since, .. } if late => Mode::Suspect { next_trial: now + TRIAL_REST, since },
             Mode::Suspect { .. } | Mode::Open if self.routes.struck[route] => Mode::Cold { since: now },
+            // A cold route is slow at first; held for silence and cleared again, it is still cold.
+            Mode::Suspect { since: Some(since), .. } if now < since + self.facts.ramp => Mode::Cold { since },
             Mode::Cold { since } if now < since + self.facts.ramp => was,
             _ => Mode::Open,
         };
@@ -577,11 +586,8 @@
     /// Stops hung, silent and much slowed routes from taking up the slots, long before time-outs tell of them.
     fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
         for route in 0..self.routes.id.len() {
-            if self.routes.suspect(route) {
-                continue;
-            }
-            if let Some((at, age)) = self.oldest(route, now)
-                && now >= at
+            if let Some((_, age)) = self.oldest(route, now).filter(|o| now >= o.0)
+                && !self.routes.suspect(route)
             {
                 let why = format!("oldest connect {} ms unanswered", age / MS);
                 self.suspect(route, now, &why, out);
@@ -661,9 +667,8 @@
             return;
         }
         let stuck = (0..self.routes.id.len()).filter(|&r| self.routes.suspect(r));
-        let late =
-            |&(at, id): &(Nanos, MailId), r| now >= at + 2 * self.silent_after(r, self.mails[&id].class);
-        let stuck = stuck.flat_map(|r| self.routes.out[r].iter().filter(move |o| late(o, r)));
+        let late = |at, id, r| now >= at + 2 * self.silent_after(r, self.mails[&id].class);
+        let stuck = stuck.flat_map(|r| self.routes.out[r].iter().filter(move |o| late(o.0, o.1, r)));
         let Some(&(_, id)) = stuck.min() else { return };
         let kept = |(&id, m): (&MailId, &Mail)| {
             m.stage == Stage::Waiting && self.turn_at(id, m) <= now && self.has_route(m, now)
@@ -685,11 +690,8 @@
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
         let Some(deck) = self.decks.get(&mail.dest) else { return false };
         let busy: usize = deck.cards.iter().map(|&r| self.routes.out[r].len()).sum();
-        busy < self.most_slots() && deck.cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
-    }
-
-    fn most_slots(&self) -> usize {
-        ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2)
+        let most = ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2);
+        busy < most && deck.cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
     }
 
     /// Deals the next route from the destination's shuffled deck, passing over those not available.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -171,3 +171,21 @@
     w.mail(3, 0, None, 12 * S);
     assert_eq!(w.o.deferred.first().map(|d| d.0), Some(first));
 }
+
+/// Found on h61c592: a cold route, slow and so held for silence, was taken for open as soon as it answered.
+#[test]
+fn a_cold_route_held_for_silence_stays_cold() {
+    let mut w = World::new(BootFacts { slots: 40, holding_room: 400, ..facts() });
+    for way in [Way::Answers(100 * MS), Way::Hangs, Way::Answers(100 * MS), Way::Answers(1_500 * MS)] {
+        w.o.ways[8..].fill(way);
+        for _ in 0..60 {
+            w.mail(0, 2, None, 12 * S);
+            w.pass(50 * MS);
+        }
+    }
+    w.o.ways[8..].fill(Way::Answers(100 * MS));
+    let from = w.o.sent.len();
+    w.pass(1_700 * MS);
+    let sent = w.o.sent.len() - from;
+    assert!(sent < 60, "{sent} sent within two seconds of the route's return, {:?}", w.o.lines);
+}
