--- a/src/control.rs
+++ b/src/control.rs
@@ -86,7 +86,6 @@
     key: Option<KeyId>,
     dest: DestinationId,
     due: Nanos,
-    order: u64,
     stage: Stage,
     connects: u32,
     out: Option<Connect>,
@@ -132,6 +131,8 @@
     /// Its table of connections was seen full not long before.
     tight_until: Vec<Nanos>,
     sent_at: Vec<Nanos>,
+    /// The most connects out at once: one when it becomes suspect, one more with each mail relayed in usual time.
+    room: Vec<usize>,
     /// Relayed mails a nanosecond of late, and when that was reckoned.
     traffic: Vec<f64>,
     traffic_at: Vec<Nanos>,
@@ -165,7 +166,6 @@
     decks: BTreeMap<DestinationId, Deck>,
     mails: BTreeMap<MailId, Mail>,
     keys: BTreeMap<KeyId, KeyLine>,
-    taken: u64,
     held: usize,
     out: usize,
     no_slot_until: Nanos,
@@ -187,7 +187,6 @@
             decks: BTreeMap::new(),
             mails: BTreeMap::new(),
             keys: BTreeMap::new(),
-            taken: 0,
             held: 0,
             out: 0,
             no_slot_until: 0,
@@ -220,7 +219,6 @@
             key: new.key.filter(|_| row.ordered),
             dest: new.destination,
             due: new.due,
-            order: self.taken,
             stage: Stage::Waiting,
             connects: 0,
             out: None,
@@ -229,7 +227,6 @@
         if let Some(key) = mail.key {
             self.keys.entry(key).or_default().mails.push_back(new.id);
         }
-        self.taken += 1;
         self.held += 1;
         self.mails.insert(new.id, mail);
         self.go_on(now, out);
@@ -359,10 +356,14 @@
         self.shift(id, if harmless { Stage::Deferred } else { Stage::Bounced }, out);
     }
 
+    /// The routes of a destination.
+    fn cards(&self, dest: DestinationId) -> &[usize] {
+        self.decks.get(&dest).map_or(&[], |d| &d.cards)
+    }
+
     /// When a client had best come back: when a route of the destination opens again.
     fn come_back(&self, id: MailId) -> Nanos {
-        let deck = self.decks.get(&self.mails[&id].dest);
-        let routes = deck.into_iter().flat_map(|d| &d.cards).filter(|&&r| self.routes.serving[r]);
+        let routes = self.cards(self.mails[&id].dest).iter().filter(|&&r| self.routes.serving[r]);
         let soonest = routes.map(|&r| self.routes.closed_until[r]).min().unwrap_or(0);
         soonest.saturating_sub(self.now).min(self.facts.max_come_back)
     }
@@ -401,6 +402,7 @@
                 self.routes.count(route, now);
                 self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
                 if !late {
+                    self.routes.room[route] = self.routes.room[route].saturating_add(1);
                     let row = &mut self.classes[class];
                     let pace = self.routes.pace[route].unwrap_or(1.0);
                     row.usual += PACE_WEIGHT * (end.took as f64 / pace - row.usual);
@@ -468,6 +470,7 @@
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
         let since = if let Mode::Cold { since } = self.routes.mode[route] { Some(since) } else { None };
         self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, since };
+        self.routes.room[route] = 1;
         out.log(&format!("route {} suspect: {why}", self.routes.id[route].0));
     }
 
@@ -490,8 +493,7 @@
             _ => return,
         };
         self.routes.struck[route] = false;
-        let share = self.routes.fail[route];
-        let id = self.routes.id[route].0;
+        let (id, share) = (self.routes.id[route].0, self.routes.fail[route]);
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
@@ -519,6 +521,8 @@
         let gate = r.gate[route];
         let mut at = r.closed_until[route].max(self.gates.sent_at[gate] + self.gates.gap[gate]);
         match r.mode[route] {
+            // Answered once, a crawling route would else be given its whole backlog, and with it the slots.
+            Mode::Open if r.out[route].len() >= r.room[route] => return NEVER,
             Mode::Open => {}
             Mode::Suspect { .. } if self.trials_full() || self.on_trial(route, now) => return NEVER,
             Mode::Suspect { next_trial, .. } => {
@@ -620,9 +624,9 @@
         let behind = mail.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
         let patience = self.classes[mail.class].facts.target_delay;
         let Some((at, zone)) = mail.ran.filter(|_| behind > KEY_BEHIND) else { return false };
-        let deck = self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards);
-        let sound = |r: usize| self.routes.serving[r] && !self.routes.suspect(r);
-        self.now >= at + patience && !deck.into_iter().any(|&r| self.routes.zone[r] == zone && sound(r))
+        let sound =
+            |&r: &usize| self.routes.zone[r] == zone && self.routes.serving[r] && !self.routes.suspect(r);
+        self.now >= at + patience && !self.cards(mail.dest).iter().any(sound)
     }
 
     /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up the
@@ -645,12 +649,12 @@
             return;
         }
         while self.out < self.facts.slots {
-            let mut best: Option<(f64, u64, MailId)> = None;
+            let mut best: Option<(f64, Nanos, MailId)> = None;
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
                 let worth = self.worth_at(mail, now) / self.slot_time(mail);
-                let better = best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.order < b.1));
+                let better = best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.due < b.1));
                 if better && self.turn_at(id, mail) <= now && self.has_route(mail, now) {
-                    best = Some((worth, mail.order, id));
+                    best = Some((worth, mail.due, id));
                 }
             }
             let Some((_, _, id)) = best else { return };
@@ -683,23 +687,21 @@
 
     /// How long a connect of this mail will hold its slot, by the quickest of its routes.
     fn slot_time(&self, mail: &Mail) -> f64 {
-        let routes = self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards);
-        routes.map(|&r| self.usual(r, mail.class)).fold(1e12, f64::min)
+        self.cards(mail.dest).iter().map(|&r| self.usual(r, mail.class)).fold(1e12, f64::min)
     }
 
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
-        let Some(deck) = self.decks.get(&mail.dest) else { return false };
-        let busy: usize = deck.cards.iter().map(|&r| self.routes.out[r].len()).sum();
         let most = ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2);
-        busy < most && deck.cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
+        let cards = self.cards(mail.dest);
+        cards.iter().map(|&r| self.routes.out[r].len()).sum::<usize>() < most
+            && cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
     }
 
     /// Deals the next route from the destination's shuffled deck, passing over those not available.
     fn deal(&mut self, id: MailId, now: Nanos) -> Option<usize> {
         let mail = &self.mails[&id];
         let dest = mail.dest;
-        let deck = &self.decks[&dest];
-        let open: Vec<bool> = deck.cards.iter().map(|&r| self.opens_at(r, mail, now) <= now).collect();
+        let open: Vec<bool> = self.cards(dest).iter().map(|&r| self.opens_at(r, mail, now) <= now).collect();
         let deck = self.decks.get_mut(&dest)?;
         if !open[deck.dealt..].contains(&true) {
             deck.dealt = 0;
@@ -751,7 +753,7 @@
             note(if mail.stage == Stage::Out { mail.due } else { mail.due.saturating_sub(self.margin()) });
             if mail.stage == Stage::Waiting && self.out < self.facts.slots {
                 let turn = self.turn_at(id, mail);
-                for &route in self.decks.get(&mail.dest).into_iter().flat_map(|d| &d.cards) {
+                for &route in self.cards(mail.dest) {
                     note(self.opens_at(route, mail, now).max(turn).max(self.no_slot_until));
                 }
             }
@@ -774,6 +776,7 @@
         self.wait.push(FIRST_WAIT);
         self.tight_until.push(0);
         self.sent_at.push(0);
+        self.room.push(usize::MAX);
         self.traffic.push(0.0);
         self.traffic_at.push(0);
         self.struck.push(false);
