--- a/src/control.rs
+++ b/src/control.rs
@@ -43,7 +43,7 @@
 /// Over how long a route's own traffic is averaged for the cold budget.
 const TRAFFIC_SPAN: f64 = 8e9;
 /// The share of the slots that one destination may hold.
-const SLOT_SHARE: f64 = 0.5;
+const SLOT_SHARE: f64 = 0.35;
 /// The share of the slots that all suspect routes together may hold.
 const TRIAL_SHARE: f64 = 0.25;
 /// More mails than this in a key's line, with a stuck one at its head, are worth more than that one.
@@ -198,9 +198,7 @@
     }
 
     pub fn list_news(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
-        if scope == ListScope::Whole {
-            self.routes.serving.fill(false);
-        }
+        self.routes.serving.iter_mut().for_each(|s| *s &= scope != ListScope::Whole);
         for entry in entries {
             let route = match self.index.get(&entry.endpoint) {
                 Some(&route) => route,
@@ -645,10 +643,7 @@
     }
 
     fn send_all(&mut self, now: Nanos, out: &mut impl Outlet) {
-        if now < self.no_slot_until {
-            return;
-        }
-        while self.out < self.facts.slots {
+        while self.out < self.facts.slots && now >= self.no_slot_until {
             let mut best: Option<(f64, Nanos, MailId)> = None;
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
                 let worth = self.worth_at(mail, now) / self.slot_time(mail);
