--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -189,3 +189,25 @@
     let sent = w.o.sent.len() - from;
     assert!(sent < 60, "{sent} sent within two seconds of the route's return, {:?}", w.o.lines);
 }
+
+/// Found on ia437eb: a crawling route that answered once in usual time was given its whole backlog, and the slots.
+#[test]
+fn a_route_once_suspect_earns_its_slots_back() {
+    let mut w = World::new(BootFacts { slots: 40, holding_room: 400, ..facts() });
+    w.mail(0, 0, None, 12 * S);
+    w.pass(S);
+    w.o.ways[..4].fill(Way::Answers(3 * S));
+    for _ in 0..60 {
+        w.mail(0, 0, None, 12 * S);
+        w.pass(20 * MS);
+    }
+    w.o.ways[..4].fill(Way::Answers(100 * MS));
+    while !w.o.lines.iter().any(|l| l.contains("open")) {
+        w.pass(10 * MS);
+    }
+    w.o.ways[..4].fill(Way::Answers(3 * S));
+    let from = w.o.sent.len();
+    w.pass(600 * MS);
+    let sent = w.o.sent.len() - from;
+    assert!(sent <= 10, "{sent} sent to a destination that answered once");
+}
