--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -196,7 +196,7 @@
     let mut w = World::new(BootFacts { slots: 40, holding_room: 400, ..facts() });
     w.mail(0, 0, None, 12 * S);
     w.pass(S);
-    w.o.ways[..4].fill(Way::Answers(3 * S));
+    w.o.ways[..4].fill(Way::Answers(1_500 * MS));
     for _ in 0..60 {
         w.mail(0, 0, None, 12 * S);
         w.pass(20 * MS);
@@ -205,7 +205,7 @@
     while !w.o.lines.iter().any(|l| l.contains("open")) {
         w.pass(10 * MS);
     }
-    w.o.ways[..4].fill(Way::Answers(3 * S));
+    w.o.ways[..4].fill(Way::Answers(1_500 * MS));
     let from = w.o.sent.len();
     w.pass(600 * MS);
     let sent = w.o.sent.len() - from;
