--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,7 +10,7 @@
 type Step = (u8, u8, u16);
 
 fn way(n: u8) -> Way {
-    match n % 8 {
+    match n % 10 {
         0 => Way::Hangs,
         1 => Way::Errs,
         2 => Way::Refuses(0),
@@ -18,6 +18,8 @@
         4 => Way::Down,
         5 => Way::TableFull,
         6 => Way::Answers(u64::from(n) * 20 * MS),
+        7 => Way::Resets,
+        8 => Way::NoSlot,
         _ => Way::Answers(100 * MS),
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -17,6 +17,8 @@
     Refuses(Nanos),
     Down,
     TableFull,
+    Resets,
+    NoSlot,
 }
 
 pub struct Sent {
@@ -160,6 +162,8 @@
             Way::Refuses(told) => (20 * MS, Outcome::Full(told)),
             Way::Down => (self.facts.connect_timeout, Outcome::Unconnected),
             Way::TableFull => (20 * MS, Outcome::Unconnected),
+            Way::Resets => (50 * MS, Outcome::Reset),
+            Way::NoSlot => (1, Outcome::Unsent(true)),
         };
         let (after, outcome) =
             if after > time_out { (time_out, Outcome::TimedOut) } else { (after, outcome) };
@@ -316,7 +320,7 @@
             mail.ran.get_or_insert((at, zone));
         }
         let (key, over, no) = (mail.key, mail.ended, ConnectNo(mail.connects - 1));
-        if let (Outcome::TimedOut | Outcome::CalledOff, Some(key)) = (outcome, key) {
+        if let (Outcome::TimedOut | Outcome::CalledOff | Outcome::Reset, Some(key)) = (outcome, key) {
             self.o.rests.insert(key, (now + self.o.facts.key_rest, id));
         }
         if let Outcome::Full(wait) = outcome {
