Budget of a struck route shared by all dispatchers; a lost answer is no outage

A struck route is now tried by each dispatcher in the measure of its own former traffic there, at the least once in so many rests as there are dispatchers; one failure counts fully where little was relayed of late.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,12 +27,15 @@
 const TIMEOUT_TIMES: f64 = 8.0;
 const TIMEOUT_FLOOR: Nanos = 2_000 * MS;
 const TIMEOUT_CEILING: Nanos = 8_000 * MS;
-/// The weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
+/// The least weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
 const FAIL_WEIGHT: f64 = 0.25;
 const FAIL_MARGIN: f64 = 0.4;
-/// Rest between trials of a suspect route; once-only mails stand back by the spare.
+/// Rest between trials of a suspect route, and between all dispatchers' trials of a struck one; once-only mails
+/// stand back by the spare.
 const TRIAL_REST: Nanos = 400 * MS;
 const SPARE: Nanos = 2_500 * MS;
+/// The same rest for a cold route that had next to no traffic.
+const COLD_REST: Nanos = 700 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
 /// The weight of one answer in the usual answer times, and the usual time before any is known.
@@ -133,9 +136,13 @@
     sent_at: Vec<Nanos>,
     /// The most connects out at once: one when it becomes suspect, one more with each mail relayed in usual time.
     room: Vec<usize>,
-    /// Relayed mails a nanosecond of late, and when that was reckoned.
+    /// Mails relayed of late, fading while it is sound, and when that was reckoned.
     traffic: Vec<f64>,
     traffic_at: Vec<Nanos>,
+    /// When a mail was last relayed in usual time.
+    spoke_at: Vec<Nanos>,
+    /// Stretches each space between sends to a cold or struck route, drawn with each send.
+    stretch: Vec<f64>,
     /// Something failed there, or was refused for long, since it was last sound: it will return cold.
     struck: Vec<bool>,
 }
@@ -397,9 +404,10 @@
                 let gap = self.gates.gap[gate] as f64 * (1.0 - GAP_SHARE);
                 self.gates.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
                 self.routes.of_gate(gate).for_each(|r| self.routes.wait[r] = FIRST_WAIT);
-                self.routes.count(route, now);
+                self.routes.count(route, now, 1.0);
                 self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
                 if !late {
+                    self.routes.spoke_at[route] = now;
                     self.routes.room[route] = self.routes.room[route].saturating_add(1);
                     let row = &mut self.classes[class];
                     let pace = self.routes.pace[route].unwrap_or(1.0);
@@ -417,22 +425,33 @@
                 self.routes.suspend(route, now, 0);
                 self.routes.tight_until[route] = now + TIGHT;
             }
-            Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
-                self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
-                let share = self.routes.fail[route];
-                if self.routes.suspect(route) {
-                    self.routes.struck[route] = true;
+            // A lost answer, not an outage: others have come since it was sent.
+            Outcome::TimedOut | Outcome::CalledOff if self.routes.spoke_at[route] >= connect.at => {}
+            Outcome::Errored
+            | Outcome::TimedOut
+            | Outcome::Unconnected
+            | Outcome::Reset
+            | Outcome::CalledOff => {
+                self.routes.count(route, now, 0.0);
+                // Where little was relayed of late, one outcome is most of what is known.
+                let weight = (1.0 / (1.0 + self.routes.traffic[route])).max(FAIL_WEIGHT);
+                self.routes.fail[route] += weight * (1.0 - self.routes.fail[route]);
+                let (share, was) = (self.routes.fail[route], self.routes.mode[route]);
+                if was == Mode::Open && share <= self.median_fail() + FAIL_MARGIN {
+                    return;
+                }
+                for r in self.routes.of_gate(gate) {
+                    self.routes.struck[r] = true;
+                }
+                if let Mode::Suspect { .. } = was {
                     self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, since: None };
-                } else if share > self.median_fail() + FAIL_MARGIN
-                    || matches!(self.routes.mode[route], Mode::Cold { .. })
-                {
-                    self.routes.struck[route] = true;
+                } else {
                     let why = format!("failure share {share:.2}, fleet {:.2}", self.median_fail());
                     self.suspect(route, now, &why, out);
                 }
             }
             Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
-            Outcome::Unsent(false) | Outcome::CalledOff => {}
+            Outcome::Unsent(false) => {}
         }
     }
 
@@ -450,7 +469,9 @@
             if fresh || told > 0 {
                 self.routes.suspend(route, now, told);
             }
-            self.routes.struck[route] |= now - since >= SHUT_AFTER || told >= SHUT_AFTER;
+            let long = now - since >= SHUT_AFTER && self.gates.gap[gate] > 2 * GAP_STEP;
+            self.routes.count(route, now, 0.0);
+            self.routes.struck[route] |= long || told >= SHUT_AFTER;
         }
     }
 
@@ -466,6 +487,7 @@
     }
 
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
+        self.routes.count(route, now, 0.0);
         let since = if let Mode::Cold { since } = self.routes.mode[route] { Some(since) } else { None };
         self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, since };
         self.routes.room[route] = 1;
@@ -495,13 +517,14 @@
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
-    /// The space between sends to a cold route: this dispatcher's own former traffic there, cut to what a cold
-    /// destination bears, rising over the ramp.
-    fn cold_space(&self, route: usize, since: Nanos, now: Nanos) -> Nanos {
+    /// The space between sends to a cold or struck route: this dispatcher's own former traffic there, cut to what
+    /// a cold destination bears, rising over the ramp. Hundreds that saw the same outage each keep to their own part;
+    /// where one had next to no traffic, all of them together go by one mail in `least`.
+    fn space(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
         let f = &self.facts;
-        let warm = f.cold_share + (1.0 - f.cold_share) * ((now - since) as f64 / f.ramp as f64).min(1.0);
-        let rate = self.routes.traffic[route] * COLD_ROOM * warm * f.tip_multiple;
-        ((1.0 / rate.max(1e-18)) as Nanos).min(f.tip_window)
+        let rate = self.routes.traffic[route] / TRAFFIC_SPAN * COLD_ROOM * warm * f.tip_multiple;
+        let space = (1.0 / rate.max(1e-18)).min(f64::from(f.dispatchers) * least as f64);
+        (space * self.routes.stretch[route]) as Nanos
     }
 
     /// When this mail may go by this route, as things stand; NEVER: not before something else happens.
@@ -516,7 +539,7 @@
         {
             return NEVER;
         }
-        let gate = r.gate[route];
+        let (gate, cold) = (r.gate[route], self.facts.cold_share);
         let mut at = r.closed_until[route].max(self.gates.sent_at[gate] + self.gates.gap[gate]);
         match r.mode[route] {
             // Answered once, a crawling route would else be given its whole backlog, and with it the slots.
@@ -526,7 +549,16 @@
             Mode::Suspect { next_trial, .. } => {
                 at = at.max(next_trial + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
             }
-            Mode::Cold { since } => at = at.max(r.sent_at[route] + self.cold_space(route, since, now)),
+            Mode::Cold { since } => {
+                let ramp = ((now - since) as f64 / self.facts.ramp as f64).min(1.0);
+                let warm = cold + (1.0 - cold) * ramp;
+                at = at.max(r.sent_at[route] + self.space(route, warm, COLD_REST));
+            }
+        }
+        if r.struck[route] {
+            // Those told when a shut route opens come apart.
+            let space = self.space(route, cold, TRIAL_REST);
+            at = at.max(r.sent_at[route].max(r.closed_until[route].saturating_sub(space / 2)) + space);
         }
         at
     }
@@ -597,9 +629,9 @@
         }
     }
 
-    /// When the route's oldest connect is to be held for silence, and its age.
+    /// When the oldest connect of which no answer has come since is to be held for silence, and its age.
     fn oldest(&self, route: usize, now: Nanos) -> Option<(Nanos, Nanos)> {
-        let outs = self.routes.out[route].iter();
+        let outs = self.routes.out[route].iter().filter(|o| o.0 > self.routes.spoke_at[route]);
         outs.map(|&(at, id)| (at + self.silent_after(route, self.mails[&id].class), now - at)).min()
     }
 
@@ -726,6 +758,7 @@
         self.out += 1;
         self.routes.out[route].push((now, id));
         self.routes.sent_at[route] = now;
+        self.routes.stretch[route] = self.rng.random_range(0.5..1.5);
         self.gates.sent_at[self.routes.gate[route]] = now;
         self.shift(id, Stage::Out, out);
         out.connect(id, self.routes.id[route], time_out);
@@ -774,6 +807,8 @@
         self.room.push(usize::MAX);
         self.traffic.push(0.0);
         self.traffic_at.push(0);
+        self.spoke_at.push(0);
+        self.stretch.push(1.0);
         self.struck.push(false);
         self.id.len() - 1
     }
@@ -796,11 +831,11 @@
         matches!(self.mode[route], Mode::Suspect { .. })
     }
 
-    /// Counts a relayed mail into the route's traffic, while the route is open.
-    fn count(&mut self, route: usize, now: Nanos) {
-        if self.mode[route] == Mode::Open {
+    /// Lets the route's traffic fade up to now and adds to it, while the route is open and sound.
+    fn count(&mut self, route: usize, now: Nanos, relayed: f64) {
+        if self.mode[route] == Mode::Open && !self.struck[route] {
             let faded = (-((now - self.traffic_at[route]) as f64) / TRAFFIC_SPAN).exp();
-            self.traffic[route] = self.traffic[route] * faded + 1.0 / TRAFFIC_SPAN;
+            self.traffic[route] = self.traffic[route] * faded + relayed;
             self.traffic_at[route] = now;
         }
     }
