--- a/src/control.rs
+++ b/src/control.rs
@@ -51,8 +51,8 @@
 const TRIAL_SHARE: f64 = 0.25;
 /// More mails than this in a key's line, with a stuck one at its head, are worth more than that one.
 const KEY_BEHIND: usize = 1;
-/// For how long after a full table idle connections there are given back.
-const TIGHT: Nanos = 15_000 * MS;
+/// For how long after a full table, or a reset of an idle connection, no idle ones are kept to that kind.
+const TIGHT: Nanos = 60_000 * MS;
 
 /// What differs by queue class, as far as it is read.
 struct ClassRow {
@@ -82,6 +82,8 @@
     no: ConnectNo,
     route: usize,
     at: Nanos,
+    /// Idle connections were given back before it.
+    fresh: bool,
 }
 
 struct Mail {
@@ -131,8 +133,7 @@
     /// Suspended until then, and for how long the next time if no wait is told.
     closed_until: Vec<Nanos>,
     wait: Vec<Nanos>,
-    /// Its table of connections was seen full not long before.
-    tight_until: Vec<Nanos>,
+    kind: Vec<usize>,
     sent_at: Vec<Nanos>,
     /// The most connects out at once: one when it becomes suspect, one more with each mail relayed in usual time.
     room: Vec<usize>,
@@ -178,6 +179,8 @@
     no_slot_until: Nanos,
     /// A connect has been called off whose end has not come yet.
     called_off: Option<MailId>,
+    /// By kind of destination: until then no idle connections are kept.
+    tight_until: Vec<Nanos>,
     wake_at: Nanos,
     now: Nanos,
 }
@@ -198,6 +201,7 @@
             out: 0,
             no_slot_until: 0,
             called_off: None,
+            tight_until: vec![0; facts.apart.len() + 1],
             wake_at: NEVER,
             now,
             facts,
@@ -267,9 +271,10 @@
             stage => self.shift(end.mail, stage, out),
         }
         self.go_on(now, out);
-        // Idle connections held to a full table lock other dispatchers out; each new one costs a handshake, so
-        // they are given back only for a while after the table was seen full.
-        if now < self.routes.tight_until[connect.route] {
+        // Idle connections held to a full table lock other dispatchers out, and what is sent on one that was dropped
+        // unseen is lost. Where one kind's destination showed either, others of the kind will: each dispatcher sees
+        // any one of them seldom. A new connection costs a handshake, so it is for a while only.
+        if now < self.tight_until[self.routes.kind[connect.route]] {
             out.hang_up(self.routes.id[connect.route]);
         }
     }
@@ -310,7 +315,7 @@
             _ => self.gates.add(),
         };
         deck.shared_gate = Some(gate).filter(|_| !apart);
-        let route = self.routes.add(entry, gate);
+        let route = self.routes.add(entry, gate, entry.kind.0.min(self.facts.apart.len()));
         // A wait told before it was listed binds it too.
         let closed = self.routes.of_gate(gate).map(|r| self.routes.closed_until[r]).max();
         self.routes.closed_until[route] = closed.unwrap_or(0);
@@ -423,8 +428,10 @@
             // suspended, as for an untold refusal. An endpoint that is down and says so is met in the same way.
             Outcome::Unconnected if end.took < self.facts.connect_timeout / 2 => {
                 self.routes.suspend(route, now, 0);
-                self.routes.tight_until[route] = now + TIGHT;
+                self.tight_until[self.routes.kind[route]] = now + TIGHT;
             }
+            // It may have been an idle connection dropped unseen, and then it tells nothing of the route.
+            Outcome::Reset if !connect.fresh => self.tight_until[self.routes.kind[route]] = now + TIGHT,
             // A lost answer, not an outage: others have come since it was sent.
             Outcome::TimedOut | Outcome::CalledOff if self.routes.spoke_at[route] >= connect.at => {}
             Outcome::Errored
@@ -753,7 +760,11 @@
             _ if self.routes.suspect(route) => TRIAL_TIMEOUT.min(left),
             _ => ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left),
         };
-        mail.out = Some(Connect { no: ConnectNo(mail.connects), route, at: now });
+        let fresh = now < self.tight_until[self.routes.kind[route]];
+        if fresh {
+            out.hang_up(self.routes.id[route]);
+        }
+        mail.out = Some(Connect { no: ConnectNo(mail.connects), route, at: now, fresh });
         mail.connects += 1;
         self.out += 1;
         self.routes.out[route].push((now, id));
@@ -791,7 +802,7 @@
 }
 
 impl Routes {
-    fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
+    fn add(&mut self, entry: &ListEntry, gate: usize, kind: usize) -> usize {
         self.id.push(entry.endpoint);
         self.zone.push(entry.zone);
         self.gate.push(gate);
@@ -802,7 +813,7 @@
         self.pace.push(None);
         self.closed_until.push(0);
         self.wait.push(FIRST_WAIT);
-        self.tight_until.push(0);
+        self.kind.push(kind);
         self.sent_at.push(0);
         self.room.push(usize::MAX);
         self.traffic.push(0.0);
