--- a/src/control.rs
+++ b/src/control.rs
@@ -14,6 +14,8 @@
 /// Untold suspension: shorter than the spans in which limits are counted, so that little of one is slept through.
 const FIRST_WAIT: Nanos = 250 * MS;
 const LONGEST_WAIT: Nanos = 2_000 * MS;
+/// Untold suspensions are longer by as many times as there are so many dispatchers: they all come back to one limit.
+const CROWD: u32 = 50;
 /// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
@@ -142,7 +144,7 @@
     traffic_at: Vec<Nanos>,
     /// When a mail was last relayed in usual time.
     spoke_at: Vec<Nanos>,
-    /// Stretches each space between sends to a cold or struck route, drawn with each send.
+    /// Stretches each space between sends to a cold or struck route, and each untold wait; drawn with each send.
     stretch: Vec<f64>,
     /// Something failed there, or was refused for long, since it was last sound: it will return cold.
     struck: Vec<bool>,
@@ -427,7 +429,11 @@
             // No connection, said at once: the endpoint's table is full, whatever its siblings' are. It alone is
             // suspended, as for an untold refusal. An endpoint that is down and says so is met in the same way.
             Outcome::Unconnected if end.took < self.facts.connect_timeout / 2 => {
-                self.routes.suspend(route, now, 0);
+                self.suspend(route, now, 0);
+                if self.routes.wait[route] > 4 * FIRST_WAIT {
+                    self.routes.count(route, now, 0.0);
+                    self.routes.struck[route] = true;
+                }
                 self.tight_until[self.routes.kind[route]] = now + TIGHT;
             }
             // It may have been an idle connection dropped unseen, and then it tells nothing of the route.
@@ -474,7 +480,7 @@
         }
         for route in self.routes.of_gate(gate) {
             if fresh || told > 0 {
-                self.routes.suspend(route, now, told);
+                self.suspend(route, now, told);
             }
             let long = now - since >= SHUT_AFTER && self.gates.gap[gate] > 2 * GAP_STEP;
             self.routes.count(route, now, 0.0);
@@ -482,6 +488,16 @@
         }
     }
 
+    fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
+        let r = &mut self.routes;
+        let crowd = f64::from(self.facts.dispatchers.max(CROWD)) / f64::from(CROWD);
+        let untold = (r.wait[route] as f64 * crowd * r.stretch[route]) as Nanos;
+        r.closed_until[route] = r.closed_until[route].max(now + if told > 0 { told } else { untold });
+        if told == 0 {
+            r.wait[route] = (r.wait[route] * 2).min(LONGEST_WAIT);
+        }
+    }
+
     fn median_fail(&self) -> f64 {
         let r = &self.routes;
         let mut shares: Vec<f64> = (0..r.id.len()).filter(|&i| r.serving[i]).map(|i| r.fail[i]).collect();
@@ -830,14 +846,6 @@
         bound.into_iter()
     }
 
-    fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
-        let wait = if told > 0 { told } else { self.wait[route] };
-        self.closed_until[route] = self.closed_until[route].max(now + wait);
-        if told == 0 {
-            self.wait[route] = (wait * 2).min(LONGEST_WAIT);
-        }
-    }
-
     fn suspect(&self, route: usize) -> bool {
         matches!(self.mode[route], Mode::Suspect { .. })
     }
