--- a/src/control.rs
+++ b/src/control.rs
@@ -218,6 +218,10 @@
                 None if entry.serving => self.add_route(entry),
                 None => continue,
             };
+            if entry.serving && !std::mem::replace(&mut self.routes.serving[route], entry.serving) {
+                // All dispatchers hear of it at once.
+                self.routes.sent_at[route] = now;
+            }
             self.routes.serving[route] = entry.serving;
         }
         self.go_on(now, out);
@@ -321,6 +325,13 @@
         // A wait told before it was listed binds it too.
         let closed = self.routes.of_gate(gate).map(|r| self.routes.closed_until[r]).max();
         self.routes.closed_until[route] = closed.unwrap_or(0);
+        // One listed in its destination's outage is as cold: the backlogs of all would meet at it the moment that
+        // they hear of it. It could slow a sound newcomer whose siblings alone are out.
+        if let Some(sibling) = self.routes.of_gate(gate).find(|&r| self.routes.struck[r]) {
+            self.routes.struck[route] = true;
+            self.routes.traffic[route] = self.routes.traffic[sibling];
+            self.routes.stretch[route] = self.rng.random_range(0.5..1.5);
+        }
         deck.cards.push(route);
         self.index.insert(entry.endpoint, route);
         route
@@ -822,7 +833,7 @@
         self.id.push(entry.endpoint);
         self.zone.push(entry.zone);
         self.gate.push(gate);
-        self.serving.push(true);
+        self.serving.push(false);
         self.out.push(Vec::new());
         self.mode.push(Mode::Open);
         self.fail.push(0.0);
