--- a/src/control.rs
+++ b/src/control.rs
@@ -40,7 +40,7 @@
 const COLD_REST: Nanos = 700 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
-/// The weight of one answer in the usual answer times, and the usual time before any is known.
+/// The least weight of one answer in the usual answer times, and the usual time before any is known.
 const PACE_WEIGHT: f64 = 0.1;
 const FIRST_USUAL: f64 = 300e6;
 /// What a warm route can take over what it took: it had room, or it would have refused.
@@ -131,7 +131,7 @@
     out: Vec<Vec<(Nanos, MailId)>>,
     mode: Vec<Mode>,
     fail: Vec<f64>,
-    pace: Vec<Option<f64>>,
+    dest: Vec<DestinationId>,
     /// Suspended until then, and for how long the next time if no wait is told.
     closed_until: Vec<Nanos>,
     wait: Vec<Nanos>,
@@ -164,6 +164,9 @@
     cards: Vec<usize>,
     dealt: usize,
     shared_gate: Option<usize>,
+    /// How its answer times compare with the usual ones, by so many answers.
+    pace: f64,
+    answers: f64,
 }
 
 pub struct Dispatcher {
@@ -408,7 +411,9 @@
     }
 
     fn usual(&self, route: usize, class: usize) -> f64 {
-        self.classes[class].usual * self.routes.pace[route].unwrap_or(1.0)
+        let pace =
+            self.decks.get(&self.routes.dest[route]).filter(|d| d.answers > 0.0).map_or(1.0, |d| d.pace);
+        self.classes[class].usual * pace
     }
 
     /// What one outcome tells of its route.
@@ -428,11 +433,13 @@
                     self.routes.spoke_at[route] = now;
                     self.routes.room[route] = self.routes.room[route].saturating_add(1);
                     let row = &mut self.classes[class];
-                    let pace = self.routes.pace[route].unwrap_or(1.0);
+                    let deck = self.decks.entry(self.routes.dest[route]).or_default();
+                    let pace = if deck.answers > 0.0 { deck.pace } else { 1.0 };
                     row.usual += PACE_WEIGHT * (end.took as f64 / pace - row.usual);
                     let seen = (end.took as f64 / row.usual).max(0.1);
-                    let weight = if self.routes.pace[route].is_none() { 0.5 } else { PACE_WEIGHT };
-                    self.routes.pace[route] = Some(pace + weight * (seen - pace));
+                    // The first answers weigh more, against one of usual time.
+                    deck.answers += 1.0;
+                    deck.pace = pace + (1.0 / (1.0 + deck.answers)).max(PACE_WEIGHT) * (seen - pace);
                 }
                 self.cleared(route, now, end.took, late, out);
             }
@@ -837,7 +844,7 @@
         self.out.push(Vec::new());
         self.mode.push(Mode::Open);
         self.fail.push(0.0);
-        self.pace.push(None);
+        self.dest.push(entry.destination);
         self.closed_until.push(0);
         self.wait.push(FIRST_WAIT);
         self.kind.push(kind);
