Called-off connects tell nothing; each sibling is struck by its own failures; milder rests

Cause: on the small deployments a slow spell was taken for an outage and its whole destination sent through the cold ramp.

--- a/src/control.rs
+++ b/src/control.rs
@@ -32,12 +32,13 @@
 /// The least weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
 const FAIL_WEIGHT: f64 = 0.25;
 const FAIL_MARGIN: f64 = 0.4;
-/// Rest between trials of a suspect route, and between all dispatchers' trials of a struck one; once-only mails
-/// stand back by the spare.
+/// Rest between trials of a suspect route; once-only mails stand back by the spare.
 const TRIAL_REST: Nanos = 400 * MS;
 const SPARE: Nanos = 2_500 * MS;
 /// The same rest for a cold route that had next to no traffic.
 const COLD_REST: Nanos = 700 * MS;
+/// And for a struck one.
+const STRUCK_REST: Nanos = 150 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
 /// The least weight of one answer in the usual answer times, and the usual time before any is known.
@@ -457,12 +458,8 @@
             // It may have been an idle connection dropped unseen, and then it tells nothing of the route.
             Outcome::Reset if !connect.fresh => self.tight_until[self.routes.kind[route]] = now + TIGHT,
             // A lost answer, not an outage: others have come since it was sent.
-            Outcome::TimedOut | Outcome::CalledOff if self.routes.spoke_at[route] >= connect.at => {}
-            Outcome::Errored
-            | Outcome::TimedOut
-            | Outcome::Unconnected
-            | Outcome::Reset
-            | Outcome::CalledOff => {
+            Outcome::TimedOut if self.routes.spoke_at[route] >= connect.at => {}
+            Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.count(route, now, 0.0);
                 // Where little was relayed of late, one outcome is most of what is known.
                 let weight = (1.0 / (1.0 + self.routes.traffic[route])).max(FAIL_WEIGHT);
@@ -472,7 +469,7 @@
                     return;
                 }
                 for r in self.routes.of_gate(gate) {
-                    self.routes.struck[r] = true;
+                    self.routes.struck[r] |= r == route;
                 }
                 if let Mode::Suspect { .. } = was {
                     self.routes.mode[route] = Mode::Suspect { next_trial: now + TRIAL_REST, since: None };
@@ -482,7 +479,7 @@
                 }
             }
             Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
-            Outcome::Unsent(false) => {}
+            Outcome::Unsent(false) | Outcome::CalledOff => {}
         }
     }
 
@@ -509,7 +506,7 @@
     fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
         let r = &mut self.routes;
         let crowd = f64::from(self.facts.dispatchers.max(CROWD)) / f64::from(CROWD);
-        let untold = (r.wait[route] as f64 * crowd * r.stretch[route]) as Nanos;
+        let untold = (r.wait[route] as f64 * (1.0 + (crowd - 1.0) * r.stretch[route])) as Nanos;
         r.closed_until[route] = r.closed_until[route].max(now + if told > 0 { told } else { untold });
         if told == 0 {
             r.wait[route] = (r.wait[route] * 2).min(LONGEST_WAIT);
@@ -598,7 +595,7 @@
         }
         if r.struck[route] {
             // Those told when a shut route opens come apart.
-            let space = self.space(route, cold, TRIAL_REST);
+            let space = self.space(route, cold, STRUCK_REST);
             at = at.max(r.sent_at[route].max(r.closed_until[route].saturating_sub(space / 2)) + space);
         }
         at
