--- a/src/control.rs
+++ b/src/control.rs
@@ -29,16 +29,15 @@
 const TIMEOUT_TIMES: f64 = 8.0;
 const TIMEOUT_FLOOR: Nanos = 2_000 * MS;
 const TIMEOUT_CEILING: Nanos = 8_000 * MS;
-/// The least weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
+/// The weight of one outcome in a route's failure share, and how far over the fleet's median is sick.
 const FAIL_WEIGHT: f64 = 0.25;
 const FAIL_MARGIN: f64 = 0.4;
 /// Rest between trials of a suspect route; once-only mails stand back by the spare.
 const TRIAL_REST: Nanos = 400 * MS;
 const SPARE: Nanos = 2_500 * MS;
-/// The same rest for a cold route that had next to no traffic.
-const COLD_REST: Nanos = 700 * MS;
-/// And for a struck one.
-const STRUCK_REST: Nanos = 150 * MS;
+/// Between sends of all dispatchers together to a cold route that had next to no traffic, and to a struck one.
+const COLD_REST: Nanos = 350 * MS;
+const STRUCK_REST: Nanos = 100 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
 /// The least weight of one answer in the usual answer times, and the usual time before any is known.
@@ -48,6 +47,9 @@
 const COLD_ROOM: f64 = 1.2;
 /// Over how long a route's own traffic is averaged for the cold budget.
 const TRAFFIC_SPAN: f64 = 8e9;
+/// How far ahead the ranking looks for what waiting would lose, and how much worth itself counts beside that.
+const HORIZON: Nanos = 1_500 * MS;
+const WORTH_ITSELF: f64 = 0.03;
 /// The share of the slots that one destination may hold.
 const SLOT_SHARE: f64 = 0.35;
 /// The share of the slots that all suspect routes together may hold.
@@ -461,9 +463,7 @@
             Outcome::TimedOut if self.routes.spoke_at[route] >= connect.at => {}
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.count(route, now, 0.0);
-                // Where little was relayed of late, one outcome is most of what is known.
-                let weight = (1.0 / (1.0 + self.routes.traffic[route])).max(FAIL_WEIGHT);
-                self.routes.fail[route] += weight * (1.0 - self.routes.fail[route]);
+                self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
                 let (share, was) = (self.routes.fail[route], self.routes.mode[route]);
                 if was == Mode::Open && share <= self.median_fail() + FAIL_MARGIN {
                     return;
@@ -631,6 +631,14 @@
         row.importance * share
     }
 
+    /// What waiting for the horizon would lose of the mail's worth, for the slot time that it needs; a part of its
+    /// worth itself counts too, so that what loses nothing yet goes by worth.
+    fn loss_rate(&self, mail: &Mail, now: Nanos) -> f64 {
+        let slot = self.slot_time(mail);
+        let at = now + slot as Nanos;
+        ((1.0 + WORTH_ITSELF) * self.worth_at(mail, at) - self.worth_at(mail, at + HORIZON)) / slot
+    }
+
     /// When the mail's turn comes among those of its key.
     fn turn_at(&self, id: MailId, mail: &Mail) -> Nanos {
         let Some(line) = mail.key.and_then(|key| self.keys.get(&key)) else { return 0 };
@@ -716,7 +724,7 @@
         while self.out < self.facts.slots && now >= self.no_slot_until {
             let mut best: Option<(f64, Nanos, MailId)> = None;
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
-                let worth = self.worth_at(mail, now) / self.slot_time(mail);
+                let worth = self.loss_rate(mail, now);
                 let better = best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.due < b.1));
                 if better && self.turn_at(id, mail) <= now && self.has_route(mail, now) {
                     best = Some((worth, mail.due, id));
