Patience with silence is cut by the share of connects missed anywhere

What was missed at any route now shortens the wait at all, and repeatable mails are called off as soon as their route is silent.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,10 @@
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
 const SILENT_TIMES: f64 = 5.0;
+/// The patience is cut by the share of this dispatcher's connects not answered in usual time, down to this part;
+/// and the weight of one connect in that share.
+const LEAST_PATIENCE: f64 = 0.4;
+const MISSED_WEIGHT: f64 = 0.15;
 const SILENT_FLOOR: Nanos = 700 * MS;
 /// Time-outs, as multiples of the usual answer time, with floor and ceiling.
 const TIMEOUT_TIMES: f64 = 8.0;
@@ -167,6 +171,8 @@
     no_slot_until: Nanos,
     /// A connect has been called off whose end has not come yet.
     called_off: Option<MailId>,
+    /// The share of connects to all routes that were not answered in usual time.
+    missed: f64,
     /// By kind of destination: until then no idle connections are kept.
     tight_until: Vec<Nanos>,
     wake_at: Nanos,
@@ -188,6 +194,7 @@
             out: Vec::new(),
             no_slot_until: 0,
             called_off: None,
+            missed: 0.0,
             tight_until: vec![0; facts.apart.len() + 1],
             wake_at: NEVER,
             now,
@@ -381,6 +388,10 @@
         let Connect { route, class, .. } = connect;
         let gate = self.routes.gate[route];
         let late = end.took > self.silent_after(route, class);
+        if matches!(end.outcome, Outcome::Relayed | Outcome::TimedOut | Outcome::CalledOff) {
+            let missed = f64::from(u8::from(late || end.outcome != Outcome::Relayed));
+            self.missed += MISSED_WEIGHT * (missed - self.missed);
+        }
         match end.outcome {
             Outcome::Relayed => {
                 self.gates.refused_since[gate] = None;
@@ -471,8 +482,11 @@
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
     }
 
+    /// How long a connect may go unanswered. While many destinations hang, one more is likely to: what was seen at
+    /// any route counts, for a dispatcher with two slots sees each seldom. Could hold slow answers for silence.
     fn silent_after(&self, route: usize, class: usize) -> Nanos {
-        ((SILENT_TIMES * self.usual(self.routes.dest[route], class)) as Nanos).max(SILENT_FLOOR)
+        let times = SILENT_TIMES * (1.0 - self.missed).max(LEAST_PATIENCE);
+        ((times * self.usual(self.routes.dest[route], class)) as Nanos).max(SILENT_FLOOR)
     }
 
     /// Suspends a route for the rest between trials, and marks it suspect if it was not.
@@ -684,13 +698,16 @@
     }
 
     /// With all slots taken and a mail kept waiting by that alone, calls off the connect longest out beyond its
-    /// usual time on a suspect route. Stops hung, silent or crawling routes from starving all others; it could
+    /// usual time on a suspect route, a once-only one later. Stops hung, silent or crawling routes from starving all others; it could
     /// bounce a once-only mail that would yet have been answered, so it acts on one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.out.len() < self.facts.slots || self.called_off.is_some() {
             return;
         }
-        let late = |o: &&Connect| self.routes.suspect[o.route] && now >= 2 * self.silent_at(o) - o.at;
+        let late = |o: &&Connect| {
+            let more = if self.facts.classes[o.class].repeat == Repeat::OnceOnly { 2 } else { 1 };
+            self.routes.suspect[o.route] && now >= o.at + more * (self.silent_at(o) - o.at)
+        };
         let Some(&connect) = self.out.iter().find(late) else { return };
         let kept = |(&id, m): (&MailId, &Mail)| {
             m.stage == Stage::Waiting && self.turn_at(id, m) <= now && self.has_route(m, now)
