--- a/src/control.rs
+++ b/src/control.rs
@@ -14,13 +14,14 @@
 /// Untold suspension: shorter than the spans in which limits are counted, so that little of one is slept through.
 const FIRST_WAIT: Nanos = 250 * MS;
 const LONGEST_WAIT: Nanos = 2_000 * MS;
-/// Untold suspensions are longer by as many times as there are so many dispatchers: they all come back to one limit.
-const CROWD: u32 = 50;
+/// Up to so many dispatchers see each route often; with more, untold suspensions are longer, by the root of the ratio.
+const FEW: f64 = 3.0;
 /// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
 const GAP_SHARE: f64 = 0.15;
-/// Refusals with nothing relayed between for so long are no limit's: the route was shut and returns cold.
+/// Refusals with nothing relayed between for so long are no limit's: the route was shut, or hung with its queue full,
+/// and returns cold. Where each of many dispatchers sees but two or three of them, it is the sooner.
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
 const SILENT_TIMES: f64 = 5.0;
@@ -41,7 +42,7 @@
 const SPARE: Nanos = 2_500 * MS;
 /// Between sends of all dispatchers together to a cold route that had next to no traffic, and to a struck one.
 const COLD_REST: Nanos = 700 * MS;
-const STRUCK_REST: Nanos = 100 * MS;
+const STRUCK_REST: Nanos = 300 * MS;
 /// How long a trial may take; short enough that a tagged mail can be repeated after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
 /// The least weight of one answer in the usual answer times, and the usual time before any is known.
@@ -449,6 +450,7 @@
     /// and widens the gap. Connects already out at the last refusal double nothing again: they tell nothing new.
     fn refused(&mut self, route: usize, sent: Nanos, now: Nanos, told: Nanos) {
         let gate = self.routes.gate[route];
+        let shut_after = (SHUT_AFTER as f64 / self.crowd()) as Nanos;
         let fresh = sent >= self.gates.refused_at[gate];
         let since = *self.gates.refused_since[gate].get_or_insert(now);
         if fresh {
@@ -459,15 +461,20 @@
             if fresh || told > 0 {
                 self.suspend(route, now, told);
             }
-            if told >= SHUT_AFTER || (now - since >= SHUT_AFTER && self.gates.gap[gate] > 2 * GAP_STEP) {
+            if told >= SHUT_AFTER || (now - since >= shut_after && self.gates.gap[gate] > GAP_STEP) {
                 self.routes.strike(route, now);
             }
         }
     }
 
+    /// By how much more than a few dispatchers come back to one limit, each of them told little of it.
+    fn crowd(&self) -> f64 {
+        (f64::from(self.facts.dispatchers) / FEW).max(1.0).sqrt()
+    }
+
     fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
+        let crowd = self.crowd();
         let r = &mut self.routes;
-        let crowd = f64::from(self.facts.dispatchers.max(CROWD)) / f64::from(CROWD);
         let untold = (r.wait[route] as f64 * (1.0 + (crowd - 1.0) * r.stretch[route])) as Nanos;
         r.closed_until[route] = r.closed_until[route].max(now + if told > 0 { told } else { untold });
         if told == 0 {
