--- a/src/control.rs
+++ b/src/control.rs
@@ -43,7 +43,7 @@
 /// Between sends of all dispatchers together to a cold route that had next to no traffic, and to a struck one.
 const COLD_REST: Nanos = 700 * MS;
 const STRUCK_REST: Nanos = 300 * MS;
-/// How long a trial may take; short enough that a tagged mail can be repeated after it.
+/// How long a trial may take: a crawling route still answers, and a tagged mail must be repeatable after it.
 const TRIAL_TIMEOUT: Nanos = 5_000 * MS;
 /// The least weight of one answer in the usual answer times, and the usual time before any is known.
 const PACE_WEIGHT: f64 = 0.1;
@@ -89,6 +89,7 @@
     route: usize,
     /// Idle connections were given back before it.
     fresh: bool,
+    called_off: bool,
 }
 
 struct Mail {
@@ -110,20 +111,18 @@
 /// Endpoints, one place each.
 #[derive(Default)]
 struct Routes {
-    id: Vec<EndpointId>,
-    zone: Vec<ZoneId>,
+    entry: Vec<ListEntry>,
+    /// What a limit binds, named by its first route: the route itself where routes are apart, else all of a
+    /// destination's.
     gate: Vec<usize>,
-    serving: Vec<bool>,
     /// Held for silence or failing: one trial at a time.
     suspect: Vec<bool>,
     /// Cold from then on, when it had answered again.
     cold_since: Vec<Option<Nanos>>,
     fail: Vec<f64>,
-    dest: Vec<DestinationId>,
     /// Suspended until then, and for how long the next time if no wait is told.
     closed_until: Vec<Nanos>,
     wait: Vec<Nanos>,
-    kind: Vec<usize>,
     sent_at: Vec<Nanos>,
     /// Mails relayed of late, fading while it is sound, and when that was reckoned.
     traffic: Vec<f64>,
@@ -134,13 +133,9 @@
     stretch: Vec<f64>,
     /// Something failed there, or was refused for long, since it was last sound: it will return cold.
     struck: Vec<bool>,
-}
-
-/// What a limit binds, one place each: a route where routes are apart, else all endpoints of a destination.
-#[derive(Default)]
-struct Gates {
+    /// Under the place of the gate, what its limit shows.
     gap: Vec<Nanos>,
-    sent_at: Vec<Nanos>,
+    gate_sent_at: Vec<Nanos>,
     refused_at: Vec<Nanos>,
     refused_since: Vec<Option<Nanos>>,
 }
@@ -150,8 +145,8 @@
     cards: Vec<usize>,
     dealt: usize,
     shared_gate: Option<usize>,
-    /// How its answer times compare with the usual ones, by so many answers.
-    pace: f64,
+    /// By how much its answer times are over the usual ones, and how many answers told of it.
+    slower: f64,
     answers: f64,
 }
 
@@ -161,21 +156,19 @@
     /// By queue class: usual answer time over all routes, in nanoseconds.
     usual: Vec<f64>,
     routes: Routes,
-    gates: Gates,
     index: BTreeMap<EndpointId, usize>,
     decks: BTreeMap<DestinationId, Deck>,
     mails: BTreeMap<MailId, Mail>,
     keys: BTreeMap<KeyId, KeyLine>,
-    held: usize,
     /// The connects that are out, oldest first.
     out: Vec<Connect>,
     no_slot_until: Nanos,
-    /// A connect has been called off whose end has not come yet.
-    called_off: Option<MailId>,
     /// The share of connects to all routes that were not answered in usual time.
     missed: f64,
     /// By kind of destination: until then no idle connections are kept.
-    tight_until: Vec<Nanos>,
+    tight_until: BTreeMap<usize, Nanos>,
+    /// How long before the end of its queue lifetime a mail is answered at the latest.
+    margin: Nanos,
     wake_at: Nanos,
     now: Nanos,
 }
@@ -186,17 +179,15 @@
             rng: Pcg64Mcg::seed_from_u64(facts.seed),
             usual: vec![FIRST_USUAL; facts.classes.len()],
             routes: Routes::default(),
-            gates: Gates::default(),
             index: BTreeMap::new(),
             decks: BTreeMap::new(),
             mails: BTreeMap::new(),
             keys: BTreeMap::new(),
-            held: 0,
             out: Vec::new(),
             no_slot_until: 0,
-            called_off: None,
             missed: 0.0,
-            tight_until: vec![0; facts.apart.len() + 1],
+            tight_until: BTreeMap::new(),
+            margin: 2 * facts.tick,
             wake_at: NEVER,
             now,
             facts,
@@ -204,14 +195,14 @@
     }
 
     pub fn list_news(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
-        self.routes.serving.iter_mut().for_each(|s| *s &= scope != ListScope::Whole);
+        self.routes.entry.iter_mut().for_each(|e| e.serving &= scope != ListScope::Whole);
         for entry in entries {
             let route = match self.index.get(&entry.endpoint) {
                 Some(&route) => route,
                 None if entry.serving => self.add_route(entry),
                 None => continue,
             };
-            if !std::mem::replace(&mut self.routes.serving[route], entry.serving) {
+            if !std::mem::replace(&mut self.routes.entry[route].serving, entry.serving) {
                 // All dispatchers hear of it at once.
                 self.routes.sent_at[route] = now;
             }
@@ -225,20 +216,18 @@
             self.keys.entry(key).or_default().mails.push_back(new.id);
         }
         let mail = Mail { new: NewMail { key, ..new }, stage: Stage::Waiting, connects: 0, ran: None };
-        self.held += 1;
         self.mails.insert(new.id, mail);
         self.go_on(now, out);
     }
 
     pub fn connect_ended(&mut self, now: Nanos, end: ConnectEnd, out: &mut impl Outlet) {
         self.now = now;
-        self.called_off = self.called_off.filter(|m| *m != end.mail);
         let Some(i) = self.out.iter().position(|c| c.mail == end.mail && c.no == end.no) else { return };
         let connect = self.out.remove(i);
         let Some(mail) = self.mails.get_mut(&end.mail) else { return };
         let key = mail.new.key;
         if end.outcome.may_have_run() && mail.ran.is_none() {
-            mail.ran = Some((connect.at, self.routes.zone[connect.route]));
+            mail.ran = Some((connect.at, self.routes.entry[connect.route].zone));
         }
         self.learn(now, connect, &end, out);
         if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
@@ -261,8 +250,8 @@
         // Idle connections held to a full table lock other dispatchers out, and what is sent on one that was dropped
         // unseen is lost. Where one kind's destination showed either, others of the kind will: each dispatcher sees
         // any one of them seldom. A new connection costs a handshake, so it is for a while only.
-        if now < self.tight_until[self.routes.kind[connect.route]] {
-            out.hang_up(self.routes.id[connect.route]);
+        if self.tight(connect.route, now) {
+            out.hang_up(self.routes.entry[connect.route].endpoint);
         }
     }
 
@@ -285,24 +274,18 @@
     fn add_route(&mut self, entry: &ListEntry) -> usize {
         let apart = self.facts.apart.get(entry.kind.0).copied().unwrap_or(false);
         let deck = self.decks.entry(entry.destination).or_default();
-        let gate = match deck.shared_gate {
-            Some(gate) if !apart => gate,
-            _ => self.gates.add(),
-        };
+        let gate = deck.shared_gate.filter(|_| !apart).unwrap_or(self.routes.entry.len());
         deck.shared_gate = Some(gate).filter(|_| !apart);
-        let route = self.routes.add(entry, gate, entry.kind.0.min(self.facts.apart.len()));
-        // A wait told before it was listed binds it too.
-        let closed = self.routes.of_gate(gate).map(|r| self.routes.closed_until[r]).max();
-        self.routes.closed_until[route] = closed.unwrap_or(0);
-        // One listed in its destination's outage is as cold: the backlogs of all would meet at it the moment that
-        // they hear of it. It could slow a sound newcomer whose siblings alone are out.
-        if let Some(sibling) = self.routes.of_gate(gate).find(|&r| self.routes.struck[r]) {
-            self.routes.struck[route] = true;
-            self.routes.traffic[route] = self.routes.traffic[sibling];
-            self.routes.stretch[route] = self.rng.random_range(0.5..1.5);
-        }
+        let route = self.routes.add(entry, gate);
         deck.cards.push(route);
         self.index.insert(entry.endpoint, route);
+        // A wait told before it was listed binds it too. One listed in its destination's outage is as cold: the
+        // backlogs of all would meet at it when they hear of it. It could slow a sound newcomer with struck siblings.
+        let (bound, r) = (self.bound(route), &mut self.routes);
+        r.closed_until[route] = bound.iter().map(|&s| r.closed_until[s]).max().unwrap_or(0);
+        r.struck[route] = bound.iter().any(|&s| r.struck[s]);
+        r.traffic[route] = r.traffic[bound[0]];
+        r.stretch[route] = self.rng.random_range(0.5..1.5);
         route
     }
 
@@ -323,9 +306,8 @@
         if !to.ended() {
             return;
         }
-        let still_out = self.is_out(id);
+        let still_out = self.count_out(|c| c.mail == id) > 0;
         if !from.ended() {
-            self.held -= 1;
             if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
                 line.mails.retain(|m| *m != id);
                 line.loose += u32::from(still_out);
@@ -341,7 +323,7 @@
     /// Gives up a mail at once: deferred where trying again is harmless, else bounced.
     fn give_up(&mut self, id: MailId, now: Nanos, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
-        let harmless = !self.is_out(id)
+        let harmless = self.count_out(|c| c.mail == id) == 0
             && match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
                 (None, _) | (_, Repeat::Redeliverable) => true,
                 (Some((at, _)), Repeat::Tagged { window, same_zone: false }) => now < at + window / 2,
@@ -350,14 +332,20 @@
         self.shift(id, if harmless { Stage::Deferred } else { Stage::Bounced }, out);
     }
 
-    /// The routes of a destination.
     fn cards(&self, dest: DestinationId) -> &[usize] {
         self.decks.get(&dest).map_or(&[], |d| &d.cards)
     }
 
+    /// The routes that the limit of a route binds.
+    fn bound(&self, route: usize) -> Vec<usize> {
+        let same = |&r: &usize| self.routes.gate[r] == self.routes.gate[route];
+        self.cards(self.routes.entry[route].destination).iter().copied().filter(same).collect()
+    }
+
     /// When a client had best come back: when a route of the destination opens again.
     fn come_back(&self, id: MailId) -> Nanos {
-        let routes = self.cards(self.mails[&id].new.destination).iter().filter(|&&r| self.routes.serving[r]);
+        let routes =
+            self.cards(self.mails[&id].new.destination).iter().filter(|&&r| self.routes.entry[r].serving);
         let soonest = routes.map(|&r| self.routes.closed_until[r]).min().unwrap_or(0);
         soonest.saturating_sub(self.now).min(self.facts.max_come_back)
     }
@@ -365,7 +353,7 @@
     /// Whether a mail that has no connect out may be sent once more.
     fn may_go_again(&self, mail: &Mail, now: Nanos) -> bool {
         mail.connects < self.facts.max_connects
-            && now + self.margin() < mail.new.due
+            && now + self.margin < mail.new.due
             && match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
                 (None, _) | (_, Repeat::Redeliverable) => true,
                 (Some((at, _)), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
@@ -373,44 +361,40 @@
             }
     }
 
-    /// How long before the end of its queue lifetime a mail is answered at the latest.
-    fn margin(&self) -> Nanos {
-        2 * self.facts.tick
-    }
-
-    /// How long an answer usually takes.
     fn usual(&self, dest: DestinationId, class: usize) -> f64 {
-        let pace = self.decks.get(&dest).filter(|d| d.answers > 0.0).map_or(1.0, |d| d.pace);
-        self.usual[class] * pace
+        self.usual[class] * (1.0 + self.decks.get(&dest).map_or(0.0, |d| d.slower))
     }
 
-    /// What one outcome tells of its route.
     fn learn(&mut self, now: Nanos, connect: Connect, end: &ConnectEnd, out: &mut impl Outlet) {
         let Connect { route, class, .. } = connect;
-        let gate = self.routes.gate[route];
+        let (gate, kind) = (self.routes.gate[route], self.routes.entry[route].kind.0);
         let late = end.took > self.silent_after(route, class);
         if matches!(end.outcome, Outcome::Relayed | Outcome::TimedOut | Outcome::CalledOff) {
             let missed = f64::from(u8::from(late || end.outcome != Outcome::Relayed));
             self.missed += MISSED_WEIGHT * (missed - self.missed);
         }
+        let at_once = end.outcome == Outcome::Unconnected && end.took < self.facts.connect_timeout / 2;
+        if at_once || (end.outcome == Outcome::Reset && !connect.fresh) {
+            self.tight_until.insert(kind, now + TIGHT);
+        }
         match end.outcome {
             Outcome::Relayed => {
-                self.gates.refused_since[gate] = None;
-                let gap = self.gates.gap[gate] as f64 * (1.0 - GAP_SHARE);
-                self.gates.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
-                self.routes.of_gate(gate).for_each(|r| self.routes.wait[r] = FIRST_WAIT);
+                self.routes.refused_since[gate] = None;
+                let gap = self.routes.gap[gate] as f64 * (1.0 - GAP_SHARE);
+                self.routes.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
+                self.bound(route).into_iter().for_each(|r| self.routes.wait[r] = FIRST_WAIT);
                 self.routes.count(route, now, 1.0);
                 self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
                 if !late {
                     self.routes.spoke_at[route] = now;
                     let usual = &mut self.usual[class];
-                    let deck = self.decks.entry(self.routes.dest[route]).or_default();
-                    let pace = if deck.answers > 0.0 { deck.pace } else { 1.0 };
+                    let deck = self.decks.entry(self.routes.entry[route].destination).or_default();
+                    let pace = 1.0 + deck.slower;
                     *usual += PACE_WEIGHT * (end.took as f64 / pace - *usual);
                     let seen = (end.took as f64 / *usual).max(0.1);
                     // The first answers weigh more, against one of usual time.
                     deck.answers += 1.0;
-                    deck.pace = pace + (1.0 / (1.0 + deck.answers)).max(PACE_WEIGHT) * (seen - pace);
+                    deck.slower += (1.0 / (1.0 + deck.answers)).max(PACE_WEIGHT) * (seen - pace);
                 }
                 match self.routes.suspect[route] && late {
                     true => self.suspect(route, now, "", out),
@@ -420,20 +404,23 @@
             Outcome::Full(told) => self.refused(route, connect.at, now, told),
             // No connection, said at once: the endpoint's table is full, whatever its siblings' are. It alone is
             // suspended, as for an untold refusal. An endpoint that is down and says so is met in the same way.
-            Outcome::Unconnected if end.took < self.facts.connect_timeout / 2 => {
+            Outcome::Unconnected if at_once => {
                 self.suspend(route, now, 0);
                 if self.routes.wait[route] > 4 * FIRST_WAIT {
                     self.routes.strike(route, now);
                 }
-                self.tight_until[self.routes.kind[route]] = now + TIGHT;
             }
             // It may have been an idle connection dropped unseen, and then it tells nothing of the route.
-            Outcome::Reset if !connect.fresh => self.tight_until[self.routes.kind[route]] = now + TIGHT,
+            Outcome::Reset if !connect.fresh => {}
             // A lost answer, not an outage: others have come since it was sent.
             Outcome::TimedOut if self.routes.spoke_at[route] >= connect.at => {}
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
-                let (share, median) = (self.routes.fail[route], self.median_fail());
+                let r = &self.routes;
+                let serving = (0..r.entry.len()).filter(|&i| r.entry[i].serving);
+                let mut shares: Vec<f64> = serving.map(|i| r.fail[i]).collect();
+                shares.sort_by(f64::total_cmp);
+                let (share, median) = (r.fail[route], shares.get(shares.len() / 2).copied().unwrap_or(0.0));
                 if self.routes.open(route) && share <= median + FAIL_MARGIN {
                     return;
                 }
@@ -451,17 +438,17 @@
     fn refused(&mut self, route: usize, sent: Nanos, now: Nanos, told: Nanos) {
         let gate = self.routes.gate[route];
         let shut_after = (SHUT_AFTER as f64 / self.crowd()) as Nanos;
-        let fresh = sent >= self.gates.refused_at[gate];
-        let since = *self.gates.refused_since[gate].get_or_insert(now);
+        let fresh = sent >= self.routes.refused_at[gate];
+        let since = *self.routes.refused_since[gate].get_or_insert(now);
         if fresh {
-            self.gates.gap[gate] = (self.gates.gap[gate] * 2).clamp(GAP_STEP, LONGEST_GAP);
-            self.gates.refused_at[gate] = now;
+            self.routes.gap[gate] = (self.routes.gap[gate] * 2).clamp(GAP_STEP, LONGEST_GAP);
+            self.routes.refused_at[gate] = now;
         }
-        for route in self.routes.of_gate(gate) {
+        for route in self.bound(route) {
             if fresh || told > 0 {
                 self.suspend(route, now, told);
             }
-            if told >= SHUT_AFTER || (now - since >= shut_after && self.gates.gap[gate] > GAP_STEP) {
+            if told >= SHUT_AFTER || (now - since >= shut_after && self.routes.gap[gate] > GAP_STEP) {
                 self.routes.strike(route, now);
             }
         }
@@ -482,18 +469,15 @@
         }
     }
 
-    fn median_fail(&self) -> f64 {
-        let r = &self.routes;
-        let mut shares: Vec<f64> = (0..r.id.len()).filter(|&i| r.serving[i]).map(|i| r.fail[i]).collect();
-        shares.sort_by(f64::total_cmp);
-        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+    fn tight(&self, route: usize, now: Nanos) -> bool {
+        self.tight_until.get(&self.routes.entry[route].kind.0).is_some_and(|&until| now < until)
     }
 
     /// How long a connect may go unanswered. While many destinations hang, one more is likely to: what was seen at
     /// any route counts, for a dispatcher with two slots sees each seldom. Could hold slow answers for silence.
     fn silent_after(&self, route: usize, class: usize) -> Nanos {
         let times = SILENT_TIMES * (1.0 - self.missed).max(LEAST_PATIENCE);
-        ((times * self.usual(self.routes.dest[route], class)) as Nanos).max(SILENT_FLOOR)
+        ((times * self.usual(self.routes.entry[route].destination, class)) as Nanos).max(SILENT_FLOOR)
     }
 
     /// Suspends a route for the rest between trials, and marks it suspect if it was not.
@@ -502,7 +486,7 @@
         let r = &mut self.routes;
         r.closed_until[route] = r.closed_until[route].max(now + TRIAL_REST);
         if !std::mem::replace(&mut r.suspect[route], true) {
-            out.log(&format!("route {} suspect: {why}", r.id[route].0));
+            out.log(&format!("route {} suspect: {why}", r.entry[route].endpoint.0));
         }
     }
 
@@ -519,7 +503,7 @@
             (_, None) if suspect || cold.is_some() => "open",
             _ => return,
         };
-        let (id, share) = (r.id[route].0, r.fail[route]);
+        let (id, share) = (r.entry[route].endpoint.0, r.fail[route]);
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
@@ -537,19 +521,23 @@
     fn opens_at(&self, route: usize, mail: &Mail, now: Nanos) -> Nanos {
         let r = &self.routes;
         let row = &self.facts.classes[mail.new.class.0];
-        if !r.serving[route] {
+        if !r.entry[route].serving {
             return NEVER;
         }
         if let (Some((_, zone)), Repeat::Tagged { same_zone: true, .. }) = (mail.ran, row.repeat)
-            && zone != r.zone[route]
+            && zone != r.entry[route].zone
         {
             return NEVER;
         }
         let (gate, cold) = (r.gate[route], self.facts.cold_share);
-        let mut at = r.closed_until[route].max(self.gates.sent_at[gate] + self.gates.gap[gate]);
+        let mut at = r.closed_until[route].max(self.routes.gate_sent_at[gate] + self.routes.gap[gate]);
         if r.suspect[route] {
-            // One trial at a time; connects that may no longer be answered in usual time hold up none.
-            if self.trials_full() || self.count_out(|o| o.route == route && now < self.silent_at(o)) > 0 {
+            // One trial at a time; connects that may no longer be answered in usual time hold up none. Many struck at
+            // once, each with its own trial, would leave no slots for the sound ones.
+            let most = ((self.facts.slots as f64 * TRIAL_SHARE) as usize).max(1);
+            if self.count_out(|o| r.suspect[o.route]) >= most
+                || self.count_out(|o| o.route == route && now < self.silent_at(o)) > 0
+            {
                 return NEVER;
             }
             at = at.max(r.closed_until[route] + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
@@ -566,23 +554,10 @@
         at
     }
 
-    fn is_out(&self, id: MailId) -> bool {
-        self.out.iter().any(|c| c.mail == id)
-    }
-
-    /// How many connects of a sort are out.
     fn count_out(&self, sort: impl Fn(&Connect) -> bool) -> usize {
         self.out.iter().filter(|o| sort(o)).count()
     }
 
-    /// Whether suspect routes together hold all the slots that they may: many struck at once, each with its own
-    /// trial, would else leave none for the sound ones.
-    fn trials_full(&self) -> bool {
-        let most = ((self.facts.slots as f64 * TRIAL_SHARE) as usize).max(1);
-        self.count_out(|o| self.routes.suspect[o.route]) >= most
-    }
-
-    /// When a connect is held for silence.
     fn silent_at(&self, o: &Connect) -> Nanos {
         o.at + self.silent_after(o.route, o.class)
     }
@@ -620,7 +595,6 @@
         if mail.connects > 0 { 0 } else { line.rest_until }
     }
 
-    /// Everything that is due by now: silent routes, ends of queue lifetimes, holding room, sends, the next wake.
     fn go_on(&mut self, now: Nanos, out: &mut impl Outlet) {
         self.now = now;
         self.watch_silence(now, out);
@@ -650,9 +624,10 @@
     }
 
     fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
-        let margin = self.margin();
         let over = |m: &Mail| match m.stage {
-            Stage::Waiting => now + margin >= m.new.due || !self.may_go_again(m, now) || self.blocks_key(m),
+            Stage::Waiting => {
+                now + self.margin >= m.new.due || !self.may_go_again(m, now) || self.blocks_key(m)
+            }
             Stage::Out => now >= m.new.due,
             _ => false,
         };
@@ -668,15 +643,16 @@
         let behind = mail.new.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
         let patience = self.facts.classes[mail.new.class.0].target_delay;
         let Some((at, zone)) = mail.ran.filter(|_| behind > KEY_BEHIND) else { return false };
-        let sound =
-            |&r: &usize| self.routes.zone[r] == zone && self.routes.serving[r] && !self.routes.suspect[r];
+        let sound = |&r: &usize| {
+            self.routes.entry[r].zone == zone && self.routes.entry[r].serving && !self.routes.suspect[r]
+        };
         self.now >= at + patience && !self.cards(mail.new.destination).iter().any(sound)
     }
 
     /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up the
     /// one worth least. Stops a struck destination's backlog from turning away the mails of all others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
-        while self.held >= self.facts.holding_room {
+        while self.mails.values().filter(|m| !m.stage.ended()).count() >= self.facts.holding_room {
             let mut waiting: BTreeMap<DestinationId, Vec<(f64, Nanos, MailId)>> = BTreeMap::new();
             for (&id, m) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
                 waiting.entry(m.new.destination).or_default().push((self.worth_at(m, now), m.new.due, id));
@@ -708,27 +684,27 @@
     /// usual time on a suspect route, a once-only one later. Stops hung, silent or crawling routes from starving all others; it could
     /// bounce a once-only mail that would yet have been answered, so it acts on one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
-        if self.out.len() < self.facts.slots || self.called_off.is_some() {
+        if self.out.len() < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
         }
-        let late = |o: &&Connect| {
+        let late = |o: &Connect| {
             let more = if self.facts.classes[o.class].repeat == Repeat::OnceOnly { 2 } else { 1 };
             self.routes.suspect[o.route] && now >= o.at + more * (self.silent_at(o) - o.at)
         };
-        let Some(&connect) = self.out.iter().find(late) else { return };
+        let Some(i) = self.out.iter().position(late) else { return };
         let kept = |(&id, m): (&MailId, &Mail)| {
             m.stage == Stage::Waiting && self.turn_at(id, m) <= now && self.has_route(m, now)
         };
         if self.mails.iter().any(kept) {
-            self.called_off = Some(connect.mail);
-            out.call_off(connect.mail, connect.no);
+            self.out[i].called_off = true;
+            out.call_off(self.out[i].mail, self.out[i].no);
         }
     }
 
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
         let most = ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2);
         let cards = self.cards(mail.new.destination);
-        self.count_out(|o| self.routes.dest[o.route] == mail.new.destination) < most
+        self.count_out(|o| self.routes.entry[o.route].destination == mail.new.destination) < most
             && cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
     }
 
@@ -751,45 +727,38 @@
     fn send(&mut self, id: MailId, route: usize, now: Nanos, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
         let (class, no) = (mail.new.class.0, ConnectNo(mail.connects));
-        let left = mail.new.due - now - self.margin();
+        let left = mail.new.due - now - self.margin;
         let time_out = match self.facts.classes[class].repeat {
             // For a once-only mail a time-out is a bounce, so a slow answer is worth a longer wait; but a slot held
             // for all its lifetime by a route that hangs starves every other destination.
             Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
-            // A crawling route still answers: its trials are given the time, or all its work would be in vain.
             _ if self.routes.suspect[route] => TRIAL_TIMEOUT.min(left),
             _ => {
                 let usual = self.usual(mail.new.destination, class);
                 ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left)
             }
         };
-        let fresh = now < self.tight_until[self.routes.kind[route]];
+        let fresh = self.tight(route, now);
         if fresh {
-            out.hang_up(self.routes.id[route]);
+            out.hang_up(self.routes.entry[route].endpoint);
         }
-        self.out.push(Connect { at: now, mail: id, no, class, route, fresh });
+        self.out.push(Connect { at: now, mail: id, no, class, route, fresh, called_off: false });
         self.routes.sent_at[route] = now;
         self.routes.stretch[route] = self.rng.random_range(0.5..1.5);
-        self.gates.sent_at[self.routes.gate[route]] = now;
+        self.routes.gate_sent_at[self.routes.gate[route]] = now;
         self.shift(id, Stage::Out, out);
-        out.connect(id, self.routes.id[route], time_out);
+        out.connect(id, self.routes.entry[route].endpoint, time_out);
     }
 
-    /// The next moment at which something may be due without any news.
     fn next_wake(&self, now: Nanos) -> Nanos {
         let mut at = NEVER;
-        let mut note = |t: Nanos| {
-            if t > now {
-                at = at.min(t);
-            }
-        };
-        self.out.iter().for_each(|o| note(self.silent_at(o)));
+        let mut note = |t: Nanos| at = if t > now { at.min(t) } else { at };
+        for o in &self.out {
+            note(self.silent_at(o));
+            note(2 * self.silent_at(o) - o.at);
+        }
         for (&id, mail) in self.mails.iter().filter(|(_, m)| !m.stage.ended()) {
-            note(if mail.stage == Stage::Out {
-                mail.new.due
-            } else {
-                mail.new.due.saturating_sub(self.margin())
-            });
+            note(mail.new.due - if mail.stage == Stage::Out { 0 } else { self.margin.min(mail.new.due) });
             if mail.stage == Stage::Waiting && self.out.len() < self.facts.slots {
                 let turn = self.turn_at(id, mail);
                 for &route in self.cards(mail.new.destination) {
@@ -802,31 +771,25 @@
 }
 
 impl Routes {
-    fn add(&mut self, entry: &ListEntry, gate: usize, kind: usize) -> usize {
-        self.id.push(entry.endpoint);
-        self.zone.push(entry.zone);
+    fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
         self.gate.push(gate);
-        self.serving.push(false);
+        self.entry.push(ListEntry { serving: false, ..*entry });
         self.suspect.push(false);
         self.cold_since.push(None);
         self.fail.push(0.0);
-        self.dest.push(entry.destination);
         self.closed_until.push(0);
         self.wait.push(FIRST_WAIT);
-        self.kind.push(kind);
         self.sent_at.push(0);
         self.traffic.push(0.0);
         self.traffic_at.push(0);
         self.spoke_at.push(0);
         self.stretch.push(1.0);
         self.struck.push(false);
-        self.id.len() - 1
-    }
-
-    /// The routes that one limit binds.
-    fn of_gate(&self, gate: usize) -> impl Iterator<Item = usize> + use<> {
-        let bound: Vec<usize> = (0..self.gate.len()).filter(|&r| self.gate[r] == gate).collect();
-        bound.into_iter()
+        self.gap.push(0);
+        self.gate_sent_at.push(0);
+        self.refused_at.push(0);
+        self.refused_since.push(None);
+        self.entry.len() - 1
     }
 
     fn strike(&mut self, route: usize, now: Nanos) {
@@ -847,13 +810,3 @@
         }
     }
 }
-
-impl Gates {
-    fn add(&mut self) -> usize {
-        self.gap.push(0);
-        self.sent_at.push(0);
-        self.refused_at.push(0);
-        self.refused_since.push(None);
-        self.gap.len() - 1
-    }
-}
