--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,7 +10,7 @@
 type Step = (u8, u8, u16);
 
 fn way(n: u8) -> Way {
-    match n % 10 {
+    match n % 11 {
         0 => Way::Hangs,
         1 => Way::Errs,
         2 => Way::Refuses(0),
@@ -20,14 +20,19 @@
         6 => Way::Answers(u64::from(n) * 20 * MS),
         7 => Way::Resets,
         8 => Way::NoSlot,
+        9 => Way::LosesAnswers,
         _ => Way::Answers(100 * MS),
     }
 }
 
 fn run(steps: Vec<Step>) -> TestResult {
-    let mut w = World::new(facts());
+    // Few slots, many endpoints, large fleets and sparse traffic too.
+    let draw = steps.first().map_or(0, |s| usize::from(s.2));
+    let (slots, dispatchers) = ([8, 2, 3][draw % 3], [1, 300][draw / 3 % 2]);
+    let endpoints = [12, 60][draw / 6 % 2];
+    let mut w = World::sized(BootFacts { slots, dispatchers, ..facts() }, u32::from(endpoints));
     for (what, whom, wait) in steps {
-        let to = u32::from(whom % 12);
+        let to = u32::from(whom % endpoints);
         match what % 32 {
             0 => w.o.ways[to as usize] = way((what / 32).wrapping_add(whom)),
             1 => w.serve(to, whom % 3 == 0, ListScope::Update),
@@ -38,7 +43,12 @@
             6 => w.o.ways.fill(Way::Answers(100 * MS)),
             n => {
                 let lifetime = if whom == 0 { 3 * MS } else { 12 * S };
-                w.mail(usize::from(n % 4), u64::from(whom % 3), Some(u64::from(whom % 5)), lifetime);
+                w.mail(
+                    usize::from(n % 4),
+                    u64::from(whom % (endpoints / 4)),
+                    Some(u64::from(whom % 5)),
+                    lifetime,
+                );
             }
         }
         w.pass(u64::from(wait % 128) * MS);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -19,6 +19,8 @@
     TableFull,
     Resets,
     NoSlot,
+    /// Does the work; every third answer is lost.
+    LosesAnswers,
 }
 
 pub struct Sent {
@@ -164,6 +166,8 @@
             Way::TableFull => (20 * MS, Outcome::Unconnected),
             Way::Resets => (50 * MS, Outcome::Reset),
             Way::NoSlot => (1, Outcome::Unsent(true)),
+            Way::LosesAnswers if id.0.is_multiple_of(3) => (time_out + 1, Outcome::TimedOut),
+            Way::LosesAnswers => (100 * MS, Outcome::Relayed),
         };
         let (after, outcome) =
             if after > time_out { (time_out, Outcome::TimedOut) } else { (after, outcome) };
@@ -209,6 +213,10 @@
 
 impl World {
     pub fn new(facts: BootFacts) -> Self {
+        Self::sized(facts, 12)
+    }
+
+    pub fn sized(facts: BootFacts, endpoints: u32) -> Self {
         let now = 1_000 * S;
         let entry = |i: u32| ListEntry {
             endpoint: EndpointId(i),
@@ -220,8 +228,8 @@
         let o = Outside {
             now,
             facts: facts.clone(),
-            entries: (0..12).map(entry).collect(),
-            ways: vec![Way::Answers(100 * MS); 12],
+            entries: (0..endpoints).map(entry).collect(),
+            ways: vec![Way::Answers(100 * MS); endpoints as usize],
             sent: vec![],
             deferred: vec![],
             bounced: vec![],
