--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -269,3 +269,21 @@
     let hung: Vec<Nanos> = w.o.sent.iter().filter(|s| s.to < 8 && s.at > 1_010 * S).map(|s| s.at).collect();
     assert!(hung.len() < 8, "{} trials in twenty seconds", hung.len());
 }
+
+/// Found on nairobi-depot-later rules-1 and on i26e69d: hundreds of dispatchers, each refused but a few times by a hung
+/// route with a full queue, came back within a second and met it at its return.
+#[test]
+fn in_a_large_fleet_few_refusals_strike_a_route() {
+    let mut w = World::new(BootFacts { dispatchers: 300, ..facts() });
+    w.o.ways.fill(Way::Refuses(0));
+    w.mail(0, 0, None, 200 * S);
+    w.pass(1_400 * MS);
+    assert_eq!(w.o.sent.len(), 1, "back at once");
+    while w.o.sent.len() < 2 {
+        w.pass(100 * MS);
+    }
+    w.pass(100 * MS);
+    w.o.ways.fill(Way::Answers(100 * MS));
+    w.pass(100 * S);
+    assert!(w.o.lines.iter().any(|l| l.contains("returns cold")), "{:?} {}", w.o.lines, w.o.sent.len());
+}
