--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,11 +1,11 @@
 //! The bench's wire: reads lines, calls the decisions, writes their answers. It decides nothing.
 
-mod boot;
 mod line;
 
 use base64::Engine;
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
+use bellsill_boot::Names;
 use line::{Bad, Line};
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
@@ -14,7 +14,7 @@
 /// One instance and the names that the wire uses for what it knows.
 struct Instance {
     dispatcher: Dispatcher,
-    names: boot::Names,
+    names: Names,
     endpoints: Vec<String>,
     endpoint_ids: HashMap<String, EndpointId>,
 }
@@ -80,8 +80,8 @@
         let now = self.now;
         match line.name {
             "BOOT" => {
-                let (facts, names) = boot::read(line)?;
-                let dispatcher = Dispatcher::boot(now, facts);
+                let boot = read_boot(line)?;
+                let (dispatcher, names) = (Dispatcher::boot(now, boot.facts), boot.names);
                 let fresh = Instance { dispatcher, names, endpoints: vec![], endpoint_ids: HashMap::new() };
                 self.instances.insert(name.to_string(), fresh);
                 return Ok(());
@@ -112,10 +112,11 @@
                 "CALL" => {
                     let mail = NewMail {
                         id: line.hex("txn")?,
-                        class: ClassId(names.find(&names.classes, line, "tier-class")?),
+                        class: ClassId(read_class(names, line)?),
                         key: line.maybe_num("resource")?.map(KeyId),
                         destination: DestinationId(line.num("destination")?),
                         due: line.num("due-ns")?,
+                        past: Past::default(),
                     };
                     d.mail_taken(now, mail, out);
                 }
@@ -163,6 +164,19 @@
     }
 }
 
+fn read_boot(line: &Line) -> Result<bellsill_boot::Boot, Bad> {
+    let seed = line.num("salt")?;
+    let json = serde_json::from_str(line.text("boot-info")?)
+        .map_err(|e| line.bad("boot-info", &format!("JSON ({e})")))?;
+    bellsill_boot::read(&json, seed, "boot-info").map_err(|bad| line.bad(&bad.field, &bad.expected))
+}
+
+fn read_class(names: &Names, line: &Line) -> Result<usize, Bad> {
+    let name = line.text("tier-class")?;
+    let found = names.classes.iter().position(|n| n == name);
+    found.ok_or_else(|| line.bad("tier-class", "a name given in the settings"))
+}
+
 fn outcome(line: &Line, note: u64) -> Result<Outcome, Bad> {
     Ok(match line.num("disposition")? {
         200 => Outcome::Relayed,
--- a/benchlink/src/boot.rs
+++ b/boot/src/lib.rs
@@ -1,66 +1,89 @@
-//! The first message of an instance: its settings, read from JSON under the wire's names.
+//! The settings that an instance gets at its start: JSON under the platform's names, read into [`BootFacts`].
 
-use crate::line::{Bad, Line};
 use bellsill::interface::*;
 use serde_json::Value;
 
-/// The wire's names for what the decisions know by number.
+/// A field of the settings that is missing or of the wrong form.
+#[derive(Debug, PartialEq)]
+pub struct BadField {
+    pub field: String,
+    pub expected: String,
+}
+
+impl std::fmt::Display for BadField {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "field {}: expected {}", self.field, self.expected)
+    }
+}
+
+/// The platform's names for what the decisions know by number.
 pub struct Names {
     pub classes: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
 }
 
-impl Names {
-    pub fn find(&self, names: &[String], line: &Line, field: &str) -> Result<usize, Bad> {
-        let name = line.text(field)?;
-        names.iter().position(|n| n == name).ok_or_else(|| line.bad(field, "a name given in the settings"))
-    }
+/// All that the settings say.
+pub struct Boot {
+    pub facts: BootFacts,
+    pub names: Names,
+    /// How long an idle connection to an endpoint stays good.
+    pub keep_alive: Nanos,
 }
 
 /// Reads values under a path such as `limits.max-open`, with a plain word on what is missing.
-struct Reader<'a>(&'a Value, &'a Line<'a>);
+pub struct Reader<'a> {
+    pub json: &'a Value,
+    /// Where in the whole the JSON stands, for messages.
+    pub place: &'a str,
+}
 
 impl<'a> Reader<'a> {
-    fn at(&self, path: &str) -> Option<&'a Value> {
-        path.split('.').try_fold(self.0, |v, part| v.get(part))
+    pub fn bad(&self, path: &str, expected: &str) -> BadField {
+        let dot = if self.place.is_empty() { "" } else { "." };
+        BadField { field: format!("{}{dot}{path}", self.place), expected: expected.to_string() }
     }
-    fn need<T>(&self, path: &str, expected: &str, read: impl Fn(&'a Value) -> Option<T>) -> Result<T, Bad> {
-        let field = format!("boot-info {path}");
-        self.at(path).and_then(read).ok_or_else(|| self.1.bad(&field, expected))
+    pub fn at(&self, path: &str) -> Option<&'a Value> {
+        path.split('.').try_fold(self.json, |v, part| v.get(part))
     }
-    fn num(&self, path: &str) -> Result<f64, Bad> {
+    pub fn need<T>(
+        &self,
+        path: &str,
+        expected: &str,
+        read: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, BadField> {
+        self.at(path).and_then(read).ok_or_else(|| self.bad(path, expected))
+    }
+    pub fn num(&self, path: &str) -> Result<f64, BadField> {
         self.need(path, "a number", Value::as_f64)
     }
-    fn count(&self, path: &str) -> Result<u64, Bad> {
+    pub fn count(&self, path: &str) -> Result<u64, BadField> {
         self.need(path, "a whole number", Value::as_u64)
     }
-    fn word(&self, path: &str) -> Result<&'a str, Bad> {
+    pub fn word(&self, path: &str) -> Result<&'a str, BadField> {
         self.need(path, "a word", Value::as_str)
     }
-    fn flag(&self, path: &str) -> bool {
+    pub fn flag(&self, path: &str) -> bool {
         self.at(path).and_then(Value::as_bool).unwrap_or(false)
     }
-    fn list(&self, path: &str) -> Result<&'a [Value], Bad> {
+    pub fn list(&self, path: &str) -> Result<&'a [Value], BadField> {
         self.need(path, "a list", |v| v.as_array().map(Vec::as_slice))
     }
-    fn words(&self, path: &str) -> Result<Vec<String>, Bad> {
-        let word = |v: &Value| v.as_str().map(str::to_string).ok_or_else(|| self.1.bad(path, "words"));
+    pub fn words(&self, path: &str) -> Result<Vec<String>, BadField> {
+        let word = |v: &Value| v.as_str().map(str::to_string).ok_or_else(|| self.bad(path, "words"));
         self.list(path)?.iter().map(word).collect()
     }
 }
 
-fn class(v: &Value, line: &Line) -> Result<(String, ClassFacts), Bad> {
-    let r = Reader(v, line);
+fn class(json: &Value, place: &str) -> Result<(String, ClassFacts), BadField> {
+    let r = Reader { json, place };
     let repeat = match r.word("repeat")? {
         "idempotent" => Repeat::Redeliverable,
         "deduplicated" => {
             Repeat::Tagged { window: r.count("window-ns")?, same_zone: r.word("dedup-scope")? != "all" }
         }
         "at_most_once" => Repeat::OnceOnly,
-        _ => {
-            return Err(line.bad("boot-info services.repeat", "idempotent, deduplicated or at_most_once"));
-        }
+        _ => return Err(r.bad("repeat", "idempotent, deduplicated or at_most_once")),
     };
     let facts = ClassFacts {
         importance: r.num("worth")?,
@@ -73,12 +96,11 @@
     Ok((r.word("name")?.to_string(), facts))
 }
 
-pub fn read(line: &Line) -> Result<(BootFacts, Names), Bad> {
-    let seed = line.num("salt")?;
-    let json: Value = serde_json::from_str(line.text("boot-info")?)
-        .map_err(|e| line.bad("boot-info", &format!("JSON ({e})")))?;
-    let r = Reader(&json, line);
-    let classes = r.list("services")?.iter().map(|c| class(c, line)).collect::<Result<Vec<_>, _>>()?;
+/// Reads the settings; `place` names the object in messages.
+pub fn read(json: &Value, seed: u64, place: &str) -> Result<Boot, BadField> {
+    let r = Reader { json, place };
+    let services = format!("{place}.services");
+    let classes = r.list("services")?.iter().map(|c| class(c, &services)).collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes): (Vec<_>, Vec<_>) = classes.into_iter().unzip();
     let names = Names { classes: class_names, kinds: r.words("flavors")?, zones: r.words("dcs")? };
     let own = r.list("family-info.own-limits")?;
@@ -100,5 +122,6 @@
         key_rest: r.at("guarantees.turn-gap-ns").and_then(Value::as_u64).unwrap_or(0),
         tick: r.count("tick-ns")?,
     };
-    Ok((facts, names))
+    let keep_alive = r.count("limits.keepalive-ns")?;
+    Ok(Boot { facts, names, keep_alive })
 }
--- /dev/null
+++ b/daemon/src/clients.rs
@@ -0,0 +1,148 @@
+//! Clients: commands in, in order, an answer to each.
+
+use crate::conns::ConnId;
+use crate::event_loop::Daemon;
+use crate::mail_journal::KeptMail;
+use crate::mails::{Due, past};
+use crate::resp;
+use bellsill::interface::*;
+
+/// How long no more clients are let in when there is no descriptor for them.
+const BACK_OFF: Nanos = 50_000_000;
+
+impl Daemon {
+    /// Lets clients in, while there are descriptors for them. Idle connections to endpoints give way first; then new
+    /// clients wait a little in the kernel's queue, so that the ones served already are not starved.
+    pub fn let_in(&mut self) {
+        let hands = &mut self.hands;
+        let mut again = Ok(());
+        loop {
+            if hands.conns.clients_full() && !hands.shed_idle() {
+                log::warn!("no descriptor for more clients, {} connections are open", hands.conns.len());
+                return hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
+            }
+            match hands.conns.accept() {
+                Ok(Some(_)) => {}
+                Ok(None) => break,
+                Err(e) => {
+                    again = Err(e);
+                    break;
+                }
+            }
+        }
+        if let Err(e) = again.and_then(|()| hands.conns.arm_listener()) {
+            log::warn!("a client could not be let in: {e}");
+            hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
+        }
+    }
+
+    pub fn client_ready(&mut self, id: ConnId) {
+        let broken = self.hands.conns.fill(id).is_err();
+        if broken || !self.answer_commands(id) {
+            self.hands.conns.close(id);
+        }
+    }
+
+    /// Answers all commands that have come whole. False: the connection is done.
+    fn answer_commands(&mut self, id: ConnId) -> bool {
+        loop {
+            let Some(conn) = self.hands.conns.get_mut(id) else { return true };
+            // With no room for an answer, what has come waits until the client has read.
+            if conn.last || conn.input.is_empty() || conn.output.room() < resp::COMMAND_MOST / 2 {
+                break;
+            }
+            let full = conn.input.room() == 0;
+            let bytes = conn.input.bytes();
+            let (words, taken) = match resp::command(bytes) {
+                Ok(Some(command)) => command,
+                Ok(None) if !full => break,
+                bad => {
+                    let why = bad.err().map_or("a command is too long", |bad| bad.0);
+                    conn.output.push(format!("-ERR Protocol error: {why}\r\n").as_bytes());
+                    conn.last = true;
+                    break;
+                }
+            };
+            let words: Vec<&[u8]> = words.into_iter().map(|range| &bytes[range]).collect();
+            let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
+            let mut last = false;
+            let mut new = None;
+            let answer = match (name.as_slice(), words.len()) {
+                (b"", _) => String::new(),
+                (b"PING", 1) => "+PONG\r\n".into(),
+                (b"PING", 2) => {
+                    let text = String::from_utf8_lossy(words[1]);
+                    format!("${}\r\n{text}\r\n", text.len())
+                }
+                (b"QUIT", _) => {
+                    last = true;
+                    "+OK\r\n".into()
+                }
+                (b"MSG.PUT", _) => match resp::put(&words) {
+                    Ok(put) => {
+                        new = Some((put, words[4].to_vec()));
+                        String::new()
+                    }
+                    Err(why) => format!("-ERR {why}\r\n"),
+                },
+                _ => format!("-ERR unknown command '{}'\r\n", name.escape_ascii()),
+            };
+            conn.input.consume(taken);
+            conn.output.push(answer.as_bytes());
+            conn.last |= last;
+            if let Some((put, body)) = new {
+                self.hand_in(id, put, body);
+            }
+        }
+        let hands = &mut self.hands;
+        if hands.conns.flush(id).is_err() {
+            return false;
+        }
+        hands.conns.get(id).is_none_or(|c| !(c.output.is_empty() && (c.last || c.ended)))
+    }
+
+    /// A mail is handed in: refused, or journalled, answered and then taken to the decisions.
+    fn hand_in(&mut self, conn: ConnId, put: resp::Put, body: Vec<u8>) {
+        let takes = self.takes_mails();
+        let hands = &mut self.hands;
+        let class = hands.class_names.iter().position(|c| *c == put.class);
+        let tagged = class.is_some_and(|c| matches!(self.repeats[c], Repeat::Tagged { .. }));
+        let (answer, mail) = match class {
+            None => ("-ERR c: unknown class\r\n", None),
+            Some(_) if tagged && put.tag.is_empty() => ("-ERR k: expected in this class\r\n", None),
+            // Handed in once more on another connection: it is held already.
+            Some(_) if hands.slots.contains_key(&MailId(put.id)) => ("+OK\r\n", None),
+            Some(_) if hands.held() >= self.holding_room || !takes => ("-BUSY\r\n", None),
+            Some(_) => {
+                let mail = hands.kept(put, body);
+                match hands.take(mail.clone()) {
+                    true => ("+OK\r\n", Some(mail)),
+                    false => ("-BUSY\r\n", None),
+                }
+            }
+        };
+        if let Some(conn) = hands.conns.get_mut(conn) {
+            conn.output.push(answer.as_bytes());
+        }
+        // The client's wait ends before the decisions begin. A break shows when the commands are done.
+        let _ = hands.conns.flush(conn);
+        if let Some(mail) = mail {
+            self.decide_on(&mail);
+        }
+    }
+
+    /// Takes a mail that is held to the decisions, with what a former process did for it.
+    pub fn decide_on(&mut self, mail: &KeptMail) {
+        let hands = &mut self.hands;
+        let class = hands.class_names.iter().position(|c| *c == mail.class);
+        let new = NewMail {
+            id: mail.id,
+            class: ClassId(class.unwrap_or(0)),
+            key: Some(KeyId(mail.key)).filter(|key| key.0 != 0),
+            destination: DestinationId(mail.destination),
+            due: mail.due,
+            past: past(&mail.connects, hands.discovery.zones()),
+        };
+        self.dispatcher.mail_taken(hands.now, new, hands);
+    }
+}
--- /dev/null
+++ b/daemon/src/command_line.rs
@@ -0,0 +1,111 @@
+//! The command line: what to do, and with which files.
+
+use crate::event_loop::Daemon;
+use crate::start::{self, Start};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+bellsill delivers mails to other firms' systems.
+
+Usage: bellsill COMMAND [OPTIONS]
+
+Commands:
+  serve      run a dispatcher in the foreground
+  check      read the configuration, say what is wrong with it, and end
+  version    print the version
+  help       print this
+
+Options of serve and check:
+  --config FILE   the configuration (else RELAY_CONFIG)
+  --state DIR     the folder that lasts (else RELAY_STATE, else the configuration's `state`)
+  --log LEVEL     error, warn, info, debug or off (info)
+
+Ends with 0 when it was told to leave, 1 when it could not go on, 2 on a bad command line or configuration.
+";
+
+#[derive(Debug, PartialEq)]
+enum Command {
+    Serve,
+    Check,
+    Version,
+    Help,
+}
+
+#[derive(Debug)]
+struct Line {
+    command: Command,
+    file: Option<PathBuf>,
+    state: Option<PathBuf>,
+    log: log::LevelFilter,
+}
+
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Line, lexopt::Error> {
+    use lexopt::prelude::*;
+    let mut parser = lexopt::Parser::from_args(args);
+    let mut command = None;
+    let mut line = Line { command: Command::Help, file: None, state: None, log: log::LevelFilter::Info };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("config") => line.file = Some(parser.value()?.into()),
+            Long("state") => line.state = Some(parser.value()?.into()),
+            Long("log") => line.log = parser.value()?.parse()?,
+            Long("help") | Short('h') => command = Some(Command::Help),
+            Long("version") | Short('V') => command = Some(Command::Version),
+            Value(word) if command.is_none() => {
+                command = Some(match word.to_string_lossy().as_ref() {
+                    "serve" => Command::Serve,
+                    "check" => Command::Check,
+                    "version" => Command::Version,
+                    "help" => Command::Help,
+                    _ => return Err(Value(word).unexpected()),
+                });
+            }
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    line.command = command.ok_or("a command is missing: serve, check, version or help")?;
+    Ok(line)
+}
+
+/// Does what the command line says.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let line = match parse(args) {
+        Ok(line) => line,
+        Err(e) => {
+            eprintln!("bellsill: {e}\n\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
+    match line.command {
+        Command::Help => print!("{HELP}"),
+        Command::Version => println!("bellsill {}", env!("CARGO_PKG_VERSION")),
+        Command::Serve | Command::Check => {
+            crate::logger::start(line.log);
+            let variable = |name: &str| std::env::var_os(name).map(PathBuf::from);
+            let Some(file) = line.file.or_else(|| variable("RELAY_CONFIG")) else {
+                eprintln!("bellsill: no configuration: give --config or RELAY_CONFIG");
+                return ExitCode::from(2);
+            };
+            let start = match start::read(&file, line.state.or_else(|| variable("RELAY_STATE"))) {
+                Ok(start) => start,
+                Err(e) => {
+                    eprintln!("bellsill: {e}");
+                    return ExitCode::from(2);
+                }
+            };
+            if line.command == Command::Check {
+                println!("{}: good, for {} on {}", file.display(), start.name, start.listen);
+            } else if let Err(e) = serve(start) {
+                eprintln!("bellsill: {e}");
+                return ExitCode::from(1);
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn serve(start: Start) -> std::io::Result<()> {
+    Daemon::start(start)?.run()
+}
--- /dev/null
+++ b/daemon/src/conns.rs
@@ -0,0 +1,296 @@
+//! The connections, in a table of numbered slots: the one owner of every socket and of the poller.
+
+use crate::ring::Ring;
+use crate::slots::{SlotId, Slots};
+use bellsill::interface::EndpointId;
+use polling::{Event, Events, Poller};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::net::UnixStream;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(u64);
+
+impl SlotId for ConnId {
+    fn from_raw(raw: u64) -> Self {
+        ConnId(raw)
+    }
+    fn raw(self) -> u64 {
+        self.0
+    }
+}
+
+/// The poller's keys of what is no connection; connections' numbers stay far below.
+const LISTENER: usize = usize::MAX - 1;
+const SIGNALS: usize = usize::MAX - 2;
+/// Descriptors of the process that are no connections: standard streams, listener, poller, signals, journal.
+const OTHERS: usize = 16;
+
+/// Whom a connection is with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Role {
+    Client,
+    Endpoint(EndpointId),
+    Watch,
+    Notices,
+}
+
+pub struct Conn {
+    stream: TcpStream,
+    pub role: Role,
+    pub input: Ring,
+    pub output: Ring,
+    /// Its handshake is still out.
+    pub rising: bool,
+    /// It is closed once its output is written.
+    pub last: bool,
+    /// The other side sends no more.
+    pub ended: bool,
+    /// What the poller watches it for: reading, writing.
+    armed: Option<(bool, bool)>,
+}
+
+/// What the poller saw.
+pub enum Seen {
+    Listener,
+    Signals,
+    Conn(ConnId),
+}
+
+pub struct Conns {
+    poller: Poller,
+    events: Events,
+    slots: Slots<ConnId, Conn>,
+    listener: Option<TcpListener>,
+    signals: UnixStream,
+    /// The most connections that may be open, and of these the most that clients may hold.
+    pub most: usize,
+    pub most_clients: usize,
+    clients: usize,
+}
+
+/// The one place where the poller is handed a source.
+#[allow(unsafe_code)]
+fn add(poller: &Poller, source: &impl AsRawFd, event: Event) -> io::Result<()> {
+    // SAFETY: whatever is added is owned by `Conns`, which deletes it from the poller before it is closed.
+    unsafe { poller.add(source, event) }
+}
+
+impl Conns {
+    /// `sockets` is the limit on descriptors, of which `reserve` are kept from clients.
+    pub fn new(
+        listener: TcpListener,
+        signals: UnixStream,
+        sockets: usize,
+        reserve: usize,
+    ) -> io::Result<Conns> {
+        let poller = Poller::new()?;
+        listener.set_nonblocking(true)?;
+        signals.set_nonblocking(true)?;
+        add(&poller, &listener, Event::readable(LISTENER))?;
+        add(&poller, &signals, Event::readable(SIGNALS))?;
+        let most = sockets.saturating_sub(OTHERS).max(8);
+        Ok(Conns {
+            poller,
+            events: Events::new(),
+            slots: Slots::default(),
+            listener: Some(listener),
+            signals,
+            most,
+            most_clients: most.saturating_sub(reserve).max(most / 4),
+            clients: 0,
+        })
+    }
+
+    /// Waits for something to happen, no longer than this.
+    pub fn wait(&mut self, most: Option<Duration>) -> io::Result<Vec<Seen>> {
+        self.events.clear();
+        match self.poller.wait(&mut self.events, most) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        let mut seen = Vec::new();
+        for event in self.events.iter() {
+            seen.push(match event.key {
+                LISTENER => Seen::Listener,
+                SIGNALS => Seen::Signals,
+                key => {
+                    let id = ConnId(key as u64);
+                    match self.slots.get_mut(id) {
+                        // The poller tells once, then waits to be armed again.
+                        Some(conn) => conn.armed = None,
+                        None => continue,
+                    }
+                    Seen::Conn(id)
+                }
+            });
+        }
+        Ok(seen)
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    pub fn clients_full(&self) -> bool {
+        self.clients >= self.most_clients || self.len() >= self.most
+    }
+
+    /// The next client that waits to be let in.
+    pub fn accept(&mut self) -> io::Result<Option<ConnId>> {
+        let Some(listener) = &self.listener else { return Ok(None) };
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                let bounds = (crate::resp::COMMAND_MOST, crate::resp::COMMAND_MOST);
+                self.admit(stream, Role::Client, bounds, false).map(Some)
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    pub fn arm_listener(&self) -> io::Result<()> {
+        self.listener.as_ref().map_or(Ok(()), |l| self.poller.modify(l, Event::readable(LISTENER)))
+    }
+
+    pub fn close_listener(&mut self) {
+        if let Some(listener) = self.listener.take() {
+            let _ = self.poller.delete(&listener);
+        }
+    }
+
+    /// Starts a connection; it is up once it has become writable without an error.
+    pub fn open(&mut self, to: SocketAddr, role: Role, bounds: (usize, usize)) -> io::Result<ConnId> {
+        let socket = socket2::Socket::new(socket2::Domain::for_address(to), socket2::Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != io::ErrorKind::WouldBlock => {
+                return Err(e);
+            }
+            _ => {}
+        }
+        self.admit(socket.into(), role, bounds, true)
+    }
+
+    fn admit(
+        &mut self,
+        stream: TcpStream,
+        role: Role,
+        bounds: (usize, usize),
+        rising: bool,
+    ) -> io::Result<ConnId> {
+        // Small writes must not wait for acknowledgements; without it the connection still works.
+        let _ = stream.set_nodelay(true);
+        let armed = (!rising, rising);
+        let id = self.slots.add(|_| Conn {
+            stream,
+            role,
+            input: Ring::new(bounds.0),
+            output: Ring::new(bounds.1),
+            rising,
+            last: false,
+            ended: false,
+            armed: Some(armed),
+        });
+        let conn = self.slots.get(id).expect("just added");
+        let added = add(&self.poller, &conn.stream, event(id, armed));
+        self.clients += usize::from(role == Role::Client);
+        if let Err(e) = added {
+            self.close(id);
+            return Err(e);
+        }
+        Ok(id)
+    }
+
+    /// The one place where a connection is given back.
+    pub fn close(&mut self, id: ConnId) {
+        if let Some(conn) = self.slots.remove(id) {
+            self.clients -= usize::from(conn.role == Role::Client);
+            let _ = self.poller.delete(&conn.stream);
+        }
+    }
+
+    pub fn get(&self, id: ConnId) -> Option<&Conn> {
+        self.slots.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Conn> {
+        self.slots.get_mut(id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (ConnId, &Conn)> {
+        self.slots.iter()
+    }
+
+    /// Whether a rising connection came up.
+    pub fn risen(&mut self, id: ConnId) -> io::Result<bool> {
+        let Some(conn) = self.slots.get_mut(id) else { return Ok(false) };
+        if let Some(e) = conn.stream.take_error()? {
+            return Err(e);
+        }
+        match conn.stream.peer_addr() {
+            Ok(_) => conn.rising = false,
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => {}
+            Err(e) => return Err(e),
+        }
+        Ok(!conn.rising)
+    }
+
+    /// Reads what has come.
+    pub fn fill(&mut self, id: ConnId) -> io::Result<()> {
+        let Some(conn) = self.slots.get_mut(id) else { return Ok(()) };
+        conn.ended |= conn.input.fill(&mut conn.stream)?;
+        Ok(())
+    }
+
+    /// Writes what can be written.
+    pub fn flush(&mut self, id: ConnId) -> io::Result<()> {
+        let Some(conn) = self.slots.get_mut(id).filter(|c| !c.rising) else { return Ok(()) };
+        conn.output.drain(&mut conn.stream)?;
+        self.arm(id)
+    }
+
+    /// Has the poller watch for what the connection waits for. With a full input, or much unread output, nothing more
+    /// is read from it.
+    pub fn arm(&mut self, id: ConnId) -> io::Result<()> {
+        let Some(conn) = self.slots.get_mut(id) else { return Ok(()) };
+        let unread = conn.output.len() > conn.output.room();
+        let read = !conn.rising && !conn.ended && conn.input.room() > 0 && !unread;
+        let wanted = (read, conn.rising || !conn.output.is_empty());
+        if conn.armed != Some(wanted) {
+            conn.armed = Some(wanted);
+            self.poller.modify(&conn.stream, event(id, wanted))?;
+        }
+        Ok(())
+    }
+
+    /// Empties the pipe of signals and arms it again.
+    pub fn take_signals(&mut self) -> io::Result<()> {
+        let mut ring = Ring::new(64);
+        ring.fill(&mut self.signals)?;
+        self.poller.modify(&self.signals, Event::readable(SIGNALS))
+    }
+}
+
+impl Drop for Conns {
+    fn drop(&mut self) {
+        let open: Vec<ConnId> = self.iter().map(|(id, _)| id).collect();
+        open.into_iter().for_each(|id| self.close(id));
+        self.close_listener();
+        let _ = self.poller.delete(&self.signals);
+    }
+}
+
+/// What a non-blocking connect answers while it is under way.
+const EINPROGRESS: i32 = 115;
+
+fn event(id: ConnId, (read, write): (bool, bool)) -> Event {
+    Event::new(id.0 as usize, read, write)
+}
--- /dev/null
+++ b/daemon/src/discovery.rs
@@ -0,0 +1,193 @@
+//! Discovery: the watch on the list of endpoints. It starts from the list known last and is kept through breaks;
+//! silence changes nothing.
+
+use crate::conns::{ConnId, Role};
+use crate::event_loop::Daemon;
+use crate::http::{self, Body};
+use crate::mails::{Due, Hands};
+use bellsill::interface::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// How long to wait before the watch is connected to again.
+const AGAIN: Nanos = 250_000_000;
+/// The longest line that is read; a longer one is skipped.
+const LINE_MOST: usize = 8 * 1024 * 1024;
+
+pub struct Discovery {
+    addr: SocketAddr,
+    version: u64,
+    conn: Option<ConnId>,
+    body: Option<Body>,
+    line: Vec<u8>,
+    kinds: Vec<String>,
+    zones: Vec<String>,
+}
+
+impl Discovery {
+    pub fn new(addr: SocketAddr, kinds: Vec<String>, zones: Vec<String>) -> Discovery {
+        Discovery { addr, version: 0, conn: None, body: None, line: vec![], kinds, zones }
+    }
+
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+}
+
+impl Hands {
+    /// Connects to the watch.
+    pub fn watch(&mut self) {
+        self.discovery.body = None;
+        self.discovery.line.clear();
+        let bounds = (64 * 1024, 1024);
+        match self.conns.open(self.discovery.addr, Role::Watch, bounds) {
+            Ok(id) => {
+                self.discovery.conn = Some(id);
+                let request = http::watch(self.discovery.addr, self.discovery.version);
+                if let Some(conn) = self.conns.get_mut(id) {
+                    conn.output.push(request.as_bytes());
+                }
+                self.deadlines.set(Due::Conn(id), self.now + self.connect_timeout);
+            }
+            Err(_) => self.deadlines.set(Due::Watch, self.now + AGAIN),
+        }
+    }
+
+    pub fn watch_broke(&mut self, id: ConnId) {
+        self.deadlines.clear(Due::Conn(id));
+        self.conns.close(id);
+        if self.discovery.conn == Some(id) {
+            self.discovery.conn = None;
+            self.deadlines.set(Due::Watch, self.now + AGAIN);
+        }
+    }
+
+    /// Reads what has come, and tells the lines that are complete.
+    fn watch_lines(&mut self, id: ConnId) -> Option<Vec<Vec<u8>>> {
+        self.conns.fill(id).ok()?;
+        let conn = self.conns.get_mut(id)?;
+        let d = &mut self.discovery;
+        if d.body.is_none() {
+            let Some(head) = http::head(&mut conn.input).ok()? else {
+                return (!conn.ended).then(Vec::new);
+            };
+            if head.status != 200 {
+                return None;
+            }
+            d.body = Some(head.body);
+        }
+        let (body, line) = (d.body.as_mut()?, &mut d.line);
+        let mut lines = Vec::new();
+        let taken = body.take(&mut conn.input, |mut bytes| {
+            while let Some(end) = bytes.iter().position(|&b| b == b'\n') {
+                line.extend(&bytes[..end]);
+                lines.push(std::mem::take(line));
+                bytes = &bytes[end + 1..];
+            }
+            line.extend(bytes);
+            if line.len() > LINE_MOST {
+                line.clear();
+            }
+        });
+        // What came before the end still counts: it is told again after the version of the last line.
+        if taken.is_err() || conn.ended || *body == Body::Done {
+            conn.last = true;
+        }
+        Some(lines)
+    }
+}
+
+impl Daemon {
+    pub fn watch_ready(&mut self, id: ConnId) {
+        let hands = &mut self.hands;
+        let rising = hands.conns.get(id).is_some_and(|c| c.rising);
+        if rising {
+            match hands.conns.risen(id) {
+                Ok(true) => hands.deadlines.clear(Due::Conn(id)),
+                Ok(false) => {}
+                Err(_) => return hands.watch_broke(id),
+            }
+        }
+        let Some(lines) = hands.watch_lines(id) else { return hands.watch_broke(id) };
+        for line in lines {
+            self.list_line(&line);
+        }
+        let hands = &mut self.hands;
+        let last = hands.conns.get(id).is_none_or(|c| c.last);
+        if last || hands.conns.flush(id).and_then(|()| hands.conns.arm(id)).is_err() {
+            hands.watch_broke(id);
+        }
+    }
+
+    /// One line of the watch: a bad one is logged and skipped.
+    fn list_line(&mut self, line: &[u8]) {
+        let line = line.trim_ascii();
+        if line.is_empty() {
+            return;
+        }
+        match serde_json::from_slice::<Value>(line) {
+            Ok(json) => self.list(&json),
+            Err(e) => log::warn!("discovery: a line that is no JSON was skipped: {e}"),
+        }
+    }
+
+    /// A list, whole or of changes.
+    pub fn list(&mut self, json: &Value) {
+        let (version, servers) = (json.get("version").and_then(Value::as_u64), json.get("servers"));
+        let (Some(version), Some(servers)) = (version, servers.and_then(Value::as_array)) else {
+            return log::warn!("discovery: a line with no version or no servers was skipped");
+        };
+        let whole = json.get("full").and_then(Value::as_bool).unwrap_or(false);
+        let mut entries = Vec::with_capacity(servers.len());
+        for server in servers {
+            match self.hands.entry(server) {
+                Ok(entry) => entries.push(entry),
+                Err(what) => log::warn!("discovery: an entry was skipped, its {what} cannot be read"),
+            }
+        }
+        let hands = &mut self.hands;
+        hands.discovery.version = version;
+        for id in hands.endpoints.ids() {
+            let told = entries.iter().rev().find(|e| e.endpoint == id).map(|e| e.serving);
+            let serving = told.unwrap_or(hands.endpoints[id].serving && !whole);
+            hands.endpoints[id].serving = serving;
+            if !serving {
+                hands.hang_up(id);
+            }
+        }
+        let scope = if whole { ListScope::Whole } else { ListScope::Update };
+        self.dispatcher.list_news(hands.now, scope, &entries, hands);
+    }
+}
+
+impl Hands {
+    fn entry(&mut self, server: &Value) -> Result<ListEntry, &'static str> {
+        let word = |field: &'static str| server.get(field).and_then(Value::as_str).ok_or(field);
+        let (name, zone, kind, state) = (word("id")?, word("zone")?, word("kind")?, word("state")?);
+        let serving = match state {
+            "up" => true,
+            "draining" | "removed" => false,
+            _ => return Err("state"),
+        };
+        let destination = server.get("cell").and_then(Value::as_u64).ok_or("cell")?;
+        let known = self.endpoints.find(name);
+        let addr = match (word("addr").ok().and_then(|a| a.parse().ok()), known) {
+            (Some(addr), _) => addr,
+            (None, Some(id)) if !serving => self.endpoints[id].addr,
+            _ => return Err("addr"),
+        };
+        let endpoint = self.endpoints.know(name, addr, zone);
+        if self.endpoints[endpoint].addr != addr {
+            self.hang_up(endpoint);
+            self.endpoints[endpoint].addr = addr;
+        }
+        let find = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        Ok(ListEntry {
+            endpoint,
+            destination: DestinationId(destination),
+            zone: ZoneId(find(&self.discovery.zones, zone)),
+            kind: KindId(find(&self.discovery.kinds, kind)),
+            serving,
+        })
+    }
+}
--- /dev/null
+++ b/daemon/src/endpoints.rs
@@ -0,0 +1,223 @@
+//! Endpoints: their connections, idle ones kept for the next call, and the calls on them.
+
+use crate::conns::{ConnId, Role};
+use crate::event_loop::Daemon;
+use crate::http::{self, Body};
+use crate::mails::{Due, Hands, MailSlot};
+use crate::resp::COMMAND_MOST;
+use bellsill::interface::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::{Index, IndexMut};
+
+pub struct Endpoint {
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub serving: bool,
+    /// The last one was used last.
+    pub idle: Vec<ConnId>,
+}
+
+#[derive(Default)]
+pub struct Endpoints {
+    rows: Vec<Endpoint>,
+    by_name: BTreeMap<String, EndpointId>,
+    /// The connects that connections carry or rise for.
+    pub calls: BTreeMap<ConnId, MailSlot>,
+    /// Connections on which the rest of an answer's body is still to come.
+    pub emptying: BTreeMap<ConnId, Body>,
+}
+
+impl Index<EndpointId> for Endpoints {
+    type Output = Endpoint;
+    fn index(&self, id: EndpointId) -> &Endpoint {
+        &self.rows[id.0 as usize]
+    }
+}
+
+impl IndexMut<EndpointId> for Endpoints {
+    fn index_mut(&mut self, id: EndpointId) -> &mut Endpoint {
+        &mut self.rows[id.0 as usize]
+    }
+}
+
+impl Endpoints {
+    /// The number of the endpoint of that name, which is given one if it has none.
+    pub fn know(&mut self, name: &str, addr: SocketAddr, zone: &str) -> EndpointId {
+        let next = EndpointId(self.rows.len() as u32);
+        let id = *self.by_name.entry(name.to_string()).or_insert(next);
+        if id == next {
+            self.rows.push(Endpoint { addr, zone: zone.to_string(), serving: false, idle: vec![] });
+        }
+        id
+    }
+
+    pub fn find(&self, name: &str) -> Option<EndpointId> {
+        self.by_name.get(name).copied()
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = EndpointId> + use<> {
+        (0..self.rows.len() as u32).map(EndpointId)
+    }
+}
+
+impl Hands {
+    /// Finds a connection for a connect: an idle one, or a new one that has to come up.
+    pub fn place(&mut self, slot: MailSlot, endpoint: EndpointId) {
+        if let Some(conn) = self.endpoints[endpoint].idle.pop() {
+            self.deadlines.clear(Due::Conn(conn));
+            self.write_call(slot, conn);
+            return;
+        }
+        if self.conns.len() >= self.conns.most {
+            self.shed_idle();
+        }
+        let bounds = (http::HEAD_MOST, COMMAND_MOST);
+        let opened = match self.conns.len() < self.conns.most {
+            true => self.conns.open(self.endpoints[endpoint].addr, Role::Endpoint(endpoint), bounds),
+            false => Err(std::io::Error::other("no descriptor is left")),
+        };
+        match opened {
+            Ok(conn) => {
+                self.endpoints.calls.insert(conn, slot);
+                self.deadlines.set(Due::Conn(conn), self.now + self.connect_timeout);
+                if let Some(call) = self.mails.get_mut(slot).and_then(|m| m.call.as_mut()) {
+                    call.conn = Some(conn);
+                }
+                self.shift(slot, crate::mails::Stage::Rising);
+            }
+            Err(_) => self.end_call(slot, Outcome::Unconnected, false),
+        }
+    }
+
+    /// Keeps a connection for the next call, while it is sure to be good.
+    pub fn pool(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get(id) else { return };
+        let Role::Endpoint(endpoint) = conn.role else { return };
+        if conn.ended || !conn.input.is_empty() || !self.endpoints[endpoint].serving {
+            self.conns.close(id);
+            return;
+        }
+        self.endpoints[endpoint].idle.push(id);
+        // A request written when the other side has just closed is lost, so it is closed here a little earlier.
+        self.deadlines.set(Due::Conn(id), self.now + self.keep_alive / 20 * 19);
+        if self.conns.arm(id).is_err() {
+            self.drop_idle(id);
+        }
+    }
+
+    /// Closes a connection that no call is on.
+    pub fn drop_idle(&mut self, id: ConnId) {
+        if let Some(Role::Endpoint(endpoint)) = self.conns.get(id).map(|c| c.role) {
+            self.endpoints[endpoint].idle.retain(|c| *c != id);
+        }
+        self.endpoints.emptying.remove(&id);
+        self.deadlines.clear(Due::Conn(id));
+        self.conns.close(id);
+    }
+
+    /// Gives back the idle connection that was used longest ago, so that a client or a call finds a descriptor.
+    pub fn shed_idle(&mut self) -> bool {
+        let idle = |id: EndpointId| self.endpoints[id].idle.first().copied();
+        let Some(oldest) = self.endpoints.ids().filter_map(idle).next() else { return false };
+        self.drop_idle(oldest);
+        true
+    }
+
+    /// The answer to a call, as far as it has come. True: it is complete.
+    fn answer(&mut self, id: ConnId, slot: MailSlot) -> Result<bool, http::Malformed> {
+        let Some(conn) = self.conns.get_mut(id) else { return Ok(true) };
+        let written = conn.output.is_empty();
+        let Some(mut head) = http::head(&mut conn.input)? else { return Ok(false) };
+        let outcome = match head.status {
+            200 => Outcome::Relayed,
+            429 | 503 if head.over_slots => Outcome::Unsent(true),
+            429 | 503 => Outcome::Full(head.wait),
+            504 | 410 => Outcome::Unsent(false),
+            _ => Outcome::Errored,
+        };
+        let body = head.body.take(&mut conn.input, |_| {});
+        let keep = written && !head.last && body.is_ok();
+        self.endpoints.calls.remove(&id);
+        match (keep, &head.body) {
+            (true, Body::Done) => self.pool(id),
+            (true, _) => {
+                self.endpoints.emptying.insert(id, head.body);
+                self.deadlines.set(Due::Conn(id), self.now + self.keep_alive);
+            }
+            _ => self.conns.close(id),
+        }
+        self.end_call(slot, outcome, head.status == 410);
+        Ok(true)
+    }
+}
+
+impl Daemon {
+    /// Something happened on a connection to an endpoint.
+    pub fn endpoint_ready(&mut self, id: ConnId) {
+        let hands = &mut self.hands;
+        let Some(conn) = hands.conns.get(id) else { return };
+        let Some(&slot) = hands.endpoints.calls.get(&id) else {
+            return self.idle_ready(id);
+        };
+        if conn.rising {
+            return self.connection_rose(id, slot);
+        }
+        let filled = hands.conns.fill(id);
+        let ended = filled.is_err() || hands.conns.get(id).is_some_and(|c| c.ended);
+        match hands.answer(id, slot) {
+            Ok(true) => return,
+            Ok(false) if !ended && hands.conns.flush(id).is_ok() => return,
+            // No HTTP, or no answer before the end: nobody knows whether it ran.
+            _ => {}
+        }
+        hands.break_call(slot, Outcome::Reset);
+    }
+
+    /// While the connection came up its endpoint may have started to drain, or a wait may have begun there: only the
+    /// decisions know. A mail turned back here has not been sent, and the connection is kept.
+    fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
+        let hands = &mut self.hands;
+        match hands.conns.risen(id) {
+            Ok(false) => {
+                if hands.conns.arm(id).is_ok() {
+                    return;
+                }
+            }
+            Ok(true) => {
+                hands.deadlines.clear(Due::Conn(id));
+                let endpoint = hands.mails.get(slot).and_then(|m| m.call).map(|c| c.endpoint);
+                if endpoint.is_some_and(|e| self.dispatcher.still_open(hands.now, e)) {
+                    hands.write_call(slot, id);
+                } else {
+                    hands.endpoints.calls.remove(&id);
+                    hands.pool(id);
+                    hands.end_call(slot, Outcome::Unsent(false), false);
+                }
+                return;
+            }
+            Err(_) => {}
+        }
+        hands.break_call(slot, Outcome::Unconnected);
+    }
+
+    fn idle_ready(&mut self, id: ConnId) {
+        let hands = &mut self.hands;
+        let mut good = hands.conns.fill(id).is_ok();
+        let Some(conn) = hands.conns.get_mut(id) else { return };
+        good &= !conn.ended;
+        if let Some(body) = hands.endpoints.emptying.get_mut(&id) {
+            good &= body.take(&mut conn.input, |_| {}).is_ok();
+            if good && *body == Body::Done {
+                hands.endpoints.emptying.remove(&id);
+                return hands.pool(id);
+            }
+        } else {
+            // Nothing is owed on an idle connection.
+            good &= conn.input.is_empty();
+        }
+        if !good || hands.conns.arm(id).is_err() {
+            hands.drop_idle(id);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/event_loop.rs
@@ -0,0 +1,262 @@
+//! The loop: one thread that waits for sockets, signals and deadlines, and tells the decisions what happened.
+
+use crate::conns::{ConnId, Conns, Role, Seen};
+use crate::deadlines::Deadlines;
+use crate::discovery::Discovery;
+use crate::endpoints::Endpoints;
+use crate::mail_journal::{Kept, MailJournal};
+use crate::mails::{Due, Hands, Stage};
+use crate::notices::Notices;
+use crate::slots::Slots;
+use crate::start::Start;
+use bellsill::control::Dispatcher;
+use bellsill::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::TcpListener;
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const MS: Nanos = 1_000_000;
+/// Leaving, counted from the signal. The platform lets new clients come for 400 ms and kills after 3.7 s.
+const LET_IN_FOR: Nanos = 500 * MS;
+const DECIDE_FOR: Nanos = 2_700 * MS;
+const GONE_AFTER: Nanos = 3_400 * MS;
+/// Between lines on how things stand.
+const STANDING: Nanos = 10_000 * MS;
+
+/// The wall clock at the start, and from then on a steady one.
+struct Clock {
+    base: Nanos,
+    since: Instant,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: base.as_nanos() as Nanos, since: Instant::now() }
+    }
+    fn now(&self) -> Nanos {
+        self.base + self.since.elapsed().as_nanos() as Nanos
+    }
+}
+
+/// How far a dispatcher is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Leaving {
+    No,
+    /// All as ever: clients still come.
+    Told,
+    /// No more clients; mails held still go out.
+    Shut,
+    /// The decisions are asked no more; calls that are out still end. What is held is the next process's.
+    Ending,
+    Gone,
+}
+
+pub struct Daemon {
+    pub dispatcher: Dispatcher,
+    pub hands: Hands,
+    pub repeats: Vec<Repeat>,
+    pub holding_room: usize,
+    clock: Clock,
+    leaving: Leaving,
+    told_to_leave: Nanos,
+}
+
+impl Daemon {
+    /// Takes up what the journal holds, and listens. Clients are answered once it runs.
+    pub fn start(start: Start) -> io::Result<Daemon> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let Start { boot, known, .. } = start;
+        let (facts, names) = (boot.facts, boot.names);
+        let (journal, kept) = MailJournal::open(&start.state, start.disk_bytes)?;
+        let (signals, sender) = UnixStream::pair()?;
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
+        }
+        let listener = TcpListener::bind(start.listen)?;
+        // Kept for calls, the watch and notices.
+        let reserve = facts.slots + 8;
+        let mut daemon = Daemon {
+            repeats: facts.classes.iter().map(|class| class.repeat).collect(),
+            holding_room: facts.holding_room,
+            hands: Hands {
+                now,
+                conns: Conns::new(listener, signals, start.sockets, reserve)?,
+                deadlines: Deadlines::default(),
+                mails: Slots::default(),
+                slots: BTreeMap::new(),
+                endpoints: Endpoints::default(),
+                discovery: Discovery::new(start.discovery, names.kinds, names.zones),
+                notices: Notices::new(start.discovery),
+                journal,
+                ended: VecDeque::new(),
+                class_names: names.classes,
+                connect_timeout: facts.connect_timeout,
+                keep_alive: boot.keep_alive,
+            },
+            dispatcher: Dispatcher::boot(now, facts),
+            clock,
+            leaving: Leaving::No,
+            told_to_leave: 0,
+        };
+        daemon.list(&known);
+        daemon.recover(kept);
+        daemon.hands.watch();
+        daemon.hands.deadlines.set(Due::Standing, now + STANDING);
+        log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.hands.mails.len());
+        Ok(daemon)
+    }
+
+    /// Mails go back to the decisions with their past; notices are owed until they are answered.
+    fn recover(&mut self, kept: Kept) {
+        for (id, ending) in kept.owed {
+            self.hands.notices.owe(id, ending);
+        }
+        for mail in &kept.mails {
+            self.hands.hold(mail.clone());
+        }
+        for mail in &kept.mails {
+            if self.hands.class_names.contains(&mail.class) {
+                self.decide_on(mail);
+            } else if let Some(&slot) = self.hands.slots.get(&mail.id) {
+                log::warn!("mail {:016x} is of no class that is known now", mail.id.0);
+                self.hands.shift(slot, Stage::Bounced);
+            }
+        }
+    }
+
+    /// Runs until it is told to leave and has left.
+    pub fn run(&mut self) -> io::Result<()> {
+        while self.leaving != Leaving::Gone {
+            self.turn()?;
+        }
+        log::info!("left, {} mails held for the next process", self.hands.mails.len());
+        Ok(())
+    }
+
+    fn turn(&mut self) -> io::Result<()> {
+        let wait = self.hands.deadlines.next().map(|at| at.saturating_sub(self.clock.now()));
+        let seen = self.hands.conns.wait(wait.map(Duration::from_nanos))?;
+        for what in seen {
+            self.hands.now = self.clock.now();
+            match what {
+                Seen::Listener => self.let_in(),
+                Seen::Signals => self.told_to_leave()?,
+                Seen::Conn(id) => self.ready(id),
+            }
+            self.settle();
+        }
+        self.hands.now = self.clock.now();
+        while let Some(due) = self.hands.deadlines.take_due(self.hands.now) {
+            self.fell_due(due);
+            self.settle();
+        }
+        self.hands.send_notices();
+        let quiet = self.hands.mails.is_empty() && self.hands.notices.owed() == 0;
+        let out = self.hands.mails.iter().any(|(_, m)| m.call.is_some());
+        if (self.leaving == Leaving::Shut && quiet) || (self.leaving == Leaving::Ending && !out) {
+            self.leaving = Leaving::Gone;
+        }
+        Ok(())
+    }
+
+    /// Tells the decisions of the outcomes that became known while they were at work.
+    fn settle(&mut self) {
+        while let Some(end) = self.hands.ended.pop_front() {
+            if self.leaving < Leaving::Ending {
+                self.dispatcher.connect_ended(self.hands.now, end, &mut self.hands);
+            }
+        }
+    }
+
+    fn ready(&mut self, id: ConnId) {
+        match self.hands.conns.get(id).map(|c| c.role) {
+            Some(Role::Client) => {
+                self.client_ready(id);
+                self.part(id);
+            }
+            Some(Role::Endpoint(_)) => self.endpoint_ready(id),
+            Some(Role::Watch) => self.watch_ready(id),
+            Some(Role::Notices) => self.hands.notices_ready(id),
+            None => {}
+        }
+    }
+
+    fn fell_due(&mut self, due: Due) {
+        let hands = &mut self.hands;
+        let now = hands.now;
+        match due {
+            Due::Wake if self.leaving < Leaving::Ending => self.dispatcher.woken(now, hands),
+            Due::Wake => {}
+            Due::Call(slot) => hands.break_call(slot, Outcome::TimedOut),
+            Due::Conn(id) => match hands.conns.get(id).map(|c| c.role) {
+                Some(Role::Endpoint(_)) => match hands.endpoints.calls.get(&id) {
+                    Some(&slot) => hands.break_call(slot, Outcome::Unconnected),
+                    None => hands.drop_idle(id),
+                },
+                Some(Role::Watch) => hands.watch_broke(id),
+                Some(Role::Notices) => hands.notices_broke(),
+                _ => {}
+            },
+            Due::Watch => hands.watch(),
+            Due::Notices => hands.notices_rested(),
+            Due::Accept => self.let_in(),
+            Due::Leave => self.leave_on(),
+            Due::Standing => {
+                let out = hands.mails.iter().filter(|(_, m)| m.call.is_some()).count();
+                let (held, owed, open) = (hands.mails.len(), hands.notices.owed(), hands.conns.len());
+                log::info!("standing: {held} mails held, {out} out, {owed} notices owed, {open} connections");
+                hands.deadlines.set(Due::Standing, now + STANDING);
+            }
+        }
+    }
+
+    fn told_to_leave(&mut self) -> io::Result<()> {
+        self.hands.conns.take_signals()?;
+        if self.leaving == Leaving::No {
+            log::info!("told to leave, {} mails held", self.hands.mails.len());
+            self.leaving = Leaving::Told;
+            self.told_to_leave = self.hands.now;
+            self.hands.deadlines.set(Due::Leave, self.told_to_leave + LET_IN_FOR);
+        }
+        Ok(())
+    }
+
+    /// The next step of leaving.
+    fn leave_on(&mut self) {
+        let (next, then) = match self.leaving {
+            Leaving::Told => (Leaving::Shut, DECIDE_FOR),
+            Leaving::Shut => (Leaving::Ending, GONE_AFTER),
+            _ => (Leaving::Gone, GONE_AFTER),
+        };
+        self.leaving = next;
+        self.hands.deadlines.set(Due::Leave, self.told_to_leave + then);
+        if next == Leaving::Shut {
+            self.let_in();
+            self.hands.deadlines.clear(Due::Accept);
+            self.hands.conns.close_listener();
+            let clients: Vec<ConnId> =
+                self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id).collect();
+            for id in clients {
+                self.client_ready(id);
+                self.part(id);
+            }
+        }
+    }
+
+    /// On the way out, parts with a client whose last request is answered; it sends its next one elsewhere.
+    fn part(&mut self, id: ConnId) {
+        let between = |c: &crate::conns::Conn| c.input.is_empty() && c.output.is_empty();
+        if self.leaving >= Leaving::Shut && self.hands.conns.get(id).is_some_and(between) {
+            self.hands.conns.close(id);
+        }
+    }
+
+    /// Whether new mails are still taken.
+    pub fn takes_mails(&self) -> bool {
+        self.leaving < Leaving::Ending
+    }
+}
--- /dev/null
+++ b/daemon/src/http.rs
@@ -0,0 +1,161 @@
+//! HTTP/1.1 as endpoints and discovery speak it: requests out, answers in. Its words end here.
+
+use crate::ring::Ring;
+use bellsill::interface::Nanos;
+
+/// The most that the head of an answer, or a line of a chunked body, may take.
+pub const HEAD_MOST: usize = 16 * 1024;
+
+/// The peer does not speak HTTP as it should.
+#[derive(Debug, PartialEq)]
+pub struct Malformed;
+
+/// What of a body is still to come.
+#[derive(Debug, PartialEq)]
+pub enum Body {
+    Sized(u64),
+    /// Inside a chunk (what is left of it), or before the line of the next one.
+    Chunked(u64),
+    /// After the last chunk: trailers up to an empty line.
+    Trailers,
+    /// Behind a chunk's data stands the end of its line.
+    ChunkEnd,
+    UntilEnd,
+    Done,
+}
+
+/// The head of an answer.
+#[derive(Debug, PartialEq)]
+pub struct Head {
+    pub status: u16,
+    /// The wait told, nought where none is.
+    pub wait: Nanos,
+    pub over_slots: bool,
+    /// The connection ends after this answer.
+    pub last: bool,
+    pub body: Body,
+}
+
+/// Takes the head of the next answer from the ring, once all of it has come.
+pub fn head(ring: &mut Ring) -> Result<Option<Head>, Malformed> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 64];
+        let mut answer = httparse::Response::new(&mut headers);
+        let taken = match answer.parse(ring.bytes()) {
+            Ok(httparse::Status::Complete(taken)) => taken,
+            Ok(httparse::Status::Partial) if ring.len() < HEAD_MOST => return Ok(None),
+            _ => return Err(Malformed),
+        };
+        let status = answer.code.ok_or(Malformed)?;
+        let mut head = Head {
+            status,
+            wait: 0,
+            over_slots: false,
+            last: answer.version == Some(0),
+            body: Body::UntilEnd,
+        };
+        let mut chunked = false;
+        for header in answer.headers.iter() {
+            let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+            let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+            if is("content-length") {
+                head.body = Body::Sized(value.parse().map_err(|_| Malformed)?);
+            } else if is("transfer-encoding") {
+                chunked = value.eq_ignore_ascii_case("chunked");
+            } else if is("connection") {
+                head.last = value.eq_ignore_ascii_case("close") || (head.last && value != "keep-alive");
+            } else if is("retry-after") {
+                let seconds: f64 = value.parse().unwrap_or(0.0);
+                head.wait = (seconds.clamp(0.0, 1e6) * 1e9) as Nanos;
+            } else if is("x-over-slots") {
+                head.over_slots = value == "1";
+            }
+        }
+        ring.consume(taken);
+        if status < 200 {
+            continue;
+        }
+        if chunked {
+            head.body = Body::Chunked(0);
+        } else if matches!(status, 204 | 304) || head.body == Body::Sized(0) {
+            head.body = Body::Done;
+        }
+        head.last |= head.body == Body::UntilEnd;
+        return Ok(Some(head));
+    }
+}
+
+impl Body {
+    /// Takes what has come of the body from the ring and hands it to the sink, until it is done or more must come.
+    pub fn take(&mut self, ring: &mut Ring, mut sink: impl FnMut(&[u8])) -> Result<(), Malformed> {
+        while *self != Body::Done {
+            match self {
+                Body::Sized(left) | Body::Chunked(left) if *left > 0 => {
+                    let n = (*left).min(ring.len() as u64);
+                    if n == 0 {
+                        return Ok(());
+                    }
+                    sink(&ring.bytes()[..n as usize]);
+                    ring.consume(n as usize);
+                    *left -= n;
+                    if *left == 0 {
+                        *self = if matches!(self, Body::Sized(_)) { Body::Done } else { Body::ChunkEnd };
+                    }
+                }
+                Body::UntilEnd => {
+                    sink(ring.bytes());
+                    ring.consume(ring.len());
+                    return Ok(());
+                }
+                Body::Chunked(_) | Body::ChunkEnd | Body::Trailers => {
+                    let bytes = ring.bytes();
+                    let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
+                        return if ring.len() < HEAD_MOST { Ok(()) } else { Err(Malformed) };
+                    };
+                    let line = bytes[..end].trim_ascii();
+                    *self = match self {
+                        Body::ChunkEnd if line.is_empty() => Body::Chunked(0),
+                        Body::ChunkEnd => return Err(Malformed),
+                        Body::Trailers if line.is_empty() => Body::Done,
+                        Body::Trailers => Body::Trailers,
+                        _ => {
+                            let size = line.split(|b| *b == b';').next().unwrap_or(b"").trim_ascii();
+                            let size = std::str::from_utf8(size).map_err(|_| Malformed)?;
+                            match u64::from_str_radix(size, 16).map_err(|_| Malformed)? {
+                                0 => Body::Trailers,
+                                size => Body::Chunked(size),
+                            }
+                        }
+                    };
+                    ring.consume(end + 1);
+                }
+                _ => *self = Body::Done,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The call that carries a mail: its head; the body follows.
+pub fn call(id: u64, tag: &str, host: std::net::SocketAddr, wait: Nanos, length: usize) -> String {
+    let tag = if tag.is_empty() { String::new() } else { format!("Idempotency-Key: {tag}\r\n") };
+    format!(
+        "POST /events HTTP/1.1\r\nHost: {host}\r\nX-Trace-Id: {id:016x}\r\n{tag}X-Expires-In: {}u\r\n\
+         Content-Length: {length}\r\n\r\n",
+        wait / 1_000
+    )
+}
+
+/// The request for a watch on the list of endpoints.
+pub fn watch(host: std::net::SocketAddr, since: u64) -> String {
+    format!("GET /api/targets?follow=1&since={since} HTTP/1.1\r\nHost: {host}\r\n\r\n")
+}
+
+/// A request that carries notices.
+pub fn notices(host: std::net::SocketAddr, lines: &str) -> String {
+    format!(
+        "POST /v2/finals HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/x-ndjson\r\n\
+         Content-Length: {}\r\n\r\n{lines}",
+        lines.len()
+    )
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,23 @@
+//! The dispatcher as a service: the decisions of `bellsill` on real sockets. [`start`] reads what a dispatcher is told,
+//! [`event_loop::Daemon`] runs it; `docs/daemon.md` says how the parts fit.
+#![deny(unsafe_code)]
+
+pub mod command_line;
+pub mod start;
+
+pub mod event_loop;
+
+pub mod clients;
+pub mod discovery;
+pub mod endpoints;
+pub mod mails;
+pub mod notices;
+
+pub mod conns;
+pub mod deadlines;
+pub mod http;
+pub mod logger;
+pub mod mail_journal;
+pub mod resp;
+pub mod ring;
+pub mod slots;
--- /dev/null
+++ b/daemon/src/mail_journal.rs
@@ -0,0 +1,376 @@
+//! The mail journal: what this dispatcher has taken on and what was done for it, in one file of the folder that
+//! lasts. It is the truth over restarts.
+//!
+//! A record is its length, a checksum and its payload; records are only appended, and a torn tail is dropped when the
+//! file is opened. Nothing is synced: what is written survives the process, and the loss of the machine loses it anyway.
+//! Once much of the file is over, it is written anew with what still counts; old and new stand side by side for that
+//! moment and together stay under the disk limit.
+
+use bellsill::interface::{MailId, Nanos};
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+const FILE: &str = "mails";
+const NEXT: &str = "mails.next";
+/// Files count in whole blocks.
+const BLOCK: u64 = 512;
+/// The file is not written anew before it is so long, and so many times as long as what still counts.
+const ANEW_FROM: u64 = 256 * 1024;
+const ANEW_TIMES: u64 = 4;
+
+/// How a mail ended that was not relayed: the notice that it is owed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ending {
+    Deferred(Nanos),
+    Bounced,
+}
+
+/// A connect whose first byte may have been written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeptConnect {
+    pub at: Nanos,
+    pub zone: String,
+    /// None: no outcome is known.
+    pub may_have_run: Option<bool>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeptMail {
+    pub id: MailId,
+    pub class: String,
+    pub key: u64,
+    pub destination: u64,
+    /// On the wall clock.
+    pub due: Nanos,
+    pub tag: String,
+    pub body: Vec<u8>,
+    pub connects: Vec<KeptConnect>,
+}
+
+/// What a journal holds that still counts.
+#[derive(Debug, Default, PartialEq)]
+pub struct Kept {
+    /// In the order in which they were taken.
+    pub mails: Vec<KeptMail>,
+    pub owed: Vec<(MailId, Ending)>,
+}
+
+/// The disk limit leaves no place, or the disk took no more.
+#[derive(Debug, PartialEq)]
+pub struct NoRoom;
+
+fn begin(kind: u8, id: MailId) -> Vec<u8> {
+    let mut payload = vec![kind];
+    payload.extend(id.0.to_le_bytes());
+    payload
+}
+
+fn put_bytes(payload: &mut Vec<u8>, bytes: &[u8]) {
+    payload.extend((bytes.len() as u32).to_le_bytes());
+    payload.extend(bytes);
+}
+
+fn sealed(payload: Vec<u8>) -> Vec<u8> {
+    let mut record = Vec::with_capacity(payload.len() + 8);
+    record.extend((payload.len() as u32).to_le_bytes());
+    record.extend(crc32fast::hash(&payload).to_le_bytes());
+    record.extend(payload);
+    record
+}
+
+fn taken_record(mail: &KeptMail) -> Vec<u8> {
+    let mut p = begin(b'M', mail.id);
+    for number in [mail.key, mail.destination, mail.due] {
+        p.extend(number.to_le_bytes());
+    }
+    put_bytes(&mut p, mail.class.as_bytes());
+    put_bytes(&mut p, mail.tag.as_bytes());
+    put_bytes(&mut p, &mail.body);
+    sealed(p)
+}
+
+fn connect_record(id: MailId, at: Nanos, zone: &str) -> Vec<u8> {
+    let mut p = begin(b'C', id);
+    p.extend(at.to_le_bytes());
+    put_bytes(&mut p, zone.as_bytes());
+    sealed(p)
+}
+
+fn outcome_record(id: MailId, may_have_run: bool) -> Vec<u8> {
+    let mut p = begin(b'O', id);
+    p.push(u8::from(may_have_run));
+    sealed(p)
+}
+
+fn end_record(id: MailId, ending: Option<Ending>) -> Vec<u8> {
+    let mut p = begin(b'E', id);
+    let (how, wait) = match ending {
+        None => (0, 0),
+        Some(Ending::Bounced) => (1, 0),
+        Some(Ending::Deferred(wait)) => (2, wait),
+    };
+    p.push(how);
+    p.extend(wait.to_le_bytes());
+    sealed(p)
+}
+
+fn told_record(id: MailId) -> Vec<u8> {
+    sealed(begin(b'N', id))
+}
+
+/// Reads the fields of a payload one after the other.
+struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(count)?;
+        self.0 = rest;
+        Some(head)
+    }
+    fn byte(&mut self) -> Option<u8> {
+        self.take(1).map(|b| b[0])
+    }
+    fn number(&mut self) -> Option<u64> {
+        self.take(8).and_then(|b| b.try_into().ok()).map(u64::from_le_bytes)
+    }
+    fn length(&mut self) -> Option<usize> {
+        self.take(4).and_then(|b| b.try_into().ok()).map(|b| u32::from_le_bytes(b) as usize)
+    }
+    fn bytes(&mut self) -> Option<&'a [u8]> {
+        let count = self.length()?;
+        self.take(count)
+    }
+    fn text(&mut self) -> Option<String> {
+        self.bytes().and_then(|b| String::from_utf8(b.to_vec()).ok())
+    }
+    /// The payload of the next whole record.
+    fn record(&mut self) -> Option<Fields<'a>> {
+        let (count, sum) = (self.length()?, self.length()?);
+        let payload = self.take(count)?;
+        (crc32fast::hash(payload) as usize == sum).then_some(Fields(payload))
+    }
+}
+
+/// Collects what still counts while records are read in order.
+#[derive(Default)]
+struct Replay {
+    mails: Vec<Option<KeptMail>>,
+    place: BTreeMap<MailId, usize>,
+    owed: Vec<(MailId, Ending)>,
+}
+
+impl Replay {
+    fn mail(&mut self, id: MailId) -> Option<&mut KeptMail> {
+        self.mails[*self.place.get(&id)?].as_mut()
+    }
+
+    fn apply(&mut self, mut f: Fields) -> Option<()> {
+        let (kind, id) = (f.byte()?, MailId(f.number()?));
+        match kind {
+            b'M' => {
+                let (key, destination, due) = (f.number()?, f.number()?, f.number()?);
+                let (class, tag, body) = (f.text()?, f.text()?, f.bytes()?.to_vec());
+                self.place.insert(id, self.mails.len());
+                let mail = KeptMail { id, class, key, destination, due, tag, body, connects: vec![] };
+                self.mails.push(Some(mail));
+            }
+            b'C' => {
+                let connect = KeptConnect { at: f.number()?, zone: f.text()?, may_have_run: None };
+                if let Some(mail) = self.mail(id) {
+                    mail.connects.push(connect);
+                }
+            }
+            b'O' => {
+                let may_have_run = Some(f.byte()? != 0);
+                if let Some(connect) = self.mail(id).and_then(|m| m.connects.last_mut()) {
+                    connect.may_have_run = may_have_run;
+                }
+            }
+            b'E' => {
+                let (how, wait) = (f.byte()?, f.number()?);
+                if let Some(place) = self.place.remove(&id) {
+                    self.mails[place] = None;
+                }
+                match how {
+                    0 => {}
+                    1 => self.owed.push((id, Ending::Bounced)),
+                    _ => self.owed.push((id, Ending::Deferred(wait))),
+                }
+            }
+            b'N' => self.owed.retain(|owed| owed.0 != id),
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+/// Reads records until the end or the first that is torn; also tells how many bytes were good.
+fn replay(bytes: &[u8]) -> (Kept, usize) {
+    let mut all = Replay::default();
+    let mut rest = Fields(bytes);
+    let mut good = 0;
+    while let Some(()) = rest.record().and_then(|record| all.apply(record)) {
+        good = bytes.len() - rest.0.len();
+    }
+    (Kept { mails: all.mails.into_iter().flatten().collect(), owed: all.owed }, good)
+}
+
+impl Kept {
+    /// The records that say all this anew, with the mail of each.
+    fn records(&self) -> impl Iterator<Item = (MailId, Vec<u8>)> {
+        let mails = self.mails.iter().map(|mail| {
+            let mut bytes = taken_record(mail);
+            for connect in &mail.connects {
+                bytes.extend(connect_record(mail.id, connect.at, &connect.zone));
+                if let Some(may_have_run) = connect.may_have_run {
+                    bytes.extend(outcome_record(mail.id, may_have_run));
+                }
+            }
+            (mail.id, bytes)
+        });
+        mails.chain(self.owed.iter().map(|&(id, ending)| (id, end_record(id, Some(ending)))))
+    }
+}
+
+pub struct MailJournal {
+    folder: PathBuf,
+    file: File,
+    length: u64,
+    /// By mail: what of the file still counts.
+    live: BTreeMap<MailId, u64>,
+    live_total: u64,
+    room: u64,
+}
+
+fn blocks(length: u64) -> u64 {
+    length.div_ceil(BLOCK) * BLOCK
+}
+
+impl MailJournal {
+    /// Opens the journal of this folder and tells what it holds; `room` is the disk limit in bytes.
+    pub fn open(folder: &Path, room: u64) -> io::Result<(MailJournal, Kept)> {
+        // Left by a process that was killed while it wrote the file anew: the old one still counts.
+        match std::fs::remove_file(folder.join(NEXT)) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let mut file = OpenOptions::new().read(true).append(true).create(true).open(folder.join(FILE))?;
+        let mut bytes = Vec::new();
+        file.read_to_end(&mut bytes)?;
+        let (kept, good) = replay(&bytes);
+        if good < bytes.len() {
+            log::warn!("mail journal: {} torn bytes dropped", bytes.len() - good);
+            file.set_len(good as u64)?;
+        }
+        let folder = folder.to_path_buf();
+        let mut journal =
+            MailJournal { folder, file, length: good as u64, live: BTreeMap::new(), live_total: 0, room };
+        journal.count(&kept);
+        Ok((journal, kept))
+    }
+
+    fn count(&mut self, kept: &Kept) {
+        self.live = kept.records().map(|(id, bytes)| (id, bytes.len() as u64)).collect();
+        self.live_total = self.live.values().sum();
+    }
+
+    /// A new mail, before its client hears of it. A quarter of the room is left to what follows for the mails held.
+    pub fn taken(&mut self, mail: &KeptMail) -> Result<(), NoRoom> {
+        let record = taken_record(mail);
+        let size = record.len() as u64;
+        if 2 * (blocks(self.live_total + size) + BLOCK) > self.room / 4 * 3 {
+            return Err(NoRoom);
+        }
+        self.append(&record)?;
+        self.live.insert(mail.id, size);
+        self.live_total += size;
+        Ok(())
+    }
+
+    /// A connect, before its first byte.
+    pub fn connect(&mut self, id: MailId, at: Nanos, zone: &str) -> Result<(), NoRoom> {
+        self.add(id, &connect_record(id, at, zone))
+    }
+
+    pub fn outcome(&mut self, id: MailId, may_have_run: bool) -> Result<(), NoRoom> {
+        self.add(id, &outcome_record(id, may_have_run))
+    }
+
+    /// The end of a mail; a notice is owed from then on, if an ending is named.
+    pub fn ended(&mut self, id: MailId, ending: Option<Ending>) -> Result<(), NoRoom> {
+        self.over(id);
+        let record = end_record(id, ending);
+        self.append(&record)?;
+        if ending.is_some() {
+            self.live.insert(id, record.len() as u64);
+            self.live_total += record.len() as u64;
+        }
+        Ok(())
+    }
+
+    /// The platform has taken the mail's notice.
+    pub fn told(&mut self, id: MailId) -> Result<(), NoRoom> {
+        self.over(id);
+        self.append(&told_record(id))
+    }
+
+    fn add(&mut self, id: MailId, record: &[u8]) -> Result<(), NoRoom> {
+        self.append(record)?;
+        if let Some(size) = self.live.get_mut(&id) {
+            *size += record.len() as u64;
+            self.live_total += record.len() as u64;
+        }
+        Ok(())
+    }
+
+    fn over(&mut self, id: MailId) {
+        self.live_total -= self.live.remove(&id).unwrap_or(0);
+    }
+
+    /// Whether the file, this much longer, could still be written anew beside itself.
+    fn fits(&self, more: u64) -> bool {
+        blocks(self.length + more) + blocks(self.live_total + more) + 2 * BLOCK <= self.room
+    }
+
+    fn append(&mut self, record: &[u8]) -> Result<(), NoRoom> {
+        let size = record.len() as u64;
+        let long = self.length > ANEW_FROM.max(ANEW_TIMES * self.live_total);
+        if (long || !self.fits(size))
+            && let Err(e) = self.write_anew()
+        {
+            log::error!("mail journal: cannot be written anew: {e}");
+        }
+        if !self.fits(size) {
+            return Err(NoRoom);
+        }
+        if let Err(e) = self.file.write_all(record) {
+            log::error!("mail journal: {e}");
+            // A part of a record would hide all that follows it.
+            let _ = self.file.set_len(self.length);
+            return Err(NoRoom);
+        }
+        self.length += size;
+        Ok(())
+    }
+
+    fn write_anew(&mut self) -> io::Result<()> {
+        let path = self.folder.join(FILE);
+        let (kept, _) = replay(&std::fs::read(&path)?);
+        let bytes: Vec<u8> = kept.records().flat_map(|(_, bytes)| bytes).collect();
+        let length = bytes.len() as u64;
+        if blocks(self.length) + blocks(length) > self.room {
+            return Err(io::Error::other("both files together would pass the disk limit"));
+        }
+        let next = self.folder.join(NEXT);
+        let mut file = OpenOptions::new().append(true).create_new(true).open(&next)?;
+        if let Err(e) = file.write_all(&bytes).and_then(|()| std::fs::rename(&next, &path)) {
+            let _ = std::fs::remove_file(&next);
+            return Err(e);
+        }
+        (self.file, self.length) = (file, length);
+        self.count(&kept);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/daemon/src/mails.rs
@@ -0,0 +1,308 @@
+//! The mails held and all that carries them: what the decisions answer is done here, by connections, deadlines and the
+//! mail journal. Nothing here decides; no answer of the decisions calls them again before it returns.
+
+use crate::conns::{ConnId, Conns};
+use crate::deadlines::Deadlines;
+use crate::discovery::Discovery;
+use crate::endpoints::Endpoints;
+use crate::mail_journal::{Ending, KeptConnect, KeptMail, MailJournal};
+use crate::notices::Notices;
+use crate::slots::{SlotId, Slots};
+use bellsill::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MailSlot(u64);
+
+impl SlotId for MailSlot {
+    fn from_raw(raw: u64) -> Self {
+        MailSlot(raw)
+    }
+    fn raw(self) -> u64 {
+        self.0
+    }
+}
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// The decisions asked to be woken.
+    Wake,
+    /// A connect has had its time.
+    Call(MailSlot),
+    /// A connection has stood so for too long: rising, idle, or without the answer to notices.
+    Conn(ConnId),
+    /// Discovery is to be connected to again.
+    Watch,
+    /// Notices that failed are to be sent again.
+    Notices,
+    /// Clients may be let in again.
+    Accept,
+    /// The next step of leaving.
+    Leave,
+    /// A line on how things stand.
+    Standing,
+}
+
+/// Where a mail stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Waiting,
+    /// Its connect waits for a connection to come up; nothing of it is written.
+    Rising,
+    /// Its first byte may be written.
+    Out,
+    Relayed,
+    Deferred(Nanos),
+    Bounced,
+    /// Over, by what its destination said.
+    Withdrawn,
+}
+
+impl Stage {
+    pub fn ended(self) -> bool {
+        !matches!(self, Stage::Waiting | Stage::Rising | Stage::Out)
+    }
+}
+
+/// A connect that has no outcome yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub no: ConnectNo,
+    pub endpoint: EndpointId,
+    pub conn: Option<ConnId>,
+    pub at: Nanos,
+    pub until: Nanos,
+    /// Its first byte may be written, and the journal says so.
+    pub begun: bool,
+}
+
+pub struct Held {
+    pub id: MailId,
+    pub tag: String,
+    pub body: Vec<u8>,
+    pub stage: Stage,
+    pub connects: u32,
+    pub call: Option<Call>,
+}
+
+/// Everything but the decisions.
+pub struct Hands {
+    pub now: Nanos,
+    pub conns: Conns,
+    pub deadlines: Deadlines<Due>,
+    pub mails: Slots<MailSlot, Held>,
+    pub slots: BTreeMap<MailId, MailSlot>,
+    pub endpoints: Endpoints,
+    pub discovery: Discovery,
+    pub notices: Notices,
+    pub journal: MailJournal,
+    /// Outcomes that the decisions have not been told.
+    pub ended: VecDeque<ConnectEnd>,
+    pub class_names: Vec<String>,
+    pub connect_timeout: Nanos,
+    pub keep_alive: Nanos,
+}
+
+impl Hands {
+    /// Takes a mail on: written to the journal before its client hears of it. False: there is no room.
+    pub fn take(&mut self, mail: KeptMail) -> bool {
+        if self.journal.taken(&mail).is_err() {
+            return false;
+        }
+        self.hold(mail);
+        true
+    }
+
+    /// Holds a mail that the journal knows.
+    pub fn hold(&mut self, mail: KeptMail) {
+        let connects = mail.connects.len() as u32;
+        let slot = self.mails.add(|_| Held {
+            id: mail.id,
+            tag: mail.tag,
+            body: mail.body,
+            stage: Stage::Waiting,
+            connects,
+            call: None,
+        });
+        self.slots.insert(mail.id, slot);
+    }
+
+    /// The only place where a mail changes its stage: keeps the journal, the notices owed and the tables true.
+    pub fn shift(&mut self, slot: MailSlot, to: Stage) {
+        let Some(mail) = self.mails.get_mut(slot) else { return };
+        let (id, from) = (mail.id, std::mem::replace(&mut mail.stage, to));
+        if to.ended() && !from.ended() {
+            let ending = match to {
+                Stage::Deferred(come_back) => Some(Ending::Deferred(come_back)),
+                Stage::Bounced => Some(Ending::Bounced),
+                _ => None,
+            };
+            mail.body = Vec::new();
+            if self.journal.ended(id, ending).is_err() {
+                log::error!("mail {:016x}: its end could not be written", id.0);
+            }
+            if let Some(ending) = ending {
+                self.notices.owe(id, ending);
+            }
+        }
+        if to.ended() && self.mails.get(slot).is_some_and(|m| m.call.is_none()) {
+            self.mails.remove(slot);
+            self.slots.remove(&id);
+        }
+    }
+
+    /// Ends a mail's connect: the decisions are told once they are not at work. The connection is the caller's.
+    pub fn end_call(&mut self, slot: MailSlot, outcome: Outcome, over: bool) {
+        let Some(mail) = self.mails.get_mut(slot) else { return };
+        let Some(call) = mail.call.take() else { return };
+        let (id, stage) = (mail.id, mail.stage);
+        self.deadlines.clear(Due::Call(slot));
+        let was_over = stage.ended();
+        if call.begun && !was_over && outcome != Outcome::Relayed {
+            // Lost, it would only make the mail one that may have run.
+            let _ = self.journal.outcome(id, outcome.may_have_run());
+        }
+        let over = over || was_over || outcome == Outcome::Relayed;
+        self.shift(
+            slot,
+            match outcome {
+                _ if was_over => stage,
+                Outcome::Relayed => Stage::Relayed,
+                _ if over => Stage::Withdrawn,
+                _ => Stage::Waiting,
+            },
+        );
+        let took = self.now - call.at;
+        self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took });
+    }
+
+    /// Breaks a connect off: its connection is closed, which tells the endpoint.
+    pub fn break_call(&mut self, slot: MailSlot, outcome: Outcome) {
+        let Some(call) = self.mails.get(slot).and_then(|m| m.call) else { return };
+        let written = call.conn.and_then(|c| self.conns.get(c)).is_some_and(|c| c.output.is_empty());
+        let outcome = match outcome {
+            // Not all of it was written: it never ran.
+            _ if !call.begun || !written => Outcome::Unconnected,
+            outcome => outcome,
+        };
+        if let Some(conn) = call.conn {
+            self.endpoints.calls.remove(&conn);
+            self.deadlines.clear(Due::Conn(conn));
+            self.conns.close(conn);
+        }
+        self.end_call(slot, outcome, false);
+    }
+
+    /// Writes a mail to a connection that is up, the journal first.
+    pub fn write_call(&mut self, slot: MailSlot, conn: ConnId) {
+        let (now, Some(mail)) = (self.now, self.mails.get_mut(slot)) else { return };
+        let Some(call) = &mut mail.call else { return };
+        let endpoint = &self.endpoints[call.endpoint];
+        let room = self.journal.connect(mail.id, now, &endpoint.zone);
+        let head = crate::http::call(
+            mail.id.0,
+            &mail.tag,
+            endpoint.addr,
+            call.until.saturating_sub(now),
+            mail.body.len(),
+        );
+        call.conn = Some(conn);
+        if room.is_err() {
+            self.pool(conn);
+            self.end_call(slot, Outcome::Unsent(false), false);
+            return;
+        }
+        call.begun = true;
+        if let Some(to) = self.conns.get_mut(conn) {
+            // The ring is made for the longest call and was empty.
+            to.output.push(head.as_bytes());
+            to.output.push(&mail.body);
+        }
+        self.endpoints.calls.insert(conn, slot);
+        self.shift(slot, Stage::Out);
+        if self.conns.flush(conn).is_err() {
+            self.break_call(slot, Outcome::Reset);
+        }
+    }
+}
+
+impl Outlet for Hands {
+    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+        let Some(&slot) = self.slots.get(&mail) else { return };
+        let Some(held) = self.mails.get_mut(slot) else { return };
+        let (at, until) = (self.now, self.now + time_out);
+        let no = ConnectNo(held.connects);
+        held.connects += 1;
+        held.call = Some(Call { no, endpoint, conn: None, at, until, begun: false });
+        self.deadlines.set(Due::Call(slot), until);
+        self.place(slot, endpoint);
+    }
+
+    fn defer(&mut self, mail: MailId, come_back: Nanos) {
+        self.give_up(mail, Stage::Deferred(come_back));
+    }
+
+    fn bounce(&mut self, mail: MailId) {
+        self.give_up(mail, Stage::Bounced);
+    }
+
+    fn call_off(&mut self, mail: MailId, no: ConnectNo) {
+        let Some(&slot) = self.slots.get(&mail) else { return };
+        if self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| c.no == no) {
+            self.break_call(slot, Outcome::CalledOff);
+        }
+    }
+
+    fn hang_up(&mut self, endpoint: EndpointId) {
+        for conn in std::mem::take(&mut self.endpoints[endpoint].idle) {
+            self.deadlines.clear(Due::Conn(conn));
+            self.conns.close(conn);
+        }
+    }
+
+    fn wake(&mut self, after: Nanos) {
+        self.deadlines.set(Due::Wake, self.now + after);
+    }
+
+    fn log(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+}
+
+impl Hands {
+    fn give_up(&mut self, mail: MailId, to: Stage) {
+        let Some(&slot) = self.slots.get(&mail) else { return };
+        self.shift(slot, to);
+        // Once its end is told nothing of it may go out: a connect that has not begun ends here.
+        if self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| !c.begun) {
+            self.break_call(slot, Outcome::Unconnected);
+        }
+    }
+
+    /// How many mails are owed their end.
+    pub fn held(&self) -> usize {
+        self.mails.iter().filter(|(_, mail)| !mail.stage.ended()).count()
+    }
+
+    /// The mail that the journal is to keep for this hand-in.
+    pub fn kept(&self, put: crate::resp::Put, body: Vec<u8>) -> KeptMail {
+        KeptMail {
+            id: MailId(put.id),
+            class: put.class,
+            key: put.key,
+            destination: put.destination,
+            due: self.now.saturating_add(put.lifetime_ms.saturating_mul(1_000_000)),
+            tag: put.tag,
+            body,
+            connects: vec![],
+        }
+    }
+}
+
+/// What the decisions are told of a mail's past: an outcome that nobody knows may mean that it ran.
+pub fn past(connects: &[KeptConnect], zones: &[String]) -> Past {
+    let ran = connects.iter().find(|c| c.may_have_run != Some(false));
+    let zone = |c: &KeptConnect| zones.iter().position(|z| *z == c.zone).unwrap_or(usize::MAX);
+    Past { connects: connects.len() as u32, ran: ran.map(|c| (c.at, ZoneId(zone(c)))) }
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,5 @@
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bellsill_daemon::command_line::run(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/daemon/src/notices.rs
@@ -0,0 +1,138 @@
+//! Notices: what the platform is owed for mails that were taken on and not relayed, until it has answered.
+
+use crate::conns::{ConnId, Role};
+use crate::http::{self, Body, Head};
+use crate::mail_journal::Ending;
+use crate::mails::{Due, Hands};
+use bellsill::interface::{MailId, Nanos};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// How long to wait for an answer, and before notices that failed are sent again.
+const ANSWER_WITHIN: Nanos = 1_000_000_000;
+const AGAIN: Nanos = 100_000_000;
+/// The most notices of one request, and the most that it can take.
+const MOST: usize = 256;
+const BYTES_MOST: usize = 64 * 1024;
+
+pub struct Notices {
+    addr: SocketAddr,
+    owed: BTreeMap<MailId, Ending>,
+    /// Those of the request that is out.
+    out: Vec<MailId>,
+    conn: Option<ConnId>,
+    /// After a failure, nothing is sent until then.
+    rests: bool,
+    head: Option<Head>,
+}
+
+impl Notices {
+    pub fn new(addr: SocketAddr) -> Notices {
+        Notices { addr, owed: BTreeMap::new(), out: vec![], conn: None, rests: false, head: None }
+    }
+
+    pub fn owe(&mut self, id: MailId, ending: Ending) {
+        self.owed.insert(id, ending);
+    }
+
+    pub fn owed(&self) -> usize {
+        self.owed.len()
+    }
+
+    fn lines(&self) -> String {
+        let line = |id: &MailId| match self.owed[id] {
+            Ending::Bounced => format!("{{\"ref\":\"{:016x}\",\"result\":\"dead\"}}\n", id.0),
+            Ending::Deferred(wait) => {
+                let ms = wait.div_ceil(1_000_000);
+                format!("{{\"ref\":\"{:016x}\",\"result\":\"bounced\",\"wait_ms\":{ms}}}\n", id.0)
+            }
+        };
+        self.out.iter().map(line).collect()
+    }
+}
+
+impl Hands {
+    /// Sends what is owed, one request at a time.
+    pub fn send_notices(&mut self) {
+        let n = &mut self.notices;
+        if n.owed.is_empty() || !n.out.is_empty() || n.rests {
+            return;
+        }
+        n.out = n.owed.keys().copied().take(MOST).collect();
+        let request = http::notices(n.addr, &n.lines());
+        let id = match n.conn {
+            Some(id) => id,
+            None => match self.conns.open(n.addr, Role::Notices, (http::HEAD_MOST, BYTES_MOST)) {
+                Ok(id) => id,
+                Err(_) => return self.notices_broke(),
+            },
+        };
+        self.notices.conn = Some(id);
+        if let Some(conn) = self.conns.get_mut(id) {
+            conn.output.push(request.as_bytes());
+        }
+        self.deadlines.set(Due::Conn(id), self.now + ANSWER_WITHIN);
+        if self.conns.flush(id).is_err() {
+            self.notices_broke();
+        }
+    }
+
+    /// The request failed, or an idle connection ended. What is owed stays so: a notice told twice does no harm.
+    pub fn notices_broke(&mut self) {
+        if let Some(id) = self.notices.conn.take() {
+            self.deadlines.clear(Due::Conn(id));
+            self.conns.close(id);
+        }
+        self.notices.head = None;
+        if !std::mem::take(&mut self.notices.out).is_empty() {
+            self.notices.rests = true;
+            self.deadlines.set(Due::Notices, self.now + AGAIN);
+        }
+    }
+
+    pub fn notices_rested(&mut self) {
+        self.notices.rests = false;
+    }
+
+    pub fn notices_ready(&mut self, id: ConnId) {
+        if self.notices_answer(id).is_err() {
+            self.notices_broke();
+        }
+    }
+
+    fn notices_answer(&mut self, id: ConnId) -> Result<(), http::Malformed> {
+        let broken = |_| http::Malformed;
+        if self.conns.get(id).is_some_and(|c| c.rising) && !self.conns.risen(id).map_err(broken)? {
+            return self.conns.arm(id).map_err(broken);
+        }
+        self.conns.fill(id).map_err(broken)?;
+        let Some(conn) = self.conns.get_mut(id) else { return Ok(()) };
+        if self.notices.head.is_none() {
+            self.notices.head = http::head(&mut conn.input)?;
+        }
+        if let Some(head) = &mut self.notices.head {
+            head.body.take(&mut conn.input, |_| {})?;
+            if head.body == Body::Done {
+                let (status, last) = (head.status, head.last);
+                self.notices.head = None;
+                if status != 204 && status != 200 {
+                    log::warn!("notices: {} were answered {status}", self.notices.out.len());
+                    return Err(http::Malformed);
+                }
+                self.deadlines.clear(Due::Conn(id));
+                for mail in std::mem::take(&mut self.notices.out) {
+                    self.notices.owed.remove(&mail);
+                    // Lost, it would be told once more after a restart.
+                    let _ = self.journal.told(mail);
+                }
+                if last {
+                    return Err(http::Malformed);
+                }
+            }
+        }
+        if self.conns.get(id).is_some_and(|c| c.ended) {
+            return Err(http::Malformed);
+        }
+        self.conns.flush(id).map_err(broken)
+    }
+}
--- /dev/null
+++ b/daemon/src/start.rs
@@ -0,0 +1,75 @@
+//! What a dispatcher is told at its start: the platform's file, and the folder that lasts.
+
+use bellsill_boot::{BadField, Boot, Reader};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub memory_bytes: u64,
+    pub sockets: usize,
+    pub disk_bytes: u64,
+    /// The list of endpoints as it was held last.
+    pub known: Value,
+    pub boot: Boot,
+    pub state: PathBuf,
+}
+
+/// Why a dispatcher cannot start.
+#[derive(Debug)]
+pub enum BadStart {
+    Field(BadField),
+    File(PathBuf, String),
+}
+
+impl From<BadField> for BadStart {
+    fn from(bad: BadField) -> Self {
+        BadStart::Field(bad)
+    }
+}
+
+impl std::fmt::Display for BadStart {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            BadStart::Field(bad) => write!(f, "configuration: {bad}"),
+            BadStart::File(path, why) => write!(f, "{}: {why}", path.display()),
+        }
+    }
+}
+
+/// Reads the platform's file. The folder is the one named here, or else the file's `state`.
+pub fn read(path: &Path, state: Option<PathBuf>) -> Result<Start, BadStart> {
+    let file = |why: String| BadStart::File(path.to_path_buf(), why);
+    let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
+    let json: Value = serde_json::from_str(&text).map_err(|e| file(format!("not JSON: {e}")))?;
+    Ok(parse(&json, state)?)
+}
+
+pub fn parse(json: &Value, state: Option<PathBuf>) -> Result<Start, BadField> {
+    let r = Reader { json, place: "" };
+    let address =
+        |field: &str| r.need(field, "an address such as 127.0.0.1:6379", |v| v.as_str()?.parse().ok());
+    let seed = r.need("seed", "16 hex digits", |v| u64::from_str_radix(v.as_str()?, 16).ok())?;
+    let settings = r.need("settings", "an object", |v| v.is_object().then_some(v))?;
+    let known = r.need("known", "a list of endpoints", |v| v.get("servers")?.is_array().then_some(v))?;
+    let state = match state {
+        Some(state) => state,
+        None => {
+            r.word("state").map_err(|_| r.bad("state", "a folder that lasts, here or by RELAY_STATE"))?.into()
+        }
+    };
+    Ok(Start {
+        name: r.word("name")?.to_string(),
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        memory_bytes: (r.num("limits.memory_mb")? * 1e6) as u64,
+        sockets: r.count("limits.sockets")? as usize,
+        disk_bytes: (r.num("limits.disk_mb")? * 1e6) as u64,
+        known: known.clone(),
+        boot: bellsill_boot::read(settings, seed, "settings")?,
+        state,
+    })
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -218,7 +218,8 @@
         if let Some(key) = key {
             self.keys.entry(key).or_default().mails.push_back(new.id);
         }
-        let mail = Mail { new: NewMail { key, ..new }, stage: Stage::Waiting, connects: 0, ran: None };
+        let Past { connects, ran } = new.past;
+        let mail = Mail { new: NewMail { key, ..new }, stage: Stage::Waiting, connects, ran };
         self.mails.insert(new.id, mail);
         self.go_on(now, out);
     }
@@ -258,8 +259,7 @@
     }
 
     pub fn woken(&mut self, now: Nanos, out: &mut impl Outlet) {
-        // A wake may come a little early; taken for a stale one it would never be asked for again, and the mails
-        // that it was for would be lost.
+        // A wake may come a little early; taken for a stale one its mails would be lost.
         if self.wake_at <= now + self.facts.tick {
             self.wake_at = NEVER;
         }
@@ -273,6 +273,12 @@
         self.go_on(now, out);
     }
 
+    /// Whether a connect whose connection came up only now may be written: no drain, wait or suspension began since.
+    pub fn still_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
+        let open = |&r: &usize| self.routes.entry[r].serving && self.routes.closed_until[r] <= now;
+        self.index.get(&endpoint).is_some_and(open)
+    }
+
     fn add_route(&mut self, entry: &ListEntry) -> usize {
         let apart = self.facts.apart.get(entry.kind.0).copied().unwrap_or(false);
         let deck = self.decks.entry(entry.destination).or_default();
@@ -776,21 +782,14 @@
     fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
         self.gate.push(gate);
         self.entry.push(ListEntry { serving: false, ..*entry });
-        self.suspect.push(false);
-        self.cold_since.push(None);
-        self.fail.push(0.0);
-        self.closed_until.push(0);
+        [&mut self.suspect, &mut self.struck].into_iter().for_each(|v| v.push(false));
+        [&mut self.cold_since, &mut self.refused_since].into_iter().for_each(|v| v.push(None));
+        [&mut self.fail, &mut self.traffic].into_iter().for_each(|v| v.push(0.0));
+        let times = [&mut self.closed_until, &mut self.sent_at, &mut self.traffic_at, &mut self.spoke_at];
+        times.into_iter().for_each(|v| v.push(0));
+        [&mut self.gap, &mut self.gate_sent_at, &mut self.refused_at].into_iter().for_each(|v| v.push(0));
         self.wait.push(FIRST_WAIT);
-        self.sent_at.push(0);
-        self.traffic.push(0.0);
-        self.traffic_at.push(0);
-        self.spoke_at.push(0);
         self.stretch.push(1.0);
-        self.struck.push(false);
-        self.gap.push(0);
-        self.gate_sent_at.push(0);
-        self.refused_at.push(0);
-        self.refused_since.push(None);
         self.entry.len() - 1
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -104,6 +104,15 @@
     pub destination: DestinationId,
     /// When its queue lifetime is up.
     pub due: Nanos,
+    pub past: Past,
+}
+
+/// What was done for a mail by a former process of this dispatcher.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Past {
+    pub connects: u32,
+    /// The first connect that may have run: when it was sent, and the zone it went to.
+    pub ran: Option<(Nanos, ZoneId)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -271,7 +271,7 @@
             self.o.order.entry(key).or_default().push(id);
         }
         let (class, destination) = (ClassId(class), DestinationId(dest));
-        let new = NewMail { id, class, key, destination, due };
+        let new = NewMail { id, class, key, destination, due, past: Past::default() };
         self.d.mail_taken(self.o.now, new, &mut self.o);
         id
     }
