--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -3,12 +3,37 @@
 use crate::conns::ConnId;
 use crate::event_loop::Daemon;
 use crate::mail_journal::KeptMail;
-use crate::mails::{Due, past};
+use crate::mails::{Due, Hands, past};
 use crate::resp;
 use bellsill::interface::*;
 
 /// How long no more clients are let in when there is no descriptor for them.
 const BACK_OFF: Nanos = 50_000_000;
+/// How long a client that was told something last may take to end its side.
+const LINGER: Nanos = 1_000_000_000;
+/// A client between requests for so long gives way to a new one when there is no place.
+const IDLE_LONG: Nanos = 10_000_000_000;
+
+impl Hands {
+    /// Sees to it that one more client can be let in. Idle connections to endpoints give way first, then a client that
+    /// asks nothing for long: idle clients alone would otherwise lock out all new ones. One that gives way just before
+    /// its next request sends it once more, as whenever a connection is closed between requests.
+    fn make_way(&mut self) -> bool {
+        if self.conns.clients_full() {
+            let now = self.now;
+            let idle = self.conns.idlest_client().filter(|(_, used)| now >= used + IDLE_LONG);
+            let Some((id, _)) = idle else { return false };
+            self.part_with(id);
+        }
+        !self.conns.full() || self.shed_idle()
+    }
+
+    /// Closes a client's connection.
+    pub fn part_with(&mut self, id: ConnId) {
+        self.deadlines.clear(Due::Conn(id));
+        self.conns.close(id);
+    }
+}
 
 impl Daemon {
     /// Lets clients in, while there are descriptors for them. Idle connections to endpoints give way first; then new
@@ -17,13 +42,22 @@
         let hands = &mut self.hands;
         let mut again = Ok(());
         loop {
-            if hands.conns.clients_full() && !hands.shed_idle() {
-                log::warn!("no descriptor for more clients, {} connections are open", hands.conns.len());
+            if !hands.make_way() {
+                // Said once, until there is place again.
+                if !std::mem::replace(&mut self.turned_away, true) {
+                    log::warn!("no place for more clients, {} connections are open", hands.conns.len());
+                }
                 return hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
             }
             match hands.conns.accept() {
-                Ok(Some(_)) => {}
+                Ok(Some(id)) => {
+                    self.turned_away = false;
+                    let now = hands.now;
+                    hands.conns.get_mut(id).into_iter().for_each(|c| c.used = now);
+                }
                 Ok(None) => break,
+                // It has gone again while it waited.
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
                     again = Err(e);
                     break;
@@ -37,9 +71,17 @@
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
-        let broken = self.hands.conns.fill(id).is_err();
-        if broken || !self.answer_commands(id) {
-            self.hands.conns.close(id);
+        let conns = &mut self.hands.conns;
+        let broken = conns.fill(id).is_err();
+        let Some(conn) = conns.get_mut(id) else { return };
+        conn.used = self.hands.now;
+        if conn.lingers {
+            conn.input.consume(conn.input.len());
+            if broken || conn.ended || conns.arm(id).is_err() {
+                self.hands.part_with(id);
+            }
+        } else if broken || !self.answer_commands(id) {
+            self.hands.part_with(id);
         }
     }
 
@@ -98,7 +140,16 @@
         if hands.conns.flush(id).is_err() {
             return false;
         }
-        hands.conns.get(id).is_none_or(|c| !(c.output.is_empty() && (c.last || c.ended)))
+        let Some(conn) = hands.conns.get(id) else { return true };
+        if !conn.output.is_empty() || !(conn.last || conn.ended) {
+            return true;
+        }
+        // Closed with input unread, a connection is reset, and the answer to what was wrong with it may be lost.
+        if !conn.ended && hands.conns.linger(id).and_then(|()| hands.conns.arm(id)).is_ok() {
+            hands.deadlines.set(Due::Conn(id), hands.now + LINGER);
+            return true;
+        }
+        false
     }
 
     /// A mail is handed in: refused, or journalled, answered and then taken to the decisions.
--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -2,10 +2,10 @@
 
 use crate::ring::Ring;
 use crate::slots::{SlotId, Slots};
-use bellsill::interface::EndpointId;
+use bellsill::interface::{EndpointId, Nanos};
 use polling::{Event, Events, Poller};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -27,6 +27,10 @@
 const SIGNALS: usize = usize::MAX - 2;
 /// Descriptors of the process that are no connections: standard streams, listener, poller, signals, journal.
 const OTHERS: usize = 16;
+/// The most that a client's rings hold in use.
+const CLIENT_BYTES: usize = crate::resp::COMMAND_MOST + 8 * 1024;
+/// A connection's number goes through the poller as a key.
+const _: () = assert!(usize::BITS == 64);
 
 /// Whom a connection is with.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,6 +52,10 @@
     pub last: bool,
     /// The other side sends no more.
     pub ended: bool,
+    /// Its last answer is written; what still comes is thrown away until the other side has read it and ended.
+    pub lingers: bool,
+    /// When it was used last.
+    pub used: Nanos,
     /// What the poller watches it for: reading, writing.
     armed: Option<(bool, bool)>,
 }
@@ -79,12 +87,14 @@
 }
 
 impl Conns {
-    /// `sockets` is the limit on descriptors, of which `reserve` are kept from clients.
+    /// `sockets` is the limit on descriptors, of which `reserve` are kept from clients; `client_bytes` is the memory
+    /// that clients' rings may take.
     pub fn new(
         listener: TcpListener,
         signals: UnixStream,
         sockets: usize,
         reserve: usize,
+        client_bytes: usize,
     ) -> io::Result<Conns> {
         let poller = Poller::new()?;
         listener.set_nonblocking(true)?;
@@ -99,7 +109,7 @@
             listener: Some(listener),
             signals,
             most,
-            most_clients: most.saturating_sub(reserve).max(most / 4),
+            most_clients: most.saturating_sub(reserve).max(most / 4).min(client_bytes / CLIENT_BYTES).max(1),
             clients: 0,
         })
     }
@@ -138,8 +148,20 @@
         self.slots.is_empty()
     }
 
+    /// Whether clients hold all that they may.
     pub fn clients_full(&self) -> bool {
-        self.clients >= self.most_clients || self.len() >= self.most
+        self.clients >= self.most_clients
+    }
+
+    /// Whether all descriptors are taken.
+    pub fn full(&self) -> bool {
+        self.len() >= self.most
+    }
+
+    /// The client that has been between requests for the longest time.
+    pub fn idlest_client(&self) -> Option<(ConnId, Nanos)> {
+        let idle = |c: &Conn| c.role == Role::Client && c.input.is_empty() && c.output.is_empty();
+        self.iter().filter(|(_, c)| idle(c)).map(|(id, c)| (id, c.used)).min_by_key(|(_, used)| *used)
     }
 
     /// The next client that waits to be let in.
@@ -197,6 +219,8 @@
             rising,
             last: false,
             ended: false,
+            lingers: false,
+            used: 0,
             armed: Some(armed),
         });
         let conn = self.slots.get(id).expect("just added");
@@ -229,18 +253,23 @@
         self.slots.iter()
     }
 
-    /// Whether a rising connection came up.
-    pub fn risen(&mut self, id: ConnId) -> io::Result<bool> {
-        let Some(conn) = self.slots.get_mut(id) else { return Ok(false) };
+    /// What came of a rising connection.
+    pub fn risen(&mut self, id: ConnId) -> io::Result<()> {
+        let Some(conn) = self.slots.get_mut(id) else { return Ok(()) };
         if let Some(e) = conn.stream.take_error()? {
             return Err(e);
         }
-        match conn.stream.peer_addr() {
-            Ok(_) => conn.rising = false,
-            Err(e) if e.kind() == io::ErrorKind::NotConnected => {}
-            Err(e) => return Err(e),
-        }
-        Ok(!conn.rising)
+        // It is told once the handshake is over: one that has no other side then has failed.
+        conn.stream.peer_addr()?;
+        conn.rising = false;
+        Ok(())
+    }
+
+    /// Ends the sending side, so that the other side reads all that was written before the end.
+    pub fn linger(&mut self, id: ConnId) -> io::Result<()> {
+        let Some(conn) = self.slots.get_mut(id) else { return Ok(()) };
+        conn.lingers = true;
+        conn.stream.shutdown(Shutdown::Write)
     }
 
     /// Reads what has come.
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -103,8 +103,7 @@
         let rising = hands.conns.get(id).is_some_and(|c| c.rising);
         if rising {
             match hands.conns.risen(id) {
-                Ok(true) => hands.deadlines.clear(Due::Conn(id)),
-                Ok(false) => {}
+                Ok(()) => hands.deadlines.clear(Due::Conn(id)),
                 Err(_) => return hands.watch_broke(id),
             }
         }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -64,16 +64,21 @@
 impl Hands {
     /// Finds a connection for a connect: an idle one, or a new one that has to come up.
     pub fn place(&mut self, slot: MailSlot, endpoint: EndpointId) {
-        if let Some(conn) = self.endpoints[endpoint].idle.pop() {
+        while let Some(conn) = self.endpoints[endpoint].idle.pop() {
             self.deadlines.clear(Due::Conn(conn));
-            self.write_call(slot, conn);
-            return;
+            // The other side may have closed it, and the poller not yet told: a call written then would be lost.
+            let good = self.conns.fill(conn).is_ok()
+                && self.conns.get(conn).is_some_and(|c| !c.ended && c.input.is_empty());
+            if good {
+                return self.write_call(slot, conn);
+            }
+            self.conns.close(conn);
         }
-        if self.conns.len() >= self.conns.most {
+        if self.conns.full() {
             self.shed_idle();
         }
         let bounds = (http::HEAD_MOST, COMMAND_MOST);
-        let opened = match self.conns.len() < self.conns.most {
+        let opened = match !self.conns.full() {
             true => self.conns.open(self.endpoints[endpoint].addr, Role::Endpoint(endpoint), bounds),
             false => Err(std::io::Error::other("no descriptor is left")),
         };
@@ -144,6 +149,9 @@
             (true, _) => {
                 self.endpoints.emptying.insert(id, head.body);
                 self.deadlines.set(Due::Conn(id), self.now + self.keep_alive);
+                if self.conns.arm(id).is_err() {
+                    self.drop_idle(id);
+                }
             }
             _ => self.conns.close(id),
         }
@@ -179,12 +187,7 @@
     fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
         let hands = &mut self.hands;
         match hands.conns.risen(id) {
-            Ok(false) => {
-                if hands.conns.arm(id).is_ok() {
-                    return;
-                }
-            }
-            Ok(true) => {
+            Ok(()) => {
                 hands.deadlines.clear(Due::Conn(id));
                 let endpoint = hands.mails.get(slot).and_then(|m| m.call).map(|c| c.endpoint);
                 if endpoint.is_some_and(|e| self.dispatcher.still_open(hands.now, e)) {
@@ -194,11 +197,9 @@
                     hands.pool(id);
                     hands.end_call(slot, Outcome::Unsent(false), false);
                 }
-                return;
             }
-            Err(_) => {}
+            Err(_) => hands.break_call(slot, Outcome::Unconnected),
         }
-        hands.break_call(slot, Outcome::Unconnected);
     }
 
     fn idle_ready(&mut self, id: ConnId) {
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -59,6 +59,8 @@
     pub hands: Hands,
     pub repeats: Vec<Repeat>,
     pub holding_room: usize,
+    /// There was no place for a client that came last.
+    pub turned_away: bool,
     clock: Clock,
     leaving: Leaving,
     told_to_leave: Nanos,
@@ -84,7 +86,13 @@
             holding_room: facts.holding_room,
             hands: Hands {
                 now,
-                conns: Conns::new(listener, signals, start.sockets, reserve)?,
+                conns: Conns::new(
+                    listener,
+                    signals,
+                    start.sockets,
+                    reserve,
+                    start.memory_bytes as usize / 2,
+                )?,
                 deadlines: Deadlines::default(),
                 mails: Slots::default(),
                 slots: BTreeMap::new(),
@@ -98,6 +106,7 @@
                 keep_alive: boot.keep_alive,
             },
             dispatcher: Dispatcher::boot(now, facts),
+            turned_away: false,
             clock,
             leaving: Leaving::No,
             told_to_leave: 0,
@@ -199,7 +208,8 @@
                 },
                 Some(Role::Watch) => hands.watch_broke(id),
                 Some(Role::Notices) => hands.notices_broke(),
-                _ => {}
+                Some(Role::Client) => hands.part_with(id),
+                None => {}
             },
             Due::Watch => hands.watch(),
             Due::Notices => hands.notices_rested(),
@@ -251,7 +261,7 @@
     fn part(&mut self, id: ConnId) {
         let between = |c: &crate::conns::Conn| c.input.is_empty() && c.output.is_empty();
         if self.leaving >= Leaving::Shut && self.hands.conns.get(id).is_some_and(between) {
-            self.hands.conns.close(id);
+            self.hands.part_with(id);
         }
     }
 
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -11,6 +11,7 @@
 /// How long to wait for an answer, and before notices that failed are sent again.
 const ANSWER_WITHIN: Nanos = 1_000_000_000;
 const AGAIN: Nanos = 100_000_000;
+const AGAIN_MOST: Nanos = 2_000_000_000;
 /// The most notices of one request, and the most that it can take.
 const MOST: usize = 256;
 const BYTES_MOST: usize = 64 * 1024;
@@ -21,14 +22,23 @@
     /// Those of the request that is out.
     out: Vec<MailId>,
     conn: Option<ConnId>,
-    /// After a failure, nothing is sent until then.
+    /// After a failure nothing is sent for a while, longer each time.
     rests: bool,
+    again: Nanos,
     head: Option<Head>,
 }
 
 impl Notices {
     pub fn new(addr: SocketAddr) -> Notices {
-        Notices { addr, owed: BTreeMap::new(), out: vec![], conn: None, rests: false, head: None }
+        Notices {
+            addr,
+            owed: BTreeMap::new(),
+            out: vec![],
+            conn: None,
+            rests: false,
+            again: AGAIN,
+            head: None,
+        }
     }
 
     pub fn owe(&mut self, id: MailId, ending: Ending) {
@@ -86,7 +96,8 @@
         self.notices.head = None;
         if !std::mem::take(&mut self.notices.out).is_empty() {
             self.notices.rests = true;
-            self.deadlines.set(Due::Notices, self.now + AGAIN);
+            self.deadlines.set(Due::Notices, self.now + self.notices.again);
+            self.notices.again = (self.notices.again * 2).min(AGAIN_MOST);
         }
     }
 
@@ -102,8 +113,8 @@
 
     fn notices_answer(&mut self, id: ConnId) -> Result<(), http::Malformed> {
         let broken = |_| http::Malformed;
-        if self.conns.get(id).is_some_and(|c| c.rising) && !self.conns.risen(id).map_err(broken)? {
-            return self.conns.arm(id).map_err(broken);
+        if self.conns.get(id).is_some_and(|c| c.rising) {
+            self.conns.risen(id).map_err(broken)?;
         }
         self.conns.fill(id).map_err(broken)?;
         let Some(conn) = self.conns.get_mut(id) else { return Ok(()) };
@@ -120,6 +131,7 @@
                     return Err(http::Malformed);
                 }
                 self.deadlines.clear(Due::Conn(id));
+                self.notices.again = AGAIN;
                 for mail in std::mem::take(&mut self.notices.out) {
                     self.notices.owed.remove(&mail);
                     // Lost, it would be told once more after a restart.
--- a/daemon/src/ring.rs
+++ b/daemon/src/ring.rs
@@ -28,11 +28,6 @@
         self.bound.saturating_sub(self.bytes.len())
     }
 
-    /// The memory that it holds.
-    pub fn held(&self) -> usize {
-        self.bytes.capacity()
-    }
-
     /// Takes all of the bytes, or none where they pass the bound.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         let fits = bytes.len() <= self.room();
@@ -49,7 +44,11 @@
             let most = self.room().min(part.len());
             match from.read(&mut part[..most]) {
                 Ok(0) => return Ok(true),
-                Ok(n) => self.bytes.extend(&part[..n]),
+                Ok(n) => {
+                    // Doubling would hold twice the bound for each connection.
+                    self.bytes.reserve_exact(n);
+                    self.bytes.extend(&part[..n]);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
--- /dev/null
+++ b/daemon/tests/parts.rs
@@ -0,0 +1,289 @@
+//! The parts of the daemon, each against a plain model: random input in random pieces.
+
+use bellsill::interface::{MailId, Nanos};
+use bellsill_daemon::deadlines::Deadlines;
+use bellsill_daemon::http::{self, Body};
+use bellsill_daemon::mail_journal::{Ending, Kept, KeptConnect, KeptMail, MailJournal, NoRoom};
+use bellsill_daemon::resp;
+use bellsill_daemon::ring::Ring;
+use bellsill_daemon::slots::{SlotId, Slots};
+use quickcheck::{Gen, QuickCheck, Testable};
+use std::io::Write;
+use std::path::PathBuf;
+
+fn check(tests: u64, property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(200, 20_261_201)).tests(tests).quickcheck(property);
+}
+
+/// A folder that is gone when the test is over.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+    fn size(&self) -> u64 {
+        let files = std::fs::read_dir(&self.0).unwrap().flatten();
+        files.map(|f| f.metadata().unwrap().len().div_ceil(512) * 512).sum()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn a_ring_keeps_order_and_bound() {
+    fn property(steps: Vec<(bool, Vec<u8>)>) -> bool {
+        let (mut ring, mut model) = (Ring::new(300), Vec::<u8>::new());
+        steps.into_iter().all(|(push, bytes)| {
+            if push {
+                let fits = model.len() + bytes.len() <= 300;
+                assert_eq!(ring.push(&bytes), fits);
+                model.extend(bytes.iter().filter(|_| fits));
+            } else {
+                ring.consume(bytes.len());
+                model.drain(..bytes.len().min(model.len()));
+            }
+            ring.bytes() == model && ring.room() == 300 - model.len()
+        })
+    }
+    check(200, property as fn(Vec<(bool, Vec<u8>)>) -> bool);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Id(u64);
+
+impl SlotId for Id {
+    fn from_raw(raw: u64) -> Self {
+        Id(raw)
+    }
+    fn raw(self) -> u64 {
+        self.0
+    }
+}
+
+#[test]
+fn a_number_of_a_slot_given_back_hits_nothing() {
+    fn property(steps: Vec<(bool, usize)>) -> bool {
+        let (mut slots, mut open, mut stale) = (Slots::<Id, usize>::default(), Vec::new(), Vec::new());
+        steps.into_iter().all(|(add, n)| {
+            if add || open.is_empty() {
+                open.push((slots.add(|_| n), n));
+            } else {
+                let (id, n) = open.swap_remove(n % open.len());
+                assert_eq!(slots.remove(id), Some(n));
+                stale.push(id);
+            }
+            open.iter().all(|(id, n)| slots.get(*id) == Some(n))
+                && stale.iter().all(|id| slots.get(*id).is_none())
+                && slots.len() == open.len()
+        })
+    }
+    check(200, property as fn(Vec<(bool, usize)>) -> bool);
+}
+
+#[test]
+fn deadlines_come_in_order_each_once_at_the_time_set_last() {
+    fn property(sets: Vec<(u8, u16)>) -> bool {
+        let (mut deadlines, mut model) = (Deadlines::default(), std::collections::BTreeMap::new());
+        for &(what, at) in &sets {
+            deadlines.set(what, Nanos::from(at));
+            model.insert(what, Nanos::from(at));
+            if at % 7 == 0 {
+                deadlines.clear(what);
+                model.remove(&what);
+            }
+        }
+        let mut expected: Vec<(Nanos, u8)> = model.into_iter().map(|(what, at)| (at, what)).collect();
+        expected.sort();
+        expected.into_iter().all(|(at, what)| {
+            deadlines.next() == Some(at)
+                && (at == 0 || deadlines.take_due(at - 1).is_none())
+                && deadlines.take_due(at) == Some(what)
+        }) && deadlines.next().is_none()
+    }
+    check(200, property as fn(Vec<(u8, u16)>) -> bool);
+}
+
+#[test]
+fn commands_read_the_same_however_they_are_split() {
+    fn property(words: Vec<Vec<u8>>, cut: usize, behind: Vec<u8>) -> bool {
+        let words = &words[..words.len().min(64)];
+        let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
+        for word in words {
+            bytes.extend(format!("${}\r\n", word.len()).bytes().chain(word.iter().copied()).chain(*b"\r\n"));
+        }
+        let whole = bytes.len();
+        assert_eq!(resp::command(&bytes[..cut % whole]), Ok(None));
+        bytes.extend(behind);
+        let (ranges, taken) = resp::command(&bytes).unwrap().unwrap();
+        taken == whole && ranges.iter().map(|r| &bytes[r.clone()]).eq(words.iter().map(Vec::as_slice))
+    }
+    check(200, property as fn(Vec<Vec<u8>>, usize, Vec<u8>) -> bool);
+}
+
+#[test]
+fn no_bytes_at_all_upset_the_readers() {
+    fn property(bytes: Vec<u8>, mut like: Vec<u8>) -> bool {
+        // Alike but for a few bytes, so that the readers get past the beginning.
+        for (i, pattern) in b"*2\r\n$3\r\nabc\r\n$1\r\n".iter().cycle().take(like.len()).enumerate() {
+            if !like[i].is_multiple_of(8) {
+                like[i] = *pattern;
+            }
+        }
+        for bytes in [&bytes, &like] {
+            let _ = resp::command(bytes);
+            let mut ring = Ring::new(64 * 1024);
+            ring.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
+            ring.push(bytes);
+            if let Ok(Some(mut head)) = http::head(&mut ring) {
+                let _ = head.body.take(&mut ring, |_| {});
+            }
+            let mut ring = Ring::new(64 * 1024);
+            ring.push(bytes);
+            let _ = Body::Chunked(0).take(&mut ring, |_| {});
+        }
+        true
+    }
+    check(500, property as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn bodies_read_the_same_however_they_are_cut_and_split() {
+    fn property(parts: Vec<Vec<u8>>, pieces: Vec<u8>, chunked: bool) -> bool {
+        let content: Vec<u8> = parts.concat();
+        let mut wire = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n".to_vec();
+        if chunked {
+            wire.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+            for part in parts.iter().filter(|p| !p.is_empty()) {
+                wire.extend(
+                    format!("{:x};x=y\r\n", part.len()).bytes().chain(part.iter().copied()).chain(*b"\r\n"),
+                );
+            }
+            wire.extend(b"0\r\nTrailer: t\r\n\r\n");
+        } else {
+            wire.extend(format!("Content-Length: {}\r\n\r\n", content.len()).bytes());
+            wire.extend(&content);
+        }
+        wire.extend(b"NEXT");
+        let (mut ring, mut head, mut read) = (Ring::new(1 << 20), None, Vec::<u8>::new());
+        let mut sizes = pieces.iter().cycle();
+        let mut rest = wire.as_slice();
+        while !rest.is_empty() {
+            let n = sizes.next().map_or(1, |n| usize::from(*n) + 1).min(rest.len());
+            ring.push(&rest[..n]);
+            rest = &rest[n..];
+            if head.is_none() {
+                head = http::head(&mut ring).unwrap();
+            }
+            if let Some(head) = &mut head {
+                head.body.take(&mut ring, |bytes| read.extend(bytes)).unwrap();
+            }
+        }
+        let head = head.unwrap();
+        head.body == Body::Done && !head.last && read == content && ring.bytes() == b"NEXT"
+    }
+    check(200, property as fn(Vec<Vec<u8>>, Vec<u8>, bool) -> bool);
+}
+
+#[test]
+fn a_told_wait_is_read_with_its_decimals() {
+    let mut ring = Ring::new(1000);
+    ring.push(b"HTTP/1.1 429 Busy\r\nretry-after: 0.25\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    let head = http::head(&mut ring).unwrap().unwrap();
+    assert_eq!((head.status, head.wait, head.last, head.over_slots), (429, 250_000_000, true, false));
+}
+
+/// Does one step on the journal and on what it should hold.
+fn step(
+    journal: &mut MailJournal,
+    model: &mut Kept,
+    (what, whom, size): (u8, u8, u16),
+) -> Result<(), NoRoom> {
+    let id = MailId(u64::from(whom % 16));
+    let place = model.mails.iter().position(|m| m.id == id);
+    match (what % 6, place) {
+        (0 | 1, None) if !model.owed.iter().any(|o| o.0 == id) => {
+            let mail = KeptMail {
+                id,
+                class: "notice".into(),
+                key: u64::from(what),
+                destination: u64::from(size),
+                due: Nanos::from(size) * 1_000,
+                tag: format!("t{whom}"),
+                body: vec![what; usize::from(size % 4096)],
+                connects: vec![],
+            };
+            journal.taken(&mail)?;
+            model.mails.push(mail);
+        }
+        (2, Some(place)) => {
+            journal.connect(id, Nanos::from(size), "north")?;
+            let connect = KeptConnect { at: Nanos::from(size), zone: "north".into(), may_have_run: None };
+            model.mails[place].connects.push(connect);
+        }
+        (3, Some(place)) if !model.mails[place].connects.is_empty() => {
+            journal.outcome(id, size % 2 == 0)?;
+            model.mails[place].connects.last_mut().unwrap().may_have_run = Some(size % 2 == 0);
+        }
+        (4, Some(place)) => {
+            let ending =
+                [None, Some(Ending::Bounced), Some(Ending::Deferred(Nanos::from(size)))][size as usize % 3];
+            journal.ended(id, ending)?;
+            model.mails.remove(place);
+            model.owed.extend(ending.map(|e| (id, e)));
+        }
+        (5, _) if model.owed.iter().any(|o| o.0 == id) => {
+            journal.told(id)?;
+            model.owed.retain(|o| o.0 != id);
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+#[test]
+fn a_journal_opened_again_holds_what_was_done_and_keeps_its_room() {
+    fn property(steps: Vec<(u8, u8, u16)>, torn: Vec<u8>) -> bool {
+        const ROOM: u64 = 60_000;
+        let folder = Folder::new("journal");
+        let (mut journal, kept) = MailJournal::open(&folder.0, ROOM).unwrap();
+        let mut model = kept;
+        // Many times over, so that the file is written anew again and again.
+        for (i, one) in steps.iter().cycle().take(steps.len() * 10).enumerate() {
+            // A journal that is full refuses mails and stays as it was; it must not refuse what ends them.
+            let refused = step(&mut journal, &mut model, *one).is_err();
+            assert!(!refused || one.0 % 6 < 3, "step {one:?} refused");
+            assert!(folder.size() <= ROOM, "{} bytes of {ROOM}", folder.size());
+            if i % 50 == 49 {
+                drop(journal);
+                let path = folder.0.join("mails");
+                std::fs::OpenOptions::new().append(true).open(path).unwrap().write_all(&torn).unwrap();
+                let (opened, mut kept) = MailJournal::open(&folder.0, ROOM).unwrap();
+                kept.owed.sort_by_key(|o| o.0);
+                model.owed.sort_by_key(|o| o.0);
+                assert_eq!(kept, model);
+                journal = opened;
+            }
+        }
+        true
+    }
+    check(20, property as fn(Vec<(u8, u8, u16)>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_journal_left_half_written_anew_is_the_old_one() {
+    let folder = Folder::new("anew");
+    let (mut journal, mut model) = MailJournal::open(&folder.0, 60_000).unwrap();
+    step(&mut journal, &mut model, (0, 1, 100)).unwrap();
+    drop(journal);
+    std::fs::write(folder.0.join("mails.next"), b"half").unwrap();
+    let (_, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
+    assert!(kept == model && !folder.0.join("mails.next").exists());
+}
--- /dev/null
+++ b/daemon/tests/service.rs
@@ -0,0 +1,586 @@
+//! The program itself, started and spoken to over loopback sockets; endpoints and the platform are stand-ins of our own.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Waits for something to become true. It may take as long as it likes; only what never comes fails.
+fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !done() {
+        assert!(from.elapsed() < Duration::from_secs(60), "never came: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Reads the head and body of one HTTP request.
+fn request(from: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            text => lines.push(text.to_string()),
+        }
+    }
+    let length =
+        lines.iter().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |n| n.parse().unwrap());
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((lines, body))
+}
+
+/// A listener on a free port, with a thread for each connection.
+fn stand_in(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    addr
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    head: Vec<String>,
+    body: String,
+    /// Counts the connections of its endpoint.
+    conn: u64,
+}
+
+impl Call {
+    fn header(&self, name: &str) -> &str {
+        self.head.iter().find_map(|l| l.strip_prefix(name)?.strip_prefix(": ")).unwrap_or("")
+    }
+}
+
+/// What an endpoint does with a call.
+#[derive(Clone, Copy, PartialEq)]
+enum Does {
+    /// Answers with this: status line without its version, further headers.
+    Says(&'static str),
+    /// Answers, then closes the connection.
+    SaysLast(&'static str),
+    Hangs,
+    Breaks,
+    Babbles,
+}
+
+#[derive(Clone)]
+struct Endpoint {
+    addr: String,
+    calls: Arc<Mutex<Vec<Call>>>,
+    does: Arc<Mutex<Does>>,
+}
+
+impl Endpoint {
+    fn start(does: Does) -> Endpoint {
+        let (calls, does) = (Arc::new(Mutex::new(vec![])), Arc::new(Mutex::new(does)));
+        let (seen, way, conns) = (Arc::clone(&calls), Arc::clone(&does), Arc::new(AtomicU64::new(0)));
+        let addr = stand_in(move |stream| {
+            let conn = conns.fetch_add(1, Ordering::SeqCst);
+            let mut to = stream.try_clone().unwrap();
+            let mut from = BufReader::new(stream);
+            while let Some((head, body)) = request(&mut from) {
+                let body = String::from_utf8(body).unwrap();
+                let does = *way.lock().unwrap();
+                seen.lock().unwrap().push(Call { head, body, conn });
+                let done = match does {
+                    Does::Says(answer) | Does::SaysLast(answer) => {
+                        write!(to, "HTTP/1.1 {answer}\r\nContent-Length: 2\r\n\r\nok")
+                    }
+                    Does::Hangs => Ok(()),
+                    Does::Breaks => return,
+                    Does::Babbles => write!(to, "no HTTP at all\r\n\r\n"),
+                };
+                if done.is_err() || matches!(does, Does::SaysLast(_)) {
+                    return;
+                }
+            }
+        });
+        Endpoint { addr, calls, does }
+    }
+    fn does(&self, does: Does) {
+        *self.does.lock().unwrap() = does;
+    }
+    fn calls(&self) -> Vec<Call> {
+        self.calls.lock().unwrap().clone()
+    }
+    fn entry(&self, id: &str, cell: u64, state: &str) -> Value {
+        json!({"id": id, "addr": self.addr, "zone": "north", "kind": "shops", "cell": cell, "state": state})
+    }
+}
+
+/// Discovery and the place for notices.
+#[derive(Clone)]
+struct Platform {
+    addr: String,
+    watches: Arc<Mutex<Vec<TcpStream>>>,
+    since: Arc<Mutex<Vec<String>>>,
+    notices: Arc<Mutex<Vec<Value>>>,
+    deaf: Arc<AtomicBool>,
+}
+
+impl Platform {
+    fn start() -> Platform {
+        let watches: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let since: Arc<Mutex<Vec<String>>> = Arc::default();
+        let notices: Arc<Mutex<Vec<Value>>> = Arc::default();
+        let deaf = Arc::new(AtomicBool::new(false));
+        let (w, s, n, d) =
+            (Arc::clone(&watches), Arc::clone(&since), Arc::clone(&notices), Arc::clone(&deaf));
+        let addr = stand_in(move |stream| {
+            let mut to = stream.try_clone().unwrap();
+            let mut from = BufReader::new(stream);
+            while let Some((head, body)) = request(&mut from) {
+                if head[0].starts_with("GET /api/targets?follow=1&since=") {
+                    to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+                    s.lock().unwrap().push(head[0].clone());
+                    w.lock().unwrap().push(to.try_clone().unwrap());
+                    continue;
+                }
+                assert_eq!(head[0], "POST /v2/finals HTTP/1.1");
+                if d.load(Ordering::SeqCst) {
+                    return;
+                }
+                let lines = String::from_utf8(body).unwrap();
+                n.lock().unwrap().extend(lines.lines().map(|l| serde_json::from_str::<Value>(l).unwrap()));
+                to.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").unwrap();
+            }
+        });
+        Platform { addr, watches, since, notices, deaf }
+    }
+    /// Tells all watches, each byte in a chunk of its own.
+    fn tell(&self, text: &str) {
+        wait_for("a watch", || !self.watches.lock().unwrap().is_empty());
+        for watch in self.watches.lock().unwrap().iter_mut() {
+            for byte in text.bytes() {
+                watch.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']).unwrap();
+            }
+        }
+    }
+    fn notices(&self) -> Vec<Value> {
+        self.notices.lock().unwrap().clone()
+    }
+    fn notice(&self, id: &str) -> Option<Value> {
+        self.notices().into_iter().find(|n| n["ref"] == id)
+    }
+}
+
+/// A dispatcher's process, its folder and its world.
+struct Rig {
+    folder: PathBuf,
+    listen: String,
+    json: Value,
+    platform: Platform,
+    child: Option<Child>,
+}
+
+static RIGS: AtomicU64 = AtomicU64::new(0);
+static IDS: AtomicU64 = AtomicU64::new(1);
+
+impl Rig {
+    fn new(endpoints: &[(&Endpoint, u64)]) -> Rig {
+        let (n, pid) = (RIGS.fetch_add(1, Ordering::SeqCst), std::process::id());
+        // An address of its own, so that nothing else is ever given its port.
+        let listen = format!("127.{}.{}.{}:6379", 16 + pid % 200, pid / 200 % 250, n + 1);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("rig-{pid}-{n}"));
+        std::fs::create_dir_all(folder.join("state")).unwrap();
+        let mut json: Value = serde_json::from_str(include_str!("../../examples/config.json")).unwrap();
+        let platform = Platform::start();
+        json["listen"] = listen.clone().into();
+        json["discovery"] = platform.addr.clone().into();
+        let entries = endpoints.iter().enumerate();
+        json["known"]["servers"] =
+            entries.map(|(i, (e, cell))| e.entry(&format!("e{i}"), *cell, "up")).collect::<Vec<_>>().into();
+        Rig { folder, listen, json, platform, child: None }
+    }
+
+    fn command(&self, what: &str) -> Command {
+        std::fs::write(self.folder.join("config.json"), self.json.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bellsill"));
+        command.env_remove("RELAY_STATE").arg(what).arg("--config").arg(self.folder.join("config.json"));
+        command.arg("--state").arg(self.folder.join("state")).arg("--log").arg("warn");
+        command
+    }
+
+    fn start(&mut self) {
+        self.child = Some(self.command("serve").spawn().unwrap());
+        wait_for("a dispatcher that is ready", || {
+            let Ok(mut stream) = TcpStream::connect(&self.listen) else { return false };
+            stream.write_all(b"PING\r\n").is_ok()
+                && BufReader::new(stream).lines().next().is_some_and(|l| l.is_ok_and(|l| l == "+PONG"))
+        });
+    }
+
+    fn kill(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    fn terminate(&self) {
+        let pid = rustix::process::Pid::from_child(self.child.as_ref().unwrap());
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    }
+
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(&self.listen).unwrap();
+        Client { from: BufReader::new(stream.try_clone().unwrap()), to: stream }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        if self.child.is_some() {
+            self.kill();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+struct Client {
+    to: TcpStream,
+    from: BufReader<TcpStream>,
+}
+
+fn put(id: &str, fields: &str, body: &str) -> Vec<u8> {
+    let words = ["MSG.PUT", "0000000000000000", id, fields, body];
+    let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    format!("*5\r\n{words}").into_bytes()
+}
+
+fn fresh() -> String {
+    format!("{:016x}", 0xb0_0000 + IDS.fetch_add(1, Ordering::SeqCst))
+}
+
+impl Client {
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.from.read_line(&mut line).unwrap();
+        line.trim_end().to_string()
+    }
+    fn says(&mut self, bytes: &[u8]) -> String {
+        self.to.write_all(bytes).unwrap();
+        self.line()
+    }
+    /// Hands in a mail that is taken on.
+    fn mail(&mut self, class: &str, cell: u64, ms: u64, body: &str) -> String {
+        let id = fresh();
+        let answer = self.says(&put(&id, &format!("c={class},d={ms},k=k{id},dest={cell}"), body));
+        assert_eq!(answer, "+OK");
+        id
+    }
+}
+
+const OK: Does = Does::Says("200 OK");
+
+#[test]
+fn split_and_pipelined_input_is_answered_in_order_and_relayed() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let (mut client, a, b) = (rig.client(), fresh(), fresh());
+    let mut input = b"PING\r\n".to_vec();
+    input.extend(put(&a, "c=notice,d=8000,k=tag-a,dest=7,new=1", "one\r\ntwo"));
+    input.extend(put(&b, "c=payment,d=8000,dest=7", ""));
+    input.extend(b"*1\r\n$4\r\nPING\r\n");
+    for byte in input {
+        client.to.write_all(&[byte]).unwrap();
+    }
+    assert_eq!(
+        [client.line(), client.line(), client.line(), client.line()],
+        ["+PONG", "+OK", "+OK", "+PONG"]
+    );
+    wait_for("both mails", || e.calls().len() == 2);
+    let calls = e.calls();
+    let call = calls.iter().find(|c| c.header("X-Trace-Id") == a).unwrap();
+    assert_eq!((call.head[0].as_str(), call.body.as_str()), ("POST /events HTTP/1.1", "one\r\ntwo"));
+    assert_eq!(call.header("Idempotency-Key"), "tag-a");
+    assert!(call.header("X-Expires-In").ends_with('u'));
+    let other = calls.iter().find(|c| c.header("X-Trace-Id") == b).unwrap();
+    assert_eq!((other.header("Idempotency-Key"), other.body.as_str()), ("", ""));
+    // One that is handed in twice is held or over; it is not an error, and while held not a second mail.
+    client.mail("notice", 7, 8000, "another");
+    wait_for("an idle connection used again", || e.calls().iter().any(|c| c.body == "another"));
+    assert!(e.calls().iter().all(|c| c.conn < 2));
+}
+
+#[test]
+fn bad_input_is_answered_and_stops_nothing() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let id = fresh();
+    for (fields, named) in [
+        ("d=1,k=a,dest=7", "c:"),
+        ("c=notice,k=a,dest=7", "d:"),
+        ("c=notice,d=x,k=a,dest=7", "d:"),
+        ("c=notice,d=5,k=a", "dest:"),
+        ("c=other,d=5,k=a,dest=7", "c:"),
+        ("c=notice,d=5,dest=7", "k:"),
+        ("c=notice,d=5,k=a\r\nX: y,dest=7", "k:"),
+    ] {
+        let answer = client.says(&put(&id, fields, "x"));
+        assert!(answer.starts_with(&format!("-ERR {named}")), "{fields:?}: {answer}");
+    }
+    assert!(client.says(&put("xyz", "c=notice,d=5,k=a,dest=7", "x")).starts_with("-ERR id:"));
+    assert!(client.says(b"*1\r\n$7\r\nMSG.PUT\r\n").starts_with("-ERR wrong number"));
+    assert!(client.says(b"*1\r\n$4\r\nNONE\r\n").starts_with("-ERR unknown command"));
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    let long = "x".repeat(70_000);
+    for malformed in ["*1\r\n+PING\r\n", "*x\r\n", "*1\r\n$-2\r\n", "\u{1}\u{2}\r\n", &put_text(&id, &long)] {
+        let mut other = rig.client();
+        assert!(other.says(malformed.as_bytes()).starts_with("-ERR Protocol error"), "{malformed:.20?}");
+        assert_eq!(other.line(), "", "closed");
+    }
+    client.mail("notice", 7, 8000, "still served");
+    wait_for("the mail", || e.calls().len() == 1);
+}
+
+fn put_text(id: &str, body: &str) -> String {
+    String::from_utf8(put(id, "c=notice,d=8000,k=a,dest=7", body)).unwrap()
+}
+
+#[test]
+fn a_bad_configuration_ends_with_status_2_and_names_the_field() {
+    for (place, value, named) in [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/limits/sockets", json!("many"), "limits.sockets"),
+        ("/settings/services/0/repeat", json!("sometimes"), "settings.services.repeat"),
+        ("/settings/guarantees/ramp-time-ns", json!(null), "settings.guarantees.ramp-time-ns"),
+    ] {
+        let mut rig = Rig::new(&[]);
+        assert!(rig.command("check").output().unwrap().status.success());
+        *rig.json.pointer_mut(place).unwrap() = value;
+        for what in ["serve", "check"] {
+            let end = rig.command(what).stdout(Stdio::piped()).output().unwrap();
+            let text = String::from_utf8(end.stderr).unwrap();
+            assert!(end.status.code() == Some(2) && text.contains(&format!("field {named}:")), "{text}");
+        }
+    }
+    let end = Command::new(env!("CARGO_BIN_EXE_bellsill")).arg("sing").output().unwrap();
+    assert_eq!(end.status.code(), Some(2));
+    let end = Command::new(env!("CARGO_BIN_EXE_bellsill")).arg("version").output().unwrap();
+    assert!(end.status.success() && String::from_utf8(end.stdout).unwrap().starts_with("bellsill "));
+}
+
+#[test]
+fn after_sigkill_each_mail_goes_on_as_its_class_allows() {
+    let (hung, shut) =
+        (Endpoint::start(Does::Hangs), Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1000")));
+    let mut rig = Rig::new(&[(&hung, 7), (&shut, 8)]);
+    rig.start();
+    let mut client = rig.client();
+    let (tagged, once) = (client.mail("notice", 7, 19_000, "t"), client.mail("payment", 7, 19_000, "o"));
+    wait_for("both calls", || hung.calls().len() == 2);
+    let waits = client.mail("payment", 8, 19_000, "w");
+    wait_for("a refusal", || shut.calls().len() == 1);
+    // The told wait is known once a mail to another destination has gone and come.
+    rig.kill();
+    hung.does(OK);
+    shut.does(OK);
+    rig.start();
+    wait_for("the tagged mail again", || hung.calls().iter().filter(|c| c.body == "t").count() == 2);
+    wait_for("the mail that never ran", || shut.calls().iter().filter(|c| c.body == "w").count() == 2);
+    wait_for("the end of the other", || rig.platform.notice(&once).is_some());
+    assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    assert_eq!(hung.calls().iter().filter(|c| c.body == "o").count(), 1, "it may have run");
+    assert_eq!(rig.platform.notices().len(), 1, "{tagged} and {waits} are relayed");
+    // Relayed mails are over: the next process does nothing for them.
+    rig.kill();
+    rig.start();
+    let last = rig.client().mail("notice", 7, 8000, "last");
+    wait_for("a later mail", || hung.calls().iter().any(|c| c.header("X-Trace-Id") == last));
+    assert_eq!((hung.calls().len(), shut.calls().len(), rig.platform.notices().len()), (4, 2, 1));
+}
+
+#[test]
+fn a_notice_is_owed_until_the_platform_has_it() {
+    let e = Endpoint::start(Does::Says("500 Oops"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.platform.deaf.store(true, Ordering::SeqCst);
+    rig.start();
+    let mut client = rig.client();
+    let once = client.mail("payment", 7, 8000, "may have run");
+    wait_for("the call", || e.calls().len() == 1);
+    let unknown = client.mail("notice", 99, 100, "nowhere to go");
+    rig.kill();
+    rig.start();
+    assert_eq!(rig.platform.notices().len(), 0);
+    rig.platform.deaf.store(false, Ordering::SeqCst);
+    wait_for("both notices", || rig.platform.notices().len() >= 2);
+    assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    let bounced = rig.platform.notice(&unknown).unwrap();
+    assert!(bounced["result"] == "bounced" && bounced["wait_ms"].is_u64());
+    assert_eq!(e.calls().len(), 1);
+}
+
+#[test]
+fn on_sigterm_mails_held_go_out_and_clients_are_parted_with_between_requests() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 0.7"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let held = client.mail("notice", 7, 20_000, "held");
+    wait_for("a refusal", || e.calls().len() == 1);
+    e.does(OK);
+    rig.terminate();
+    // New clients may still come for a moment, and old ones ask on; what is not answered was not read.
+    let late = fresh();
+    let try_late = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(&rig.listen)?;
+        stream.write_all(&put(&late, "c=notice,d=20000,k=l,dest=7", "late"))?;
+        let mut answer = String::new();
+        BufReader::new(stream).read_line(&mut answer).map(|_| answer)
+    };
+    let answer = try_late().unwrap_or_default();
+    assert!(answer.is_empty() || answer == "+OK\r\n", "{answer}");
+    assert_eq!(client.line(), "", "parted with");
+    assert_eq!(rig.child.take().unwrap().wait().unwrap().code(), Some(0));
+    rig.start();
+    let last = rig.client().mail("notice", 7, 8000, "last");
+    let gone_out = |id: &str| e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count();
+    wait_for("a later mail", || gone_out(&last) == 1);
+    wait_for("the mail held", || gone_out(&held) == 2);
+    wait_for("the late mail", || answer.is_empty() || gone_out(&late) >= 1);
+}
+
+#[test]
+fn what_is_no_http_is_a_reset_and_a_connection_s_end_is_met() {
+    let e = Endpoint::start(Does::Babbles);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    for does in [Does::Babbles, Does::Breaks] {
+        e.does(does);
+        let once = client.mail("payment", 7, 8000, "once");
+        wait_for("its end", || rig.platform.notice(&once).is_some());
+        assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    }
+    e.does(Does::SaysLast("200 OK"));
+    let before = e.calls().len();
+    for n in 1..4 {
+        client.mail("payment", 7, 8000, "each on a connection of its own");
+        wait_for("the call", || e.calls().len() == before + n);
+    }
+    let mut conns: Vec<u64> = e.calls()[before..].iter().map(|c| c.conn).collect();
+    conns.dedup();
+    assert_eq!(conns.len(), 3);
+    assert_eq!(rig.platform.notices().len(), 2);
+}
+
+#[test]
+fn the_watch_is_followed_over_splits_bad_lines_and_breaks() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&first, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let tell = |version: u64, entries: Vec<Value>| {
+        rig.platform.tell("\n{\"not\": json\n{\"version\":true}\n\n");
+        let line = json!({"version": version, "full": false, "servers": entries});
+        rig.platform.tell(&format!("{line}\n"));
+    };
+    let nonsense = json!({"id": "e9", "addr": "nowhere", "zone": "z", "kind": "k", "cell": 7, "state": "up"});
+    tell(2, vec![nonsense, second.entry("e1", 7, "up"), first.entry("e0", 7, "draining")]);
+    wait_for("mails at the newcomer", || {
+        client.mail("notice", 7, 8000, "to whom");
+        !second.calls().is_empty()
+    });
+    for _ in 0..10 {
+        client.mail("notice", 7, 8000, "not to the first");
+    }
+    let bodies = |e: &Endpoint, body: &str| e.calls().iter().filter(|c| c.body == body).count();
+    wait_for("all of them", || bodies(&second, "not to the first") == 10);
+    assert_eq!(bodies(&first, "not to the first"), 0);
+    // The watch breaks: it is taken up again after the last version, and goes on.
+    for watch in rig.platform.watches.lock().unwrap().drain(..) {
+        watch.shutdown(std::net::Shutdown::Both).unwrap();
+    }
+    let since = || rig.platform.since.lock().unwrap().last().cloned().unwrap();
+    wait_for("a new watch", || since().contains("since=2 "));
+    tell(3, vec![first.entry("e0", 7, "up"), second.entry("e1", 7, "removed")]);
+    wait_for("mails at the first again", || {
+        client.mail("notice", 7, 8000, "back");
+        bodies(&first, "back") > 0
+    });
+}
+
+#[test]
+fn a_refused_mail_goes_to_another_route_and_one_that_is_over_is_over() {
+    let (full, open) = (
+        Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1000")),
+        Endpoint::start(Does::Says("410 Gone")),
+    );
+    let mut rig = Rig::new(&[(&full, 8), (&open, 8)]);
+    for entry in rig.json["known"]["servers"].as_array_mut().unwrap() {
+        entry["kind"] = "banks".into();
+    }
+    rig.start();
+    let mut client = rig.client();
+    for n in 1..10 {
+        client.mail("payment", 8, 8000, "x");
+        wait_for("the mail at the open route", || open.calls().len() == n);
+    }
+    assert_eq!(full.calls().len(), 1);
+    assert_eq!(rig.platform.notices().len(), 0, "nothing is owed for what is over");
+}
+
+#[test]
+fn the_disk_limit_is_kept_and_told_as_busy() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["disk_mb"] = json!(0.4);
+    rig.start();
+    let mut client = rig.client();
+    let body = "x".repeat(30_000);
+    let used = || {
+        let files = std::fs::read_dir(rig.folder.join("state")).unwrap().flatten();
+        files.map(|f| f.metadata().map_or(0, |m| m.len().div_ceil(512) * 512)).sum::<u64>()
+    };
+    let mut answers = Vec::new();
+    for _ in 0..40 {
+        let id = fresh();
+        answers.push(client.says(&put(&id, "c=payment,d=20000,k=x,dest=7", &body)));
+        assert!(used() <= 400_000);
+    }
+    assert_eq!((answers[0].as_str(), answers[39].as_str()), ("+OK", "-BUSY"));
+    // Once mails are over there is room again, however much was written before.
+    e.does(OK);
+    wait_for("room for many more", || {
+        let answer = client.says(&put(&fresh(), "c=notice,d=20000,k=x,dest=7", &body));
+        assert!(used() <= 400_000);
+        e.calls().len() > 40 && answer == "+OK"
+    });
+}
+
+#[test]
+fn more_clients_than_descriptors_wait_and_those_inside_are_served() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["sockets"] = json!(64);
+    rig.start();
+    let mut client = rig.client();
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    let others: Vec<Client> = (0..100).map(|_| rig.client()).collect();
+    for _ in 0..20 {
+        client.mail("notice", 7, 8000, "served all the same");
+    }
+    wait_for("all of them", || e.calls().len() == 20);
+    let open = std::fs::read_dir(format!("/proc/{}/fd", rig.child.as_ref().unwrap().id())).unwrap().count();
+    assert!(open <= 64, "{open} descriptors");
+    drop(others);
+    assert_eq!(rig.client().says(b"PING\r\n"), "+PONG");
+}
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -287,3 +287,40 @@
     w.pass(100 * S);
     assert!(w.o.lines.iter().any(|l| l.contains("returns cold")), "{:?} {}", w.o.lines, w.o.sent.len());
 }
+
+fn past(connects: u32, ran: Option<Nanos>) -> Past {
+    Past { connects, ran: ran.map(|at| (at, ZoneId(0))) }
+}
+
+/// On sockets a process comes back with the mails of the one before it.
+#[test]
+fn mails_of_a_former_process_go_on_as_their_past_allows() {
+    let mut w = World::new(facts());
+    let ran = w.o.now - S;
+    let fresh = w.mail_with_past(3, 0, past(1, None));
+    let once = w.mail_with_past(3, 0, past(1, Some(ran)));
+    let tagged = w.mail_with_past(1, 0, past(1, Some(ran)));
+    let stale = w.mail_with_past(1, 0, past(1, Some(w.o.now - 9 * S)));
+    let spent = w.mail_with_past(0, 0, past(6, None));
+    w.pass(2 * S);
+    assert_eq!(w.o.bounced, [once, stale]);
+    assert_eq!(w.o.deferred.iter().map(|d| d.0).collect::<Vec<_>>(), [spent]);
+    assert!(w.o.relayed.contains(&fresh) && w.o.relayed.contains(&tagged) && w.o.relayed.len() == 2);
+}
+
+/// A connection takes a while to come up; the daemon asks once more before the first byte.
+#[test]
+fn a_connect_that_comes_up_during_a_drain_or_a_wait_is_turned_back() {
+    let mut w = World::new(facts());
+    assert!((0..12).all(|e| w.d.still_open(w.o.now, EndpointId(e))));
+    w.serve(0, false, ListScope::Update);
+    w.o.ways[8] = Way::Refuses(3 * S);
+    for _ in 0..4 {
+        w.mail(0, 2, None, 12 * S);
+    }
+    w.pass(S);
+    let open = |w: &World| (0..13).filter(|e| w.d.still_open(w.o.now, EndpointId(*e))).collect::<Vec<_>>();
+    assert_eq!(open(&w), [1, 2, 3, 4, 5, 6, 7, 9, 10, 11]);
+    w.pass(3 * S);
+    assert_eq!(open(&w), (1..12).collect::<Vec<_>>());
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -261,17 +261,30 @@
     }
 
     pub fn mail(&mut self, class: usize, dest: u64, key: Option<u64>, lifetime: Nanos) -> MailId {
-        self.taken += 1;
-        let id = MailId(self.taken);
         let key = key.filter(|_| self.o.facts.classes[class].ordered).map(KeyId);
         let due = self.o.now + lifetime;
+        self.taken += 1;
         let known = Known { class, key, dest, due, connects: 0, out: None, ran: None, ended: false };
-        self.o.mails.insert(id, known);
-        if let Some(key) = key {
+        self.hand(MailId(self.taken), known)
+    }
+
+    pub fn mail_with_past(&mut self, class: usize, dest: u64, past: Past) -> MailId {
+        let (due, ran) = (self.o.now + 12 * S, past.ran.map(|(at, zone)| (at, zone.0)));
+        self.taken += 1;
+        let known =
+            Known { class, key: None, dest, due, connects: past.connects, out: None, ran, ended: false };
+        self.hand(MailId(self.taken), known)
+    }
+
+    /// Hands a mail to the decisions, with the past that is known of it.
+    fn hand(&mut self, id: MailId, mail: Known) -> MailId {
+        if let Some(key) = mail.key {
             self.o.order.entry(key).or_default().push(id);
         }
-        let (class, destination) = (ClassId(class), DestinationId(dest));
-        let new = NewMail { id, class, key, destination, due, past: Past::default() };
+        let (class, destination) = (ClassId(mail.class), DestinationId(mail.dest));
+        let past = Past { connects: mail.connects, ran: mail.ran.map(|(at, zone)| (at, ZoneId(zone))) };
+        let new = NewMail { id, class, key: mail.key, destination, due: mail.due, past };
+        self.o.mails.insert(id, mail);
         self.d.mail_taken(self.o.now, new, &mut self.o);
         id
     }
@@ -287,6 +300,19 @@
         self.list(ListScope::Whole);
     }
 
+    /// Killed and started again with its journal: each mail that is owed its end comes back, in the order in which they
+    /// were taken; a connect that was out may have run.
+    pub fn resume(&mut self) {
+        let mails = std::mem::take(&mut self.o.mails);
+        self.restart();
+        for (id, mut mail) in mails.into_iter().filter(|(_, mail)| !mail.ended) {
+            if let Some((to, at)) = mail.out.take() {
+                mail.ran.get_or_insert((at, self.o.entries[to as usize].zone.0));
+            }
+            self.hand(id, mail);
+        }
+    }
+
     pub fn withdraw(&mut self, id: MailId) {
         if self.o.mails.get(&id).is_some_and(|m| !m.ended) {
             self.o.end(id);
