--- a/src/control.rs
+++ b/src/control.rs
@@ -1,8 +1,8 @@
 //! All decisions of a dispatcher: which mail goes out next, by which route, and when one is given up.
 //!
-//! Make one [`Dispatcher`] with [`Dispatcher::boot`]; then call the method for each thing that happens, with the
-//! clock and an [`Outlet`] that carries out the answers at once. Inputs, ids and the outlet's trait are in
-//! `src/interface.rs`; `docs/design.md` says why each part is there. Nothing here waits, sleeps or reads a clock.
+//! Make a [`Dispatcher`] by [`Dispatcher::boot`]; then call the method for each thing that happens, with the
+//! clock and an [`Outlet`] that carries out the answers at once. Ids, inputs and that trait are in
+//! `src/interface.rs`; `docs/design.md` says why each part is there. Nothing here waits or reads a clock.
 
 use crate::interface::*;
 use rand::{RngExt, SeedableRng};
@@ -11,23 +11,23 @@
 
 const MS: Nanos = 1_000_000;
 const NEVER: Nanos = Nanos::MAX;
-/// Untold suspension: shorter than the spans in which limits are counted, so that little of one is slept through.
+/// Untold suspension: shorter than the spans in which limits are counted, so little of one is slept through.
 const FIRST_WAIT: Nanos = 250 * MS;
 const LONGEST_WAIT: Nanos = 2_000 * MS;
-/// Up to so many dispatchers see each route often; with more, untold suspensions are longer by a power of the ratio.
+/// Up to so many dispatchers see each route often; with more, untold waits grow by a power of the ratio.
 const FEW: f64 = 3.0;
 const CROWD_POWER: f64 = 0.65;
 /// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
 const GAP_SHARE: f64 = 0.15;
-/// Refusals with nothing relayed between for so long are no limit's: the route was shut, or hung with its queue full,
-/// and returns cold. Where each of many dispatchers sees but two or three of them, it is the sooner.
+/// Refusals with nothing relayed between for so long are no limit's: the route was shut, or hung with its
+/// queue full, and returns cold. Where each of many dispatchers sees but a few of them, it is sooner.
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
 const SILENT_TIMES: f64 = 5.0;
-/// The patience is cut by the share of this dispatcher's connects not answered in usual time, down to this part;
-/// and the weight of one connect in that share.
+/// The patience is cut by the share of this dispatcher's connects not answered in usual time, down to this
+/// part; and the weight of one connect in that share.
 const LEAST_PATIENCE: f64 = 0.4;
 const MISSED_WEIGHT: f64 = 0.15;
 const SILENT_FLOOR: Nanos = 700 * MS;
@@ -41,7 +41,7 @@
 /// Rest between trials of a suspect route; once-only mails stand back by the spare.
 const TRIAL_REST: Nanos = 400 * MS;
 const SPARE: Nanos = 2_500 * MS;
-/// Between sends of all dispatchers together to a cold route that had next to no traffic, and to a struck one.
+/// Between sends of all dispatchers together to a cold route that had hardly any traffic, or a struck one.
 const COLD_REST: Nanos = 700 * MS;
 const STRUCK_REST: Nanos = 300 * MS;
 /// How long a trial may take: a crawling route still answers, and a tagged mail must be repeatable after it.
@@ -130,7 +130,7 @@
     traffic_at: Vec<Nanos>,
     /// When a mail was last relayed in usual time.
     spoke_at: Vec<Nanos>,
-    /// Stretches each space between sends to a cold or struck route, and each untold wait; drawn with each send.
+    /// Stretches each space between sends to a cold or struck route, and untold waits; drawn with each send.
     stretch: Vec<f64>,
     /// Something failed there, or was refused for long, since it was last sound: it will return cold.
     struck: Vec<bool>,
@@ -251,8 +251,8 @@
             stage => self.shift(end.mail, stage, out),
         }
         self.go_on(now, out);
-        // Idle connections fill tables and lock others out; what is sent on one dropped unseen is lost. Where one
-        // destination showed either, others of its kind will. New ones cost handshakes, so it is for a while only.
+        // Idle connections fill tables and lock others out; what is sent on one dropped unseen is lost. Where
+        // one destination showed either, others of its kind will. New ones cost handshakes: for a while only.
         if self.tight(connect.route, now) {
             out.hang_up(self.routes.entry[connect.route].endpoint);
         }
@@ -273,7 +273,7 @@
         self.go_on(now, out);
     }
 
-    /// Whether a connect whose connection came up only now may be written: no drain, wait or suspension began since.
+    /// Whether a connect whose connection came up just now may be written: no drain or wait began since.
     pub fn still_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
         let open = |&r: &usize| self.routes.entry[r].serving && self.routes.closed_until[r] <= now;
         self.index.get(&endpoint).is_some_and(open)
@@ -287,8 +287,8 @@
         let route = self.routes.add(entry, gate);
         deck.cards.push(route);
         self.index.insert(entry.endpoint, route);
-        // A wait told before it was listed binds it too. One listed in its destination's outage is as cold: the
-        // backlogs of all would meet at it when they hear of it. It could slow a sound newcomer with struck siblings.
+        // A wait told before it was listed binds it too. One listed in its destination's outage is as cold:
+        // all backlogs would meet at it. It could slow a sound newcomer with struck siblings.
         let (bound, r) = (self.bound(route), &mut self.routes);
         r.closed_until[route] = bound.iter().map(|&s| r.closed_until[s]).max().unwrap_or(0);
         r.struck[route] = bound.iter().any(|&s| r.struck[s]);
@@ -413,8 +413,8 @@
                 }
             }
             Outcome::Full(told) => self.refused(route, connect.at, now, told),
-            // No connection, said at once: the endpoint's table is full, whatever its siblings' are. It alone is
-            // suspended, as for an untold refusal. An endpoint that is down and says so is met in the same way.
+            // No connection, said at once: the endpoint's table is full. It alone is suspended, as for an
+            // untold refusal. An endpoint that is down and says so is met in the same way.
             Outcome::Unconnected if at_once => {
                 self.suspend(route, now, 0);
                 if self.routes.wait[route] > 4 * FIRST_WAIT {
@@ -442,8 +442,9 @@
         }
     }
 
-    /// A refusal as full: suspends all that the limit binds, until its told wait ends or for a doubling short while,
-    /// and widens the gap. Connects already out at the last refusal double nothing again: they tell nothing new.
+    /// A refusal as full: suspends all that the limit binds, until its told wait ends or for a doubling short
+    /// while, and widens the gap. Connects out at the last refusal double nothing again: they tell nothing
+    /// new.
     fn refused(&mut self, route: usize, sent: Nanos, now: Nanos, told: Nanos) {
         let gate = self.routes.gate[route];
         let shut_after = (SHUT_AFTER as f64 / self.crowd()) as Nanos;
@@ -482,8 +483,8 @@
         self.tight_until.get(&self.routes.entry[route].kind.0).is_some_and(|&until| now < until)
     }
 
-    /// How long a connect may go unanswered. While many destinations hang, one more is likely to: what was seen at
-    /// any route counts, for a dispatcher with two slots sees each seldom. Could hold slow answers for silence.
+    /// How long a connect may go unanswered. While many destinations hang, one more is likely to: what was
+    /// seen at any route counts, as with two slots each is seen seldom. Could hold slow answers for silence.
     fn silent_after(&self, route: usize, class: usize) -> Nanos {
         let times = SILENT_TIMES * (1.0 - self.missed).max(LEAST_PATIENCE);
         ((times * self.usual(self.routes.entry[route].destination, class)) as Nanos).max(SILENT_FLOOR)
@@ -499,9 +500,9 @@
         }
     }
 
-    /// A mail relayed in usual time speaks for its route: it is no longer suspect, but cold if something had failed
-    /// or been refused for long; else it was slow for a while, not out. A cold route is slow at first: held for
-    /// silence and cleared again, it is still cold.
+    /// A mail relayed in usual time speaks for its route: it is no longer suspect, but cold if something had
+    /// failed or been refused for long; else it was slow for a while, not out. A cold route is slow at first:
+    /// held for silence and cleared again, it is still cold.
     fn cleared(&mut self, route: usize, now: Nanos, took: Nanos, out: &mut impl Outlet) {
         let r = &mut self.routes;
         let (suspect, cold) = (std::mem::take(&mut r.suspect[route]), r.cold_since[route]);
@@ -516,9 +517,9 @@
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
-    /// The space between sends to a cold or struck route: this dispatcher's own former traffic there, cut to what
-    /// a cold destination bears, rising over the ramp. Hundreds that saw the same outage each keep to their own part;
-    /// where one had next to no traffic, all of them together go by one mail in `least`.
+    /// The space between sends to a cold or struck route: this dispatcher's own former traffic there, cut to
+    /// what a cold destination bears, rising over the ramp. Hundreds that saw the same outage each keep to
+    /// their own part; where one had next to no traffic, all of them together go by one mail in `least`.
     fn space(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
         let f = &self.facts;
         let rate = self.routes.traffic[route] / TRAFFIC_SPAN * COLD_ROOM * warm * f.tip_multiple;
@@ -541,8 +542,8 @@
         let (gate, cold) = (r.gate[route], self.facts.cold_share);
         let mut at = r.closed_until[route].max(self.routes.gate_sent_at[gate] + self.routes.gap[gate]);
         if r.suspect[route] {
-            // One trial at a time; connects that may no longer be answered in usual time hold up none. Many struck at
-            // once, each with its own trial, would leave no slots for the sound ones.
+            // One trial at a time; connects that may no longer be answered in usual time hold up none. Many
+            // struck at once, each with its own trial, would leave no slots for the sound ones.
             let most = ((self.facts.slots as f64 * TRIAL_SHARE) as usize).max(1);
             if self.count_out(|o| r.suspect[o.route]) >= most
                 || self.count_out(|o| o.route == route && now < self.silent_at(o)) > 0
@@ -588,8 +589,8 @@
         row.importance * share
     }
 
-    /// What waiting for the horizon would lose of the mail's worth, for the slot time that it needs; a part of its
-    /// worth itself counts too, so that what loses nothing yet goes by worth.
+    /// What waiting for the horizon would lose of the mail's worth, for the slot time that it needs; a part
+    /// of its worth itself counts too, so that what loses nothing yet goes by worth.
     fn loss_rate(&self, mail: &Mail, now: Nanos) -> f64 {
         let slot = self.usual(mail.new.destination, mail.new.class.0);
         let at = now + slot as Nanos;
@@ -618,8 +619,8 @@
         }
     }
 
-    /// Stops hung, silent and much slowed routes from taking up the slots, long before time-outs tell of them. A
-    /// connect that is overdue while others are answered is a lost answer, and holds for none but itself.
+    /// Stops hung, silent and much slowed routes from taking up the slots, long before time-outs tell. A
+    /// connect overdue while others are answered is a lost answer, and holds for none but itself.
     fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
         for o in self.out.clone() {
             if now >= self.silent_at(&o)
@@ -646,8 +647,8 @@
         }
     }
 
-    /// Whether a mail that may have run holds up others of its key while all routes that it may still take are
-    /// suspect: it is given up for theirs. Could lose a mail whose route returns the next moment.
+    /// Whether a mail that may have run holds up others of its key while all routes that it may still take
+    /// are suspect: it is given up for theirs. Could lose a mail whose route returns the next moment.
     fn blocks_key(&self, mail: &Mail) -> bool {
         let behind = mail.new.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
         let patience = self.facts.classes[mail.new.class.0].target_delay;
@@ -658,8 +659,8 @@
         self.now >= at + patience && !self.cards(mail.new.destination).iter().any(sound)
     }
 
-    /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up the
-    /// one worth least. Stops a struck destination's backlog from turning away the mails of all others.
+    /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up
+    /// the one worth least. Stops a struck destination's backlog from turning away the mails of all others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
         while self.mails.values().filter(|m| !m.stage.ended()).count() >= self.facts.holding_room {
             let mut waiting: BTreeMap<DestinationId, Vec<(f64, Nanos, MailId)>> = BTreeMap::new();
@@ -689,9 +690,9 @@
         }
     }
 
-    /// With all slots taken and a mail kept waiting by that alone, calls off the connect longest out beyond its
-    /// usual time on a suspect route, a once-only one later. Stops hung, silent or crawling routes from starving all others; it could
-    /// bounce a once-only mail that would yet have been answered, so it acts on one at a time.
+    /// With all slots taken and a mail waiting for that alone, calls off the connect longest overdue on a
+    /// suspect route, a once-only one later. Stops hung, silent or crawling routes from starving all others;
+    /// it could bounce a once-only mail that would yet have been answered, so it acts on one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.out.len() < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
@@ -737,8 +738,8 @@
         let (class, no) = (mail.new.class.0, ConnectNo(mail.connects));
         let left = mail.new.due - now - self.margin;
         let time_out = match self.facts.classes[class].repeat {
-            // For a once-only mail a time-out is a bounce, so a slow answer is worth a longer wait; but a slot held
-            // for all its lifetime by a route that hangs starves every other destination.
+            // For a once-only mail a time-out is a bounce, so a slow answer is worth a longer wait; but a
+            // slot held for all its lifetime by a route that hangs starves every other destination.
             Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
             _ if self.routes.suspect[route] => TRIAL_TIMEOUT.min(left),
             _ => {
