A folder is one dispatcher's; a test that a connection risen during a drain gets nothing

A client that stalls within a request gives way as well as one between requests. The library no longer takes the process's signals; the command line does and writes to a socket that the daemon is handed.

--- a/daemon/src/command_line.rs
+++ b/daemon/src/command_line.rs
@@ -3,6 +3,7 @@
 use crate::event_loop::Daemon;
 use crate::start::{self, Start};
 use std::ffi::OsString;
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -107,5 +108,9 @@
 }
 
 fn serve(start: Start) -> std::io::Result<()> {
-    Daemon::start(start)?.run()
+    let (leave, sender) = UnixStream::pair()?;
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
+    }
+    Daemon::start(start, leave)?.run()
 }
--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -158,10 +158,11 @@
         self.len() >= self.most
     }
 
-    /// The client that has been between requests for the longest time.
+    /// The client from which nothing has come and that has read nothing for the longest time. All that it asked is
+    /// answered or not wholly here.
     pub fn idlest_client(&self) -> Option<(ConnId, Nanos)> {
-        let idle = |c: &Conn| c.role == Role::Client && c.input.is_empty() && c.output.is_empty();
-        self.iter().filter(|(_, c)| idle(c)).map(|(id, c)| (id, c.used)).min_by_key(|(_, used)| *used)
+        let clients = self.iter().filter(|(_, c)| c.role == Role::Client);
+        clients.map(|(id, c)| (id, c.used)).min_by_key(|(_, used)| *used)
     }
 
     /// The next client that waits to be let in.
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -67,18 +67,18 @@
 }
 
 impl Daemon {
-    /// Takes up what the journal holds, and listens. Clients are answered once it runs.
-    pub fn start(start: Start) -> io::Result<Daemon> {
+    /// Takes up what the journal holds, and listens. Clients are answered once it runs. A byte on `leave` tells it to
+    /// leave.
+    pub fn start(start: Start, leave: UnixStream) -> io::Result<Daemon> {
         let clock = Clock::start();
         let now = clock.now();
         let Start { boot, known, .. } = start;
         let (facts, names) = (boot.facts, boot.names);
-        let (journal, kept) = MailJournal::open(&start.state, start.disk_bytes)?;
-        let (signals, sender) = UnixStream::pair()?;
-        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-            signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
-        }
-        let listener = TcpListener::bind(start.listen)?;
+        let open = MailJournal::open(&start.state, start.disk_bytes);
+        let (journal, kept) =
+            open.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.state.display())))?;
+        let bind = TcpListener::bind(start.listen);
+        let listener = bind.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.listen)))?;
         // Kept for calls, the watch and notices.
         let reserve = facts.slots + 8;
         let mut daemon = Daemon {
@@ -86,13 +86,7 @@
             holding_room: facts.holding_room,
             hands: Hands {
                 now,
-                conns: Conns::new(
-                    listener,
-                    signals,
-                    start.sockets,
-                    reserve,
-                    start.memory_bytes as usize / 2,
-                )?,
+                conns: Conns::new(listener, leave, start.sockets, reserve, start.memory_bytes as usize / 2)?,
                 deadlines: Deadlines::default(),
                 mails: Slots::default(),
                 slots: BTreeMap::new(),
@@ -115,6 +109,8 @@
         daemon.recover(kept);
         daemon.hands.watch();
         daemon.hands.deadlines.set(Due::Standing, now + STANDING);
+        daemon.settle();
+        daemon.hands.send_notices();
         log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.hands.mails.len());
         Ok(daemon)
     }
--- a/daemon/src/logger.rs
+++ b/daemon/src/logger.rs
@@ -14,7 +14,7 @@
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let text = record.args().to_string().replace(['\n', '\r'], " ");
         let (s, ms) = (now.as_secs(), now.subsec_millis());
-        // A log that nobody reads must not stop the dispatcher.
+        // A log that can no longer be written must not end the dispatcher.
         let _ = writeln!(std::io::stderr(), "{s}.{ms:03} {:5} {text}", record.level());
     }
     fn flush(&self) {}
--- a/daemon/src/mail_journal.rs
+++ b/daemon/src/mail_journal.rs
@@ -8,7 +8,7 @@
 
 use bellsill::interface::{MailId, Nanos};
 use std::collections::BTreeMap;
-use std::fs::{File, OpenOptions};
+use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
@@ -244,6 +244,15 @@
     room: u64,
 }
 
+/// Two dispatchers in one folder would each take the other's mails for their own. Where files cannot be locked, nothing
+/// stops that.
+fn own(file: &File) -> io::Result<()> {
+    match file.try_lock() {
+        Err(TryLockError::WouldBlock) => Err(io::Error::other("another dispatcher uses this folder")),
+        _ => Ok(()),
+    }
+}
+
 fn blocks(length: u64) -> u64 {
     length.div_ceil(BLOCK) * BLOCK
 }
@@ -251,12 +260,14 @@
 impl MailJournal {
     /// Opens the journal of this folder and tells what it holds; `room` is the disk limit in bytes.
     pub fn open(folder: &Path, room: u64) -> io::Result<(MailJournal, Kept)> {
+        std::fs::create_dir_all(folder)?;
+        let mut file = OpenOptions::new().read(true).append(true).create(true).open(folder.join(FILE))?;
+        own(&file)?;
         // Left by a process that was killed while it wrote the file anew: the old one still counts.
         match std::fs::remove_file(folder.join(NEXT)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
-        let mut file = OpenOptions::new().read(true).append(true).create(true).open(folder.join(FILE))?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let (kept, good) = replay(&bytes);
@@ -365,7 +376,9 @@
         }
         let next = self.folder.join(NEXT);
         let mut file = OpenOptions::new().append(true).create_new(true).open(&next)?;
-        if let Err(e) = file.write_all(&bytes).and_then(|()| std::fs::rename(&next, &path)) {
+        if let Err(e) =
+            file.write_all(&bytes).and_then(|()| own(&file)).and_then(|()| std::fs::rename(&next, &path))
+        {
             let _ = std::fs::remove_file(&next);
             return Err(e);
         }
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -9,9 +9,9 @@
 use std::net::SocketAddr;
 
 /// How long to wait for an answer, and before notices that failed are sent again.
-const ANSWER_WITHIN: Nanos = 1_000_000_000;
-const AGAIN: Nanos = 100_000_000;
-const AGAIN_MOST: Nanos = 2_000_000_000;
+const ANSWER_WITHIN: Nanos = 400_000_000;
+const AGAIN: Nanos = 50_000_000;
+const AGAIN_MOST: Nanos = 200_000_000;
 /// The most notices of one request, and the most that it can take.
 const MOST: usize = 256;
 const BYTES_MOST: usize = 64 * 1024;
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -518,6 +518,40 @@
     });
 }
 
+#[test]
+fn a_connection_that_comes_up_after_its_endpoint_began_to_drain_gets_nothing() {
+    // An endpoint whose queue of new connections is full: one more comes up when there is room again.
+    let slow = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    slow.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    slow.listen(0).unwrap();
+    let slow: TcpListener = slow.into();
+    let addr = slow.local_addr().unwrap();
+    let filler = TcpStream::connect(addr).unwrap();
+    let entry = |state: &str| json!({"id": "slow", "addr": addr.to_string(), "zone": "north", "kind": "shops", "cell": 7, "state": state});
+    let second = Endpoint::start(OK);
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry("up"), second.entry("second", 7, "up")]);
+    rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
+    rig.start();
+    let mut client = rig.client();
+    // Picks are even: one of the two goes to the endpoint that does not answer yet.
+    let mails = [client.mail("payment", 7, 24_000, "x"), client.mail("payment", 7, 24_000, "x")];
+    let relayed = |id: &String| second.calls().iter().any(|c| c.header("X-Trace-Id") == id);
+    wait_for("the first mail", || mails.iter().any(relayed));
+    let news =
+        json!({"version": 2, "full": false, "servers": [entry("draining"), second.entry("more", 9, "up")]});
+    rig.platform.tell(&format!("{news}\n"));
+    // Its destination is in the same line, so when it goes out the drain is known.
+    let later = client.mail("notice", 9, 19_000, "x");
+    wait_for("a mail after the drain", || relayed(&later));
+    drop((slow.accept().unwrap(), filler));
+    let mut late = slow.accept().unwrap().0;
+    let mut got = Vec::new();
+    // It is closed, as the endpoint drains, and nothing was written to it.
+    assert!(late.read_to_end(&mut got).is_ok() && got.is_empty());
+    wait_for("both mails", || mails.iter().all(relayed));
+}
+
 #[test]
 fn a_refused_mail_goes_to_another_route_and_one_that_is_over_is_over() {
     let (full, open) = (
@@ -538,6 +572,20 @@
     assert_eq!(rig.platform.notices().len(), 0, "nothing is owed for what is over");
 }
 
+#[test]
+fn a_folder_in_use_is_not_shared() {
+    let mut rig = Rig::new(&[]);
+    rig.start();
+    rig.json["listen"] = "127.0.0.1:0".into();
+    let end = rig.command("serve").stderr(Stdio::piped()).output().unwrap();
+    let text = String::from_utf8(end.stderr).unwrap();
+    assert!(end.status.code() == Some(1) && text.contains("another dispatcher"), "{text}");
+    // Nor does it outlast its owner.
+    rig.kill();
+    rig.json["listen"] = rig.listen.clone().into();
+    rig.start();
+}
+
 #[test]
 fn the_disk_limit_is_kept_and_told_as_busy() {
     let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
