--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -10,7 +10,7 @@
 /// How long no more clients are let in when there is no descriptor for them.
 const BACK_OFF: Nanos = 50_000_000;
 /// How long a client that was told something last may take to end its side.
-const LINGER: Nanos = 1_000_000_000;
+const LINGER: Nanos = 5_000_000_000;
 /// A client that neither sent nor read anything for so long gives way to a new one when there is no place.
 const IDLE_LONG: Nanos = 10_000_000_000;
 
