A log that nobody reads stops nothing; a mail whose client has gone on is not taken

Found by asking what stands still when something beside the dispatcher does. A dispatcher that stood still found requests of clients that had waited 400 ms and handed the mail in elsewhere, and took them: a once-only mail would have gone out twice (clients.rs hand_in). Such a request is -BUSY now.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -154,7 +154,10 @@
 
     /// A mail is handed in: refused, or journalled, answered and then taken to the decisions.
     fn hand_in(&mut self, conn: ConnId, put: resp::Put, body: Vec<u8>) {
-        let takes = self.takes_mails();
+        // A client that has ended its side may have given up waiting and handed the mail in elsewhere: taken here too, it
+        // would go out twice. It covers a dispatcher that stood still; the harm is a needless -BUSY to one that ends its
+        // side early and yet listens.
+        let takes = self.takes_mails() && self.hands.conns.get(conn).is_some_and(|c| !c.ended);
         let hands = &mut self.hands;
         let class = hands.class_names.iter().position(|c| *c == put.class);
         let tagged = class.is_some_and(|c| matches!(self.repeats[c], Repeat::Tagged { .. }));
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -1,6 +1,7 @@
 //! The program itself, started and spoken to over loopback sockets; endpoints and the platform are stand-ins of our own.
 
 use bellsill_daemon::mail_journal::{Kept, MailJournal};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -217,7 +218,12 @@
     }
 
     fn start(&mut self) {
-        self.child = Some(self.command("serve").spawn().unwrap());
+        let command = self.command("serve");
+        self.start_by(command);
+    }
+
+    fn start_by(&mut self, mut command: Command) {
+        self.child = Some(command.spawn().unwrap());
         wait_for("a dispatcher that is ready", || {
             let Ok(mut stream) = TcpStream::connect(&self.listen) else { return false };
             stream.write_all(b"PING\r\n").is_ok()
@@ -246,13 +252,15 @@
         child.wait().unwrap();
     }
 
-    fn terminate(&self) {
+    fn signal(&self, signal: Signal) {
         let pid = rustix::process::Pid::from_child(self.child.as_ref().unwrap());
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        rustix::process::kill_process(pid, signal).unwrap();
     }
 
     fn client(&self) -> Client {
         let stream = TcpStream::connect(&self.listen).unwrap();
+        // What never comes fails, as in `wait_for`.
+        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
         Client { from: BufReader::new(stream.try_clone().unwrap()), to: stream }
     }
 }
@@ -454,7 +462,7 @@
     let held = client.mail("notice", 7, 20_000, "held");
     wait_for("a refusal", || rig.never_ran(&held));
     e.does(OK);
-    rig.terminate();
+    rig.signal(Signal::TERM);
     // New clients may still come for a moment, and old ones ask on; what is not answered was not read.
     let late = fresh();
     let try_late = || -> std::io::Result<String> {
@@ -589,6 +597,41 @@
     assert_eq!(rig.platform.notices().len(), 0, "nothing is owed for what is over");
 }
 
+#[test]
+fn a_mail_whose_client_has_gone_on_is_not_taken() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let (mut client, id) = (rig.client(), fresh());
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    // The dispatcher stands still while the client hands in a mail and ends its side.
+    rig.signal(Signal::STOP);
+    client.to.write_all(&put(&id, "c=payment,d=8000,dest=7", "x")).unwrap();
+    client.to.shutdown(std::net::Shutdown::Write).unwrap();
+    rig.signal(Signal::CONT);
+    assert_eq!([client.line(), client.line()], ["-BUSY", ""]);
+    let later = rig.client().mail("payment", 7, 8000, "x");
+    wait_for("a later mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
+    assert!(!e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+}
+
+#[test]
+fn a_log_that_nobody_reads_stops_nothing() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    let mut command = rig.command("serve");
+    command.stderr(Stdio::piped());
+    rig.start_by(command);
+    // Far more than a pipe holds.
+    let garbage = "{\"not\": json\n".repeat(5000);
+    wait_for("a watch", || !rig.platform.watches.lock().unwrap().is_empty());
+    let chunk = format!("{:x}\r\n{garbage}\r\n", garbage.len());
+    rig.platform.watches.lock().unwrap()[0].write_all(chunk.as_bytes()).unwrap();
+    rig.platform.tell(&format!("{}\n", json!({"version": 2, "servers": [e.entry("more", 9, "up")]})));
+    rig.client().mail("notice", 9, 19_000, "behind all the garbage");
+    wait_for("the mail", || e.calls().len() == 1);
+}
+
 #[test]
 fn a_folder_in_use_is_not_shared() {
     let mut rig = Rig::new(&[]);
