On the way out a client within a request is waited for; PING gives back short texts only

Found by reading: with nothing held the process ended beside a request half read, and a PING text longer than the room left in the output ring was answered by nothing.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -9,6 +9,8 @@
 
 /// How long no more clients are let in when there is no descriptor for them.
 const BACK_OFF: Nanos = 50_000_000;
+/// The longest text that PING gives back.
+const PING_MOST: usize = 1024;
 /// How long a client that was told something last may take to end its side.
 const LINGER: Nanos = 5_000_000_000;
 /// A client that neither sent nor read anything for so long gives way to a new one when there is no place.
@@ -112,6 +114,7 @@
             let answer = match (name.as_slice(), words.len()) {
                 (b"", _) => String::new(),
                 (b"PING", 1) => "+PONG\r\n".into(),
+                (b"PING", 2) if words[1].len() > PING_MOST => "-ERR the text is too long\r\n".into(),
                 (b"PING", 2) => {
                     let text = String::from_utf8_lossy(words[1]);
                     format!("${}\r\n{text}\r\n", text.len())
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -160,7 +160,9 @@
             self.settle();
         }
         self.hands.send_notices();
-        let quiet = self.hands.mails.is_empty() && self.hands.notices.owed() == 0;
+        // A client still here is within a request, or has not read its answer.
+        let asked = self.hands.conns.iter().any(|(_, c)| c.role == Role::Client && !c.lingers);
+        let quiet = self.hands.mails.is_empty() && self.hands.notices.owed() == 0 && !asked;
         let out = self.hands.mails.iter().any(|(_, m)| m.call.is_some());
         if (self.leaving == Leaving::Shut && quiet) || (self.leaving == Leaving::Ending && !out) {
             self.leaving = Leaving::Gone;
