--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -60,6 +60,11 @@
     pub fn count(&self, path: &str) -> Result<u64, BadField> {
         self.need(path, "a whole number", Value::as_u64)
     }
+    /// A whole number that is no less than this.
+    pub fn from(&self, least: u64, path: &str) -> Result<u64, BadField> {
+        let expected = format!("a whole number from {least}");
+        self.need(path, &expected, |v| v.as_u64().filter(|n| *n >= least))
+    }
     pub fn word(&self, path: &str) -> Result<&'a str, BadField> {
         self.need(path, "a word", Value::as_str)
     }
@@ -87,7 +92,7 @@
     };
     let facts = ClassFacts {
         importance: r.num("worth")?,
-        target_delay: r.count("aim-ns")?,
+        target_delay: r.from(1, "aim-ns")?,
         lifetime: r.count("deadline-ns")?,
         late_share: r.num("late-share")?,
         repeat,
@@ -99,8 +104,9 @@
 /// Reads the settings; `place` names the object in messages.
 pub fn read(json: &Value, seed: u64, place: &str) -> Result<Boot, BadField> {
     let r = Reader { json, place };
-    let services = format!("{place}.services");
-    let classes = r.list("services")?.iter().map(|c| class(c, &services)).collect::<Result<Vec<_>, _>>()?;
+    let services = r.list("services")?.iter().enumerate();
+    let classes =
+        services.map(|(i, c)| class(c, &format!("{place}.services[{i}]"))).collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes): (Vec<_>, Vec<_>) = classes.into_iter().unzip();
     let names = Names { classes: class_names, kinds: r.words("flavors")?, zones: r.words("dcs")? };
     let own = r.list("family-info.own-limits")?;
@@ -110,9 +116,9 @@
         classes,
         apart: own.iter().map(|v| v.as_bool().unwrap_or(false)).collect(),
         halves: r.word("family-info.decay")? == "halves",
-        slots: r.count("family-info.workers")? as usize,
-        holding_room: r.count("limits.max-open")? as usize,
-        max_connects: r.count("limits.max-attempts")? as u32,
+        slots: r.from(1, "family-info.workers")? as usize,
+        holding_room: r.from(1, "limits.max-open")? as usize,
+        max_connects: r.from(1, "limits.max-attempts")? as u32,
         connect_timeout: r.count("limits.connect-timeout-ns")?,
         max_come_back: if r.flag("limits.retry-after") { r.count("limits.max-retry-after-ns")? } else { 0 },
         cold_share: r.num("guarantees.cold-share")?,
@@ -120,7 +126,7 @@
         tip_multiple: r.num("guarantees.tip-multiple")?,
         tip_window: r.count("guarantees.overload-for-ns")?,
         key_rest: r.at("guarantees.turn-gap-ns").and_then(Value::as_u64).unwrap_or(0),
-        tick: r.count("tick-ns")?,
+        tick: r.from(1, "tick-ns")?,
     };
     let keep_alive = r.count("limits.keepalive-ns")?;
     Ok(Boot { facts, names, keep_alive })
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -66,7 +66,7 @@
         listen: address("listen")?,
         discovery: address("discovery")?,
         memory_bytes: (r.num("limits.memory_mb")? * 1e6) as u64,
-        sockets: r.count("limits.sockets")? as usize,
+        sockets: r.from(32, "limits.sockets")? as usize,
         disk_bytes: (r.num("limits.disk_mb")? * 1e6) as u64,
         known: known.clone(),
         boot: bellsill_boot::read(settings, seed, "settings")?,
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -383,7 +383,8 @@
     for (place, value, named) in [
         ("/listen", json!("nowhere"), "listen"),
         ("/limits/sockets", json!("many"), "limits.sockets"),
-        ("/settings/services/0/repeat", json!("sometimes"), "settings.services.repeat"),
+        ("/settings/services/0/repeat", json!("sometimes"), "settings.services[0].repeat"),
+        ("/settings/family-info/workers", json!(0), "settings.family-info.workers"),
         ("/settings/guarantees/ramp-time-ns", json!(null), "settings.guarantees.ramp-time-ns"),
     ] {
         let mut rig = Rig::new(&[]);
