--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::conns::ConnId;
 use crate::event_loop::Daemon;
 use crate::mail_journal::KeptMail;
-use crate::mails::{Due, Hands, past};
+use crate::mails::{Due, Hands, Refusal};
 use crate::resp;
 use bellsill::interface::*;
 
@@ -155,51 +155,38 @@
         false
     }
 
-    /// A mail is handed in: refused, or journalled, answered and then taken to the decisions.
+    /// A mail is handed in.
     fn hand_in(&mut self, conn: ConnId, put: resp::Put, body: Vec<u8>) {
+        let say = |hands: &mut Hands, answer: &str| {
+            if let Some(to) = hands.conns.get_mut(conn) {
+                to.output.push(answer.as_bytes());
+            }
+            // At once, for the client's wait is short. A break shows when its commands are done.
+            let _ = hands.conns.flush(conn);
+        };
         // A client that has ended its side may have given up waiting and handed the mail in elsewhere: taken here too, it
         // would go out twice. It covers a dispatcher that stood still; the harm is a needless -BUSY to one that ends its
         // side early and yet listens.
-        let takes = self.takes_mails() && self.hands.conns.get(conn).is_some_and(|c| !c.ended);
-        let hands = &mut self.hands;
-        let class = hands.class_names.iter().position(|c| *c == put.class);
-        let tagged = class.is_some_and(|c| matches!(self.repeats[c], Repeat::Tagged { .. }));
-        let (answer, mail) = match class {
-            None => ("-ERR c: unknown class\r\n", None),
-            Some(_) if tagged && put.tag.is_empty() => ("-ERR k: expected in this class\r\n", None),
-            // Handed in once more on another connection: it is held already.
-            Some(_) if hands.slots.contains_key(&MailId(put.id)) => ("+OK\r\n", None),
-            Some(_) if hands.held() >= self.holding_room || !takes => ("-BUSY\r\n", None),
-            Some(_) => {
-                let mail = hands.kept(put, body);
-                match hands.take(mail.clone()) {
-                    true => ("+OK\r\n", Some(mail)),
-                    false => ("-BUSY\r\n", None),
-                }
-            }
+        let listens = self.hands.conns.get(conn).is_some_and(|c| !c.ended);
+        let mail = KeptMail {
+            id: MailId(put.id),
+            class: put.class,
+            key: put.key,
+            destination: put.destination,
+            due: self.hands.now.saturating_add(put.lifetime_ms.saturating_mul(1_000_000)),
+            tag: put.tag,
+            body,
+            connects: vec![],
         };
-        if let Some(conn) = hands.conns.get_mut(conn) {
-            conn.output.push(answer.as_bytes());
-        }
-        // The client's wait ends before the decisions begin. A break shows when the commands are done.
-        let _ = hands.conns.flush(conn);
-        if let Some(mail) = mail {
-            self.decide_on(&mail);
-        }
-    }
-
-    /// Takes a mail that is held to the decisions, with what a former process did for it.
-    pub fn decide_on(&mut self, mail: &KeptMail) {
-        let hands = &mut self.hands;
-        let class = hands.class_names.iter().position(|c| *c == mail.class);
-        let new = NewMail {
-            id: mail.id,
-            class: ClassId(class.unwrap_or(0)),
-            key: Some(KeyId(mail.key)).filter(|key| key.0 != 0),
-            destination: DestinationId(mail.destination),
-            due: mail.due,
-            past: past(&mail.connects, hands.discovery.zones()),
+        let taken = match listens {
+            true => self.take_on(mail, |hands| say(hands, "+OK\r\n")),
+            false => Err(Refusal::NoRoom),
         };
-        self.dispatcher.mail_taken(hands.now, new, hands);
+        match taken {
+            Ok(()) => {}
+            Err(Refusal::UnknownClass) => say(&mut self.hands, "-ERR c: unknown class\r\n"),
+            Err(Refusal::Untagged) => say(&mut self.hands, "-ERR k: expected in this class\r\n"),
+            Err(Refusal::NoRoom) => say(&mut self.hands, "-BUSY\r\n"),
+        }
     }
 }
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -5,6 +5,7 @@
 use crate::deadlines::Deadlines;
 use crate::discovery::Discovery;
 use crate::endpoints::Endpoints;
+use crate::event_loop::Daemon;
 use crate::mail_journal::{Ending, KeptConnect, KeptMail, MailJournal};
 use crate::notices::Notices;
 use crate::slots::{SlotId, Slots};
@@ -105,8 +106,8 @@
 }
 
 impl Hands {
-    /// Takes a mail on: written to the journal before its client hears of it. False: there is no room.
-    pub fn take(&mut self, mail: KeptMail) -> bool {
+    /// Holds a mail that is new to the journal. False: there is no room.
+    fn take(&mut self, mail: KeptMail) -> bool {
         if self.journal.taken(&mail).is_err() {
             return false;
         }
@@ -284,24 +285,58 @@
     pub fn held(&self) -> usize {
         self.mails.iter().filter(|(_, mail)| !mail.stage.ended()).count()
     }
+}
+
+/// Why a mail is not taken on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    UnknownClass,
+    /// Its queue class is tagged, and it carries no tag.
+    Untagged,
+    /// Handing it in again is harmless.
+    NoRoom,
+}
 
-    /// The mail that the journal is to keep for this hand-in.
-    pub fn kept(&self, put: crate::resp::Put, body: Vec<u8>) -> KeptMail {
-        KeptMail {
-            id: MailId(put.id),
-            class: put.class,
-            key: put.key,
-            destination: put.destination,
-            due: self.now.saturating_add(put.lifetime_ms.saturating_mul(1_000_000)),
-            tag: put.tag,
-            body,
-            connects: vec![],
+impl Daemon {
+    /// Takes a mail on, by whatever front it came: it is written to the journal, then its client is answered, then the
+    /// decisions begin. One that is held already is answered like one that was just taken.
+    pub fn take_on(&mut self, mail: KeptMail, answer: impl FnOnce(&mut Hands)) -> Result<(), Refusal> {
+        let takes = self.takes_mails();
+        let hands = &mut self.hands;
+        let class = hands.class_names.iter().position(|c| *c == mail.class).ok_or(Refusal::UnknownClass)?;
+        if mail.tag.is_empty() && matches!(self.repeats[class], Repeat::Tagged { .. }) {
+            return Err(Refusal::Untagged);
+        }
+        if hands.slots.contains_key(&mail.id) {
+            answer(hands);
+            return Ok(());
+        }
+        if !takes || hands.held() >= self.holding_room || !hands.take(mail.clone()) {
+            return Err(Refusal::NoRoom);
         }
+        answer(hands);
+        self.decide_on(&mail);
+        Ok(())
+    }
+
+    /// Takes a mail that is held to the decisions, with what a former process did for it.
+    pub fn decide_on(&mut self, mail: &KeptMail) {
+        let hands = &mut self.hands;
+        let class = hands.class_names.iter().position(|c| *c == mail.class);
+        let new = NewMail {
+            id: mail.id,
+            class: ClassId(class.unwrap_or(0)),
+            key: Some(KeyId(mail.key)).filter(|key| key.0 != 0),
+            destination: DestinationId(mail.destination),
+            due: mail.due,
+            past: past(&mail.connects, hands.discovery.zones()),
+        };
+        self.dispatcher.mail_taken(hands.now, new, hands);
     }
 }
 
 /// What the decisions are told of a mail's past: an outcome that nobody knows may mean that it ran.
-pub fn past(connects: &[KeptConnect], zones: &[String]) -> Past {
+fn past(connects: &[KeptConnect], zones: &[String]) -> Past {
     let ran = connects.iter().find(|c| c.may_have_run != Some(false));
     let zone = |c: &KeptConnect| zones.iter().position(|z| *z == c.zone).unwrap_or(usize::MAX);
     Past { connects: connects.len() as u32, ran: ran.map(|c| (c.at, ZoneId(zone(c)))) }
