A connection that comes up after the mail's time gets nothing, also after a stand-still

Found by asking what a dispatcher finds that stood still: the event of a connection that came up was met before the deadline of its connect (event_loop.rs turn, endpoints.rs connection_rose), and a mail whose queue lifetime was over was sent. The new test, with the program stopped meanwhile, failed so.

--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -129,6 +129,11 @@
         true
     }
 
+    /// Whether a connect's time is not up.
+    fn in_time(&self, slot: MailSlot) -> bool {
+        self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| self.now < c.until)
+    }
+
     /// The answer to a call, as far as it has come. True: it is complete.
     fn answer(&mut self, id: ConnId, slot: MailSlot) -> Result<bool, http::Malformed> {
         let Some(conn) = self.conns.get_mut(id) else { return Ok(true) };
@@ -175,6 +180,8 @@
         let ended = filled.is_err() || hands.conns.get(id).is_some_and(|c| c.ended);
         match hands.answer(id, slot) {
             Ok(true) => return,
+            // What is not written by its time is not written later: its deadline is the next thing seen.
+            Ok(false) if !ended && !hands.in_time(slot) => return,
             Ok(false) if !ended && hands.conns.flush(id).is_ok() => return,
             // No HTTP, or no answer before the end: nobody knows whether it ran.
             _ => {}
@@ -183,14 +190,17 @@
     }
 
     /// While the connection came up its endpoint may have started to drain, or a wait may have begun there: only the
-    /// decisions know. A mail turned back here has not been sent, and the connection is kept.
+    /// decisions know. Or its time is up, and its deadline is the next thing seen: a dispatcher that stood still would
+    /// otherwise send mails whose queue lifetime is long over. A mail turned back here has not been sent, and the
+    /// connection is kept.
     fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
         let hands = &mut self.hands;
         match hands.conns.risen(id) {
             Ok(()) => {
                 hands.deadlines.clear(Due::Conn(id));
                 let endpoint = hands.mails.get(slot).and_then(|m| m.call).map(|c| c.endpoint);
-                if endpoint.is_some_and(|e| self.dispatcher.still_open(hands.now, e)) {
+                let open = endpoint.is_some_and(|e| self.dispatcher.still_open(hands.now, e));
+                if open && hands.in_time(slot) {
                     hands.write_call(slot, id);
                 } else {
                     hands.endpoints.calls.remove(&id);
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -155,8 +155,18 @@
             self.settle();
         }
         self.hands.now = self.clock.now();
+        let mut wake = false;
         while let Some(due) = self.hands.deadlines.take_due(self.hands.now) {
-            self.fell_due(due);
+            // After a stand-still much is due at once: woken first, the decisions would take connects for out that have
+            // had their time, and bounce what never ran.
+            wake |= due == Due::Wake;
+            if due != Due::Wake {
+                self.fell_due(due);
+                self.settle();
+            }
+        }
+        if wake {
+            self.fell_due(Due::Wake);
             self.settle();
         }
         self.hands.send_notices();
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -210,6 +210,7 @@
         );
         call.conn = Some(conn);
         if room.is_err() {
+            self.endpoints.calls.remove(&conn);
             self.pool(conn);
             self.end_call(slot, Outcome::Unsent(false), false);
             return;
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -544,16 +544,47 @@
     });
 }
 
+/// An endpoint whose queue of new connections is full, by the one given back: one more comes up when there is room.
+fn crowded() -> (TcpListener, TcpStream) {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener: TcpListener = listener.into();
+    let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener, filler)
+}
+
+#[test]
+fn a_connection_that_comes_up_after_the_mail_s_time_gets_nothing() {
+    let (slow, filler) = crowded();
+    let entry = json!({"id": "slow", "addr": slow.local_addr().unwrap().to_string(), "zone": "north",
+        "kind": "shops", "cell": 7, "state": "up"});
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry]);
+    rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
+    // The connection is kept, and closed when it has been idle for so long.
+    rig.json["settings"]["limits"]["keepalive-ns"] = json!(1_000_000_000);
+    rig.start();
+    let mut client = rig.client();
+    let (id, from) = (client.mail("payment", 7, 3000, "x"), Instant::now());
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    // The dispatcher stands still while the connection comes up, until the queue lifetime is over.
+    rig.signal(Signal::STOP);
+    drop((slow.accept().unwrap(), filler));
+    let mut late = slow.accept().unwrap().0;
+    std::thread::sleep(Duration::from_millis(3500).saturating_sub(from.elapsed()));
+    rig.signal(Signal::CONT);
+    wait_for("the mail's end", || rig.platform.notice(&id).is_some());
+    assert_eq!(rig.platform.notice(&id).unwrap()["result"], "bounced", "it never ran");
+    let mut got = Vec::new();
+    assert!(late.read_to_end(&mut got).is_ok() && got.is_empty());
+}
+
 #[test]
 fn a_connection_that_comes_up_after_its_endpoint_began_to_drain_gets_nothing() {
-    // An endpoint whose queue of new connections is full: one more comes up when there is room again.
-    let slow = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    slow.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
-    slow.listen(0).unwrap();
-    let slow: TcpListener = slow.into();
-    let addr = slow.local_addr().unwrap();
-    let filler = TcpStream::connect(addr).unwrap();
-    let entry = |state: &str| json!({"id": "slow", "addr": addr.to_string(), "zone": "north", "kind": "shops", "cell": 7, "state": state});
+    let (slow, filler) = crowded();
+    let addr = slow.local_addr().unwrap().to_string();
+    let entry = |state: &str| json!({"id": "slow", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": state});
     let second = Endpoint::start(OK);
     let mut rig = Rig::new(&[]);
     rig.json["known"]["servers"] = json!([entry("up"), second.entry("second", 7, "up")]);
