A dispatcher told to leave ends also when a call is never answered

Seen: after the example's try-out one dispatcher was still running, at full CPU, long after SIGTERM. Its log ended at 'told to leave', its descriptors showed the listener closed, its time was all user time: no system call, so a loop. The lines at fault: event_loop.rs leave_on set the last step's deadline anew, at a time already past, and turn took it out again for ever. It happened only with a call still out 3.4 s after the signal. Ruled out: the log, signals, the poller (none is reached). The new test with an endpoint that never answers did not end on the old code's path.

--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -248,7 +248,10 @@
         let (next, then) = match self.leaving {
             Leaving::Told => (Leaving::Shut, DECIDE_FOR),
             Leaving::Shut => (Leaving::Ending, GONE_AFTER),
-            _ => (Leaving::Gone, GONE_AFTER),
+            _ => {
+                self.leaving = Leaving::Gone;
+                return;
+            }
         };
         self.leaving = next;
         self.hands.deadlines.set(Due::Leave, self.told_to_leave + then);
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -484,6 +484,26 @@
     wait_for("the late mail", || answer.is_empty() || gone_out(&late) >= 1);
 }
 
+#[test]
+fn on_sigterm_a_call_that_is_never_answered_holds_up_nothing() {
+    let e = Endpoint::start(Does::Hangs);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let once = rig.client().mail("payment", 7, 20_000, "x");
+    wait_for("the call", || e.calls().len() == 1);
+    rig.signal(Signal::TERM);
+    let mut end = None;
+    wait_for("the dispatcher's end", || {
+        end = rig.child.as_mut().unwrap().try_wait().unwrap();
+        end.is_some()
+    });
+    assert_eq!(end.unwrap().code(), Some(0));
+    rig.start();
+    wait_for("the mail's end", || rig.platform.notice(&once).is_some());
+    assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    assert_eq!(e.calls().len(), 1);
+}
+
 #[test]
 fn what_is_no_http_is_a_reset_and_a_connection_s_end_is_met() {
     let e = Endpoint::start(Does::Babbles);
