SIGHUP moves discovery and ends nothing; clients that ask nothing or stop half-way go

Ruled out: descriptors taken by endpoints (97 at once at most on all nodes together).

Now SIGHUP has the file read again and checked whole; a bad one is logged by field and the old stays; another discovery gets the watch from version 0 and all notices owed. A client must ask within 2 s and send a command whole within 2 s; one that asks no more goes after 8 s, or after 2 s when places are short. Bounded turns: 32 accepts, 64 commands. Refused before a mail is taken on: unknown destinations, lifetimes over the class's, signed numbers.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -7,24 +7,37 @@
 use crate::resp;
 use bellsill::interface::*;
 
-/// How long no more clients are let in when there is no descriptor for them.
+/// How long no more clients are let in when there is no place for them.
 const BACK_OFF: Nanos = 50_000_000;
+/// The most clients let in, and the most commands of one client answered, before all others have their turn.
+const LET_IN_MOST: usize = 32;
+const TURN_MOST: usize = 64;
 /// The longest text that PING gives back.
 const PING_MOST: usize = 1024;
+/// How long a client may take to its first command, and from a command's first byte to its last, or to read an answer.
+const REQUEST_WITHIN: Nanos = 2_000_000_000;
+/// How long a client may stay that asks no more.
+const IDLE_MOST: Nanos = 8_000_000_000;
+/// With no place left, clients that have not asked for so long, or have asked no more for so long, give way.
+const SILENT_GIVES_WAY: Nanos = 250_000_000;
+const IDLE_GIVES_WAY: Nanos = 2_000_000_000;
 /// How long a client that was told something last may take to end its side.
-const LINGER: Nanos = 5_000_000_000;
-/// A client that neither sent nor read anything for so long gives way to a new one when there is no place.
-const IDLE_LONG: Nanos = 10_000_000_000;
+const LINGER: Nanos = 2_000_000_000;
+/// After so many errors a client is parted with.
+const ERRORS_MOST: u32 = 16;
 
 impl Hands {
     /// Sees to it that one more client can be let in. Idle connections to endpoints give way first, then a client that
-    /// asks nothing for long: idle clients alone would otherwise lock out all new ones. One that gives way just before
-    /// its next request sends it once more, as whenever a connection is closed between requests.
+    /// will not be missed: hundreds that say nothing, or ask once and stay, would otherwise lock out all others. It also
+    /// covers clients told their last answer that do not go. One that gives way just before its next request sends it
+    /// once more, as whenever a connection is closed between requests.
     fn make_way(&mut self) -> bool {
         if self.conns.clients_full() {
             let now = self.now;
-            let idle = self.conns.idlest_client().filter(|(_, used)| now >= used + IDLE_LONG);
-            let Some((id, _)) = idle else { return false };
+            let least = self
+                .conns
+                .least_client(now.saturating_sub(SILENT_GIVES_WAY), now.saturating_sub(IDLE_GIVES_WAY));
+            let Some(id) = least else { return false };
             self.part_with(id);
         }
         !self.conns.full() || self.shed_idle()
@@ -33,6 +46,7 @@
     /// Closes a client's connection.
     pub fn part_with(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Conn(id));
+        self.deadlines.clear(Due::Read(id));
         self.conns.close(id);
     }
 }
@@ -43,7 +57,7 @@
     pub fn let_in(&mut self) {
         let hands = &mut self.hands;
         let mut again = Ok(());
-        loop {
+        for _ in 0..LET_IN_MOST {
             if !hands.make_way() {
                 // Said once, until there is place again.
                 if !std::mem::replace(&mut self.turned_away, true) {
@@ -56,6 +70,7 @@
                     self.turned_away = false;
                     let now = hands.now;
                     hands.conns.get_mut(id).into_iter().for_each(|c| c.used = now);
+                    hands.deadlines.set(Due::Conn(id), now + REQUEST_WITHIN);
                 }
                 Ok(None) => break,
                 // It has gone again while it waited.
@@ -73,24 +88,49 @@
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
-        let conns = &mut self.hands.conns;
-        let broken = conns.fill(id).is_err();
-        let Some(conn) = conns.get_mut(id) else { return };
-        conn.used = self.hands.now;
+        let hands = &mut self.hands;
+        if let Some(conn) = hands.conns.get_mut(id).filter(|c| c.asked && c.between()) {
+            // Its next command begins.
+            conn.used = hands.now;
+        }
+        let broken = hands.conns.fill(id).is_err();
+        let Some(conn) = hands.conns.get_mut(id) else { return };
         if conn.lingers {
             conn.input.consume(conn.input.len());
-            if broken || conn.ended || conns.arm(id).is_err() {
-                self.hands.part_with(id);
+            if broken || conn.ended || hands.conns.arm(id).is_err() {
+                hands.part_with(id);
             }
         } else if broken || !self.answer_commands(id) {
             self.hands.part_with(id);
         }
     }
 
-    /// Answers all commands that have come whole. False: the connection is done.
+    /// A client has had its time: to ask, to send the rest of what it asks, to read, or to stay without asking. Those who
+    /// connect and say nothing, or stop half-way, would else hold their places for good; it covers those that read no
+    /// answers too. The harm: one that is slower than that is parted with unheard. What came last is still met.
+    pub fn client_overdue(&mut self, id: ConnId) {
+        let conns = &mut self.hands.conns;
+        let Some(had) = conns.get(id).filter(|c| !c.lingers).map(|c| c.input.len()) else {
+            return self.hands.part_with(id);
+        };
+        if conns.fill(id).is_ok() && conns.get(id).is_some_and(|c| c.input.len() != had) {
+            return self.client_ready(id);
+        }
+        self.hands.part_with(id);
+    }
+
+    /// Answers the commands that have come whole. False: the connection is done.
     fn answer_commands(&mut self, id: ConnId) -> bool {
+        let now = self.hands.now;
+        let mut left = TURN_MOST;
         loop {
             let Some(conn) = self.hands.conns.get_mut(id) else { return true };
+            if left == 0 {
+                // What else it sent waits until all others have had their turn.
+                self.hands.deadlines.set(Due::Read(id), now + 1);
+                break;
+            }
+            left -= 1;
             // With no room for an answer, what has come waits until the client has read.
             if conn.last || conn.input.is_empty() || conn.output.room() < resp::COMMAND_MOST / 2 {
                 break;
@@ -133,18 +173,23 @@
                 _ => format!("-ERR unknown command '{}'\r\n", name.escape_ascii()),
             };
             conn.input.consume(taken);
-            conn.output.push(answer.as_bytes());
+            conn.say(&answer, now);
             conn.last |= last;
             if let Some((put, body)) = new {
                 self.hand_in(id, put, body);
             }
+            if let Some(conn) = self.hands.conns.get_mut(id).filter(|c| c.errors >= ERRORS_MOST) {
+                conn.last = true;
+            }
         }
         let hands = &mut self.hands;
         if hands.conns.flush(id).is_err() {
             return false;
         }
         let Some(conn) = hands.conns.get(id) else { return true };
-        if !conn.output.is_empty() || !(conn.last || conn.ended) {
+        if !conn.output.is_empty() || left == 0 || !(conn.last || conn.ended) {
+            let stay = if conn.asked && conn.between() { IDLE_MOST } else { REQUEST_WITHIN };
+            hands.deadlines.set(Due::Conn(id), conn.used + stay);
             return true;
         }
         // Closed with input unread, a connection is reset, and the answer to what was wrong with it may be lost.
@@ -158,8 +203,9 @@
     /// A mail is handed in.
     fn hand_in(&mut self, conn: ConnId, put: resp::Put, body: Vec<u8>) {
         let say = |hands: &mut Hands, answer: &str| {
+            let now = hands.now;
             if let Some(to) = hands.conns.get_mut(conn) {
-                to.output.push(answer.as_bytes());
+                to.say(answer, now);
             }
             // At once, for the client's wait is short. A break shows when its commands are done.
             let _ = hands.conns.flush(conn);
@@ -185,6 +231,8 @@
         match taken {
             Ok(()) => {}
             Err(Refusal::UnknownClass) => say(&mut self.hands, "-ERR c: unknown class\r\n"),
+            Err(Refusal::UnknownDestination) => say(&mut self.hands, "-ERR dest: unknown destination\r\n"),
+            Err(Refusal::TooLong) => say(&mut self.hands, "-ERR d: longer than the class allows\r\n"),
             Err(Refusal::Untagged) => say(&mut self.hands, "-ERR k: expected in this class\r\n"),
             Err(Refusal::NoRoom) => say(&mut self.hands, "-BUSY\r\n"),
         }
--- a/daemon/src/command_line.rs
+++ b/daemon/src/command_line.rs
@@ -1,9 +1,8 @@
 //! The command line: what to do, and with which files.
 
-use crate::event_loop::Daemon;
-use crate::start::{self, Start};
+use crate::event_loop::{Daemon, Told};
+use crate::start;
 use std::ffi::OsString;
-use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -23,7 +22,8 @@
   --state DIR     the folder that lasts (else RELAY_STATE, else the configuration's `state`)
   --log LEVEL     error, warn, info, debug or off (info)
 
-Ends with 0 when it was told to leave, 1 when it could not go on, 2 on a bad command line or configuration.
+On SIGHUP serve reads the configuration again, and takes a new `discovery` from it; the log says what else it would need
+a restart for. Ends with 0 when it was told to leave, 1 when it could not go on, 2 on a bad command line or configuration.
 ";
 
 #[derive(Debug, PartialEq)]
@@ -84,6 +84,14 @@
         Command::Version => println!("bellsill {}", env!("CARGO_PKG_VERSION")),
         Command::Serve | Command::Check => {
             crate::logger::start(line.log);
+            // Before anything is read: a signal that comes early is met later, and ends nothing by itself.
+            let told = match Told::by_signals() {
+                Ok(told) => told,
+                Err(e) => {
+                    eprintln!("bellsill: signals: {e}");
+                    return ExitCode::from(1);
+                }
+            };
             let variable = |name: &str| std::env::var_os(name).map(PathBuf::from);
             let Some(file) = line.file.or_else(|| variable("RELAY_CONFIG")) else {
                 eprintln!("bellsill: no configuration: give --config or RELAY_CONFIG");
@@ -98,7 +106,7 @@
             };
             if line.command == Command::Check {
                 println!("{}: good, for {} on {}", file.display(), start.name, start.listen);
-            } else if let Err(e) = serve(start) {
+            } else if let Err(e) = Daemon::start(start, told).and_then(|mut daemon| daemon.run()) {
                 eprintln!("bellsill: {e}");
                 return ExitCode::from(1);
             }
@@ -106,11 +114,3 @@
     }
     ExitCode::SUCCESS
 }
-
-fn serve(start: Start) -> std::io::Result<()> {
-    let (leave, sender) = UnixStream::pair()?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
-    }
-    Daemon::start(start, leave)?.run()
-}
--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -54,12 +54,33 @@
     pub ended: bool,
     /// Its last answer is written; what still comes is thrown away until the other side has read it and ended.
     pub lingers: bool,
-    /// When it was used last.
+    /// When it came up, or was used last.
     pub used: Nanos,
+    /// A client that was answered at least once.
+    pub asked: bool,
+    /// What it was told that was wrong with what it sent.
+    pub errors: u32,
     /// What the poller watches it for: reading, writing.
     armed: Option<(bool, bool)>,
 }
 
+impl Conn {
+    /// Queues an answer to a client.
+    pub fn say(&mut self, answer: &str, now: Nanos) {
+        match answer.starts_with('-') && !answer.starts_with("-BUSY") {
+            true => self.errors += 1,
+            false if answer.is_empty() => return,
+            false => (self.asked, self.used) = (true, now),
+        }
+        self.output.push(answer.as_bytes());
+    }
+
+    /// Nothing has begun to come, and nothing is left to be read by the other side.
+    pub fn between(&self) -> bool {
+        self.input.is_empty() && self.output.is_empty()
+    }
+}
+
 /// What the poller saw.
 pub enum Seen {
     Listener,
@@ -158,11 +179,19 @@
         self.len() >= self.most
     }
 
-    /// The client from which nothing has come and that has read nothing for the longest time. All that it asked is
-    /// answered or not wholly here.
-    pub fn idlest_client(&self) -> Option<(ConnId, Nanos)> {
-        let clients = self.iter().filter(|(_, c)| c.role == Role::Client);
-        clients.map(|(id, c)| (id, c.used)).min_by_key(|(_, used)| *used)
+    /// The client that is missed least, of those that may be parted with: one told its last answer, else one that never
+    /// asked, else one between requests; of these the one used longest ago. `silent` and `idle` are the times before
+    /// which the latter two must have been used last.
+    pub fn least_client(&self, silent: Nanos, idle: Nanos) -> Option<ConnId> {
+        let rank = |c: &Conn| match c {
+            _ if c.role != Role::Client => None,
+            _ if c.lingers => Some(0),
+            _ if !c.asked && c.used <= silent => Some(1),
+            _ if c.between() && c.used <= idle => Some(2),
+            _ => None,
+        };
+        let clients = self.iter().filter_map(|(id, c)| Some((rank(c)?, c.used, id)));
+        clients.min().map(|(_, _, id)| id)
     }
 
     /// The next client that waits to be let in.
@@ -222,6 +251,8 @@
             ended: false,
             lingers: false,
             used: 0,
+            asked: false,
+            errors: 0,
             armed: Some(armed),
         });
         let conn = self.slots.get(id).expect("just added");
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -53,6 +53,21 @@
         }
     }
 
+    /// Discovery has moved. The new source's versions are its own: after the old one's last, what it tells could be
+    /// passed over, so it is asked for everything.
+    pub fn watch_at(&mut self, addr: SocketAddr) {
+        if addr == self.discovery.addr {
+            return;
+        }
+        if let Some(old) = self.discovery.conn.take() {
+            self.deadlines.clear(Due::Conn(old));
+            self.conns.close(old);
+        }
+        self.deadlines.clear(Due::Watch);
+        (self.discovery.addr, self.discovery.version) = (addr, 0);
+        self.watch();
+    }
+
     pub fn watch_broke(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Conn(id));
         self.conns.close(id);
@@ -175,7 +190,7 @@
             (None, Some(id)) if !serving => self.endpoints[id].addr,
             _ => return Err("addr"),
         };
-        let endpoint = self.endpoints.know(name, addr, zone);
+        let endpoint = self.endpoints.know(name, addr, zone, destination);
         if self.endpoints[endpoint].addr != addr {
             self.hang_up(endpoint);
             self.endpoints[endpoint].addr = addr;
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -14,6 +14,8 @@
     pub addr: SocketAddr,
     pub zone: String,
     pub serving: bool,
+    /// Where it was listed last.
+    pub destination: u64,
     /// The last one was used last.
     pub idle: Vec<ConnId>,
 }
@@ -43,15 +45,26 @@
 
 impl Endpoints {
     /// The number of the endpoint of that name, which is given one if it has none.
-    pub fn know(&mut self, name: &str, addr: SocketAddr, zone: &str) -> EndpointId {
+    pub fn know(&mut self, name: &str, addr: SocketAddr, zone: &str, destination: u64) -> EndpointId {
         let next = EndpointId(self.rows.len() as u32);
         let id = *self.by_name.entry(name.to_string()).or_insert(next);
         if id == next {
-            self.rows.push(Endpoint { addr, zone: zone.to_string(), serving: false, idle: vec![] });
+            self.rows.push(Endpoint {
+                addr,
+                zone: zone.to_string(),
+                serving: false,
+                destination,
+                idle: vec![],
+            });
         }
         id
     }
 
+    /// Whether any endpoint is known of that destination, gone ones too: news of the next one may be late.
+    pub fn serve(&self, destination: u64) -> bool {
+        self.rows.iter().any(|row| row.destination == destination)
+    }
+
     pub fn find(&self, name: &str) -> Option<EndpointId> {
         self.by_name.get(name).copied()
     }
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -8,13 +8,17 @@
 use crate::mails::{Due, Hands, Stage};
 use crate::notices::Notices;
 use crate::slots::Slots;
-use crate::start::Start;
+use crate::start::{self, Source, Start};
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
+use serde_json::Value;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const MS: Nanos = 1_000_000;
@@ -41,6 +45,35 @@
     }
 }
 
+/// How long this process has been on a processor, as far as the system tells.
+fn busy() -> Nanos {
+    let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// What a dispatcher is told from outside: a byte on `wake` has it look at the two.
+pub struct Told {
+    pub wake: UnixStream,
+    /// It is to leave.
+    pub leave: Arc<AtomicBool>,
+    /// It is to read its configuration again.
+    pub reread: Arc<AtomicBool>,
+}
+
+impl Told {
+    /// SIGTERM and SIGINT tell it to leave, SIGHUP to read its configuration again.
+    pub fn by_signals() -> io::Result<Told> {
+        let (wake, sender) = UnixStream::pair()?;
+        let told = Told { wake, leave: Arc::default(), reread: Arc::default() };
+        for (signal, what) in [(SIGTERM, &told.leave), (SIGINT, &told.leave), (SIGHUP, &told.reread)] {
+            // In this order: whoever is woken finds what for.
+            signal_hook::flag::register(signal, Arc::clone(what))?;
+            signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
+        }
+        Ok(told)
+    }
+}
+
 /// How far a dispatcher is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Leaving {
@@ -57,19 +90,23 @@
 pub struct Daemon {
     pub dispatcher: Dispatcher,
     pub hands: Hands,
-    pub repeats: Vec<Repeat>,
+    pub classes: Vec<ClassFacts>,
     pub holding_room: usize,
     /// There was no place for a client that came last.
     pub turned_away: bool,
     clock: Clock,
+    leave: Arc<AtomicBool>,
+    reread: Arc<AtomicBool>,
+    /// What the configuration was read from, and what of it only a restart takes.
+    source: Option<Source>,
+    fixed: Vec<(&'static str, Value)>,
     leaving: Leaving,
     told_to_leave: Nanos,
 }
 
 impl Daemon {
-    /// Takes up what the journal holds, and listens. Clients are answered once it runs. A byte on `leave` tells it to
-    /// leave.
-    pub fn start(start: Start, leave: UnixStream) -> io::Result<Daemon> {
+    /// Takes up what the journal holds, and listens. Clients are answered once it runs.
+    pub fn start(start: Start, told: Told) -> io::Result<Daemon> {
         let clock = Clock::start();
         let now = clock.now();
         let Start { boot, known, .. } = start;
@@ -82,11 +119,17 @@
         // Kept for calls, the watch and notices.
         let reserve = facts.slots + 8;
         let mut daemon = Daemon {
-            repeats: facts.classes.iter().map(|class| class.repeat).collect(),
+            classes: facts.classes.clone(),
             holding_room: facts.holding_room,
             hands: Hands {
                 now,
-                conns: Conns::new(listener, leave, start.sockets, reserve, start.memory_bytes as usize / 2)?,
+                conns: Conns::new(
+                    listener,
+                    told.wake,
+                    start.sockets,
+                    reserve,
+                    start.memory_bytes as usize / 2,
+                )?,
                 deadlines: Deadlines::default(),
                 mails: Slots::default(),
                 slots: BTreeMap::new(),
@@ -102,6 +145,10 @@
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
             clock,
+            leave: told.leave,
+            reread: told.reread,
+            source: start.source,
+            fixed: start.fixed,
             leaving: Leaving::No,
             told_to_leave: 0,
         };
@@ -149,7 +196,7 @@
             self.hands.now = self.clock.now();
             match what {
                 Seen::Listener => self.let_in(),
-                Seen::Signals => self.told_to_leave()?,
+                Seen::Signals => self.told()?,
                 Seen::Conn(id) => self.ready(id),
             }
             self.settle();
@@ -216,9 +263,10 @@
                 },
                 Some(Role::Watch) => hands.watch_broke(id),
                 Some(Role::Notices) => hands.notices_broke(),
-                Some(Role::Client) => hands.part_with(id),
+                Some(Role::Client) => self.client_overdue(id),
                 None => {}
             },
+            Due::Read(id) => self.ready(id),
             Due::Watch => hands.watch(),
             Due::Notices => hands.notices_rested(),
             Due::Accept => self.let_in(),
@@ -226,15 +274,21 @@
             Due::Standing => {
                 let out = hands.mails.iter().filter(|(_, m)| m.call.is_some()).count();
                 let (held, owed, open) = (hands.mails.len(), hands.notices.owed(), hands.conns.len());
-                log::info!("standing: {held} mails held, {out} out, {owed} notices owed, {open} connections");
+                let busy = busy() / MS;
+                log::info!(
+                    "standing: {held} mails held, {out} out, {owed} notices owed, {open} connections, busy for {busy} ms"
+                );
                 hands.deadlines.set(Due::Standing, now + STANDING);
             }
         }
     }
 
-    fn told_to_leave(&mut self) -> io::Result<()> {
+    fn told(&mut self) -> io::Result<()> {
         self.hands.conns.take_signals()?;
-        if self.leaving == Leaving::No {
+        if self.reread.swap(false, Ordering::SeqCst) {
+            self.read_again();
+        }
+        if self.leave.load(Ordering::SeqCst) && self.leaving == Leaving::No {
             log::info!("told to leave, {} mails held", self.hands.mails.len());
             self.leaving = Leaving::Told;
             self.told_to_leave = self.hands.now;
@@ -243,6 +297,23 @@
         Ok(())
     }
 
+    /// Reads the configuration again. A bad one is not taken: a half-written file must not end a dispatcher that serves.
+    fn read_again(&mut self) {
+        let Some(Source { file, state }) = self.source.clone() else { return };
+        let new = match start::read(&file, state) {
+            Ok(new) => new,
+            Err(e) => return log::error!("the new configuration is not taken: {e}"),
+        };
+        for ((field, old), (_, new)) in self.fixed.iter().zip(&new.fixed) {
+            if old != new {
+                log::warn!("the new configuration: another `{field}` needs a restart, the old one stays");
+            }
+        }
+        log::info!("the configuration was read again, discovery is at {}", new.discovery);
+        self.hands.watch_at(new.discovery);
+        self.hands.notify_at(new.discovery);
+    }
+
     /// The next step of leaving.
     fn leave_on(&mut self) {
         let (next, then) = match self.leaving {
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -24,6 +24,9 @@
     }
 }
 
+/// Lifetimes are said in whole milliseconds.
+const LIFETIME_SLACK: Nanos = 1_000_000;
+
 /// What falls due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
@@ -39,6 +42,8 @@
     Notices,
     /// Clients may be let in again.
     Accept,
+    /// A client has sent more than was its turn.
+    Read(ConnId),
     /// The next step of leaving.
     Leave,
     /// A line on how things stand.
@@ -292,8 +297,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
     UnknownClass,
+    UnknownDestination,
     /// Its queue class is tagged, and it carries no tag.
     Untagged,
+    /// It says a longer queue lifetime than its class has.
+    TooLong,
     /// Handing it in again is harmless.
     NoRoom,
 }
@@ -305,9 +313,16 @@
         let takes = self.takes_mails();
         let hands = &mut self.hands;
         let class = hands.class_names.iter().position(|c| *c == mail.class).ok_or(Refusal::UnknownClass)?;
-        if mail.tag.is_empty() && matches!(self.repeats[class], Repeat::Tagged { .. }) {
+        let facts = &self.classes[class];
+        if mail.tag.is_empty() && matches!(facts.repeat, Repeat::Tagged { .. }) {
             return Err(Refusal::Untagged);
         }
+        if mail.due > hands.now + facts.lifetime + LIFETIME_SLACK {
+            return Err(Refusal::TooLong);
+        }
+        if !hands.endpoints.serve(mail.destination) {
+            return Err(Refusal::UnknownDestination);
+        }
         if hands.slots.contains_key(&mail.id) {
             answer(hands);
             return Ok(());
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -101,6 +101,16 @@
         }
     }
 
+    /// Notices go elsewhere from now on, those too that are out and have no answer.
+    pub fn notify_at(&mut self, addr: SocketAddr) {
+        if addr != self.notices.addr {
+            self.notices.addr = addr;
+            self.notices_broke();
+            self.deadlines.clear(Due::Notices);
+            (self.notices.rests, self.notices.again) = (false, AGAIN);
+        }
+    }
+
     pub fn notices_rested(&mut self) {
         self.notices.rests = false;
     }
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -96,7 +96,8 @@
         fields.split(',').find_map(|f| f.split_once('=').filter(|(n, _)| *n == name)).map(|(_, value)| value)
     };
     let whole = |name: &str| {
-        find(name).and_then(|v| v.parse::<u64>().ok()).ok_or(format!("{name}: expected a whole number"))
+        let digits = find(name).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+        digits.and_then(|v| v.parse::<u64>().ok()).ok_or(format!("{name}: expected a whole number"))
     };
     let tag = find("k").unwrap_or("");
     if tag.len() > 64 || !tag.bytes().all(|b| b.is_ascii_graphic()) {
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -16,8 +16,23 @@
     pub known: Value,
     pub boot: Boot,
     pub state: PathBuf,
+    /// What it was read from, to be read again; none where it came from no file.
+    pub source: Option<Source>,
+    /// The fields that only a restart takes, as they were read.
+    pub fixed: Vec<(&'static str, Value)>,
 }
 
+/// The file, and the folder named beside it.
+#[derive(Clone, Debug)]
+pub struct Source {
+    pub file: PathBuf,
+    pub state: Option<PathBuf>,
+}
+
+/// The fields of the configuration that a dispatcher keeps until it is started again. `known` is what the list was
+/// before the start, and `seed` is new with each start: neither is looked at again.
+const FIXED: [&str; 5] = ["name", "listen", "limits", "settings", "state"];
+
 /// Why a dispatcher cannot start.
 #[derive(Debug)]
 pub enum BadStart {
@@ -45,7 +60,8 @@
     let file = |why: String| BadStart::File(path.to_path_buf(), why);
     let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
     let json: Value = serde_json::from_str(&text).map_err(|e| file(format!("not JSON: {e}")))?;
-    Ok(parse(&json, state)?)
+    let source = Source { file: path.to_path_buf(), state: state.clone() };
+    Ok(Start { source: Some(source), ..parse(&json, state)? })
 }
 
 pub fn parse(json: &Value, state: Option<PathBuf>) -> Result<Start, BadField> {
@@ -71,5 +87,7 @@
         known: known.clone(),
         boot: bellsill_boot::read(settings, seed, "settings")?,
         state,
+        source: None,
+        fixed: FIXED.map(|field| (field, json.get(field).cloned().unwrap_or(Value::Null))).to_vec(),
     })
 }
