--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -50,6 +50,8 @@
         let to = &self.endpoints[endpoint.0 as usize];
         self.action("SHUT_IDLE", format_args!(" endpoint={to}"));
     }
+    // The bench's days are short: a name keeps its number.
+    fn forget(&mut self, _: EndpointId) {}
     fn wake(&mut self, after: Nanos) {
         self.action("ARM", format_args!(" mark=wake sleep-for-ns={after}"));
     }
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -155,7 +155,7 @@
         let mut entries = Vec::with_capacity(servers.len());
         for server in servers {
             match self.hands.entry(server) {
-                Ok(entry) => entries.push(entry),
+                Ok(entry) => entries.extend(entry),
                 Err(what) => log::warn!("discovery: an entry was skipped, its {what} cannot be read"),
             }
         }
@@ -175,7 +175,8 @@
 }
 
 impl Hands {
-    fn entry(&mut self, server: &Value) -> Result<ListEntry, &'static str> {
+    /// An entry of the list; none for an endpoint that never served and does not now: nothing hangs on it.
+    fn entry(&mut self, server: &Value) -> Result<Option<ListEntry>, &'static str> {
         let word = |field: &'static str| server.get(field).and_then(Value::as_str).ok_or(field);
         let (name, zone, kind, state) = (word("id")?, word("zone")?, word("kind")?, word("state")?);
         let serving = match state {
@@ -190,18 +191,21 @@
             (None, Some(id)) if !serving => self.endpoints[id].addr,
             _ => return Err("addr"),
         };
+        if known.is_none() && !serving {
+            return Ok(None);
+        }
         let endpoint = self.endpoints.know(name, addr, zone, destination);
         if self.endpoints[endpoint].addr != addr {
             self.hang_up(endpoint);
             self.endpoints[endpoint].addr = addr;
         }
         let find = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
-        Ok(ListEntry {
+        Ok(Some(ListEntry {
             endpoint,
             destination: DestinationId(destination),
             zone: ZoneId(find(&self.discovery.zones, zone)),
             kind: KindId(find(&self.discovery.kinds, kind)),
             serving,
-        })
+        }))
     }
 }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -14,8 +14,8 @@
     pub addr: SocketAddr,
     pub zone: String,
     pub serving: bool,
-    /// Where it was listed last.
-    pub destination: u64,
+    /// Where it was listed last; none once it is forgotten.
+    pub destination: Option<u64>,
     /// The last one was used last.
     pub idle: Vec<ConnId>,
 }
@@ -23,6 +23,8 @@
 #[derive(Default)]
 pub struct Endpoints {
     rows: Vec<Endpoint>,
+    /// Rows of endpoints that are forgotten, for the next ones.
+    free: Vec<EndpointId>,
     by_name: BTreeMap<String, EndpointId>,
     /// The connects that connections carry or rise for.
     pub calls: BTreeMap<ConnId, MailSlot>,
@@ -46,23 +48,36 @@
 impl Endpoints {
     /// The number of the endpoint of that name, which is given one if it has none.
     pub fn know(&mut self, name: &str, addr: SocketAddr, zone: &str, destination: u64) -> EndpointId {
-        let next = EndpointId(self.rows.len() as u32);
-        let id = *self.by_name.entry(name.to_string()).or_insert(next);
-        if id == next {
-            self.rows.push(Endpoint {
-                addr,
-                zone: zone.to_string(),
-                serving: false,
-                destination,
-                idle: vec![],
-            });
+        if let Some(id) = self.find(name) {
+            return id;
         }
+        let destination = Some(destination);
+        let row = Endpoint { addr, zone: zone.to_string(), serving: false, destination, idle: vec![] };
+        let id = match self.free.pop() {
+            Some(id) => {
+                self[id] = row;
+                id
+            }
+            None => {
+                self.rows.push(row);
+                EndpointId(self.rows.len() as u32 - 1)
+            }
+        };
+        self.by_name.insert(name.to_string(), id);
         id
     }
 
+    /// Endpoints come under new names for as long as a dispatcher runs: one that the decisions have forgotten gives its
+    /// row to the next one.
+    pub fn forget(&mut self, id: EndpointId) {
+        self.by_name.retain(|_, known| *known != id);
+        self[id].destination = None;
+        self.free.push(id);
+    }
+
     /// Whether any endpoint is known of that destination, gone ones too: news of the next one may be late.
     pub fn serve(&self, destination: u64) -> bool {
-        self.rows.iter().any(|row| row.destination == destination)
+        self.rows.iter().any(|row| row.destination == Some(destination))
     }
 
     pub fn find(&self, name: &str) -> Option<EndpointId> {
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -268,6 +268,14 @@
         }
     }
 
+    fn forget(&mut self, endpoint: EndpointId) {
+        let of = |c: &crate::conns::Conn| c.role == crate::conns::Role::Endpoint(endpoint);
+        // What the next one of that number finds is its own.
+        let conns: Vec<ConnId> = self.conns.iter().filter(|(_, c)| of(c)).map(|(id, _)| id).collect();
+        conns.into_iter().for_each(|conn| self.drop_idle(conn));
+        self.endpoints.forget(endpoint);
+    }
+
     fn wake(&mut self, after: Nanos) {
         self.deadlines.set(Due::Wake, self.now + after);
     }
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -2,6 +2,7 @@
 
 use bellsill::interface::{MailId, Nanos};
 use bellsill_daemon::deadlines::Deadlines;
+use bellsill_daemon::endpoints::Endpoints;
 use bellsill_daemon::http::{self, Body};
 use bellsill_daemon::mail_journal::{Ending, Kept, KeptConnect, KeptMail, MailJournal, NoRoom};
 use bellsill_daemon::resp;
@@ -287,3 +288,17 @@
     let (_, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
     assert!(kept == model && !folder.0.join("mails.next").exists());
 }
+
+#[test]
+fn an_endpoint_s_row_is_the_next_one_s_once_it_is_forgotten() {
+    let mut endpoints = Endpoints::default();
+    let addr = "127.0.0.1:1".parse().unwrap();
+    let stays = endpoints.know("stays", addr, "a", 1);
+    for n in 0..1000 {
+        let id = endpoints.know(&format!("e{n}"), addr, "a", 2);
+        assert_eq!(endpoints.know(&format!("e{n}"), addr, "a", 2), id);
+        assert!(id != stays && endpoints.ids().count() <= 2 && endpoints.serve(2));
+        endpoints.forget(id);
+        assert!(endpoints.find(&format!("e{n}")).is_none() && !endpoints.serve(2) && endpoints.serve(1));
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,4 @@
 //! All decisions of a dispatcher: which mail goes out next, by which route, and when one is given up.
-//!
 //! Make a [`Dispatcher`] by `boot`, then call the method for each thing that happens, with the clock and an
 //! [`Outlet`] that carries out the answers at once. `docs/design.md` says why each part is there.
 
@@ -20,7 +19,7 @@
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
 const GAP_SHARE: f64 = 0.15;
-/// Refusals with nothing relayed between for so long: the route was shut or hung, and returns cold.
+/// Refused for so long, a route was shut or hung, and returns cold.
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
 const SILENT_TIMES: f64 = 5.0;
@@ -53,14 +52,17 @@
 /// How far ahead the ranking looks for what waiting would lose, and how much worth itself counts beside that.
 const HORIZON: Nanos = 1_500 * MS;
 const WORTH_ITSELF: f64 = 0.03;
-/// The share of the slots that one destination may hold.
+/// What is learnt of an endpoint outlasts it by so long, in case it returns.
+const FORGET_AFTER: Nanos = 60_000 * MS;
+/// The shares of the slots that one destination, and all suspect routes together, may hold.
 const SLOT_SHARE: f64 = 0.35;
-/// The share of the slots that all suspect routes together may hold.
 const TRIAL_SHARE: f64 = 0.25;
 /// More mails than this in a key's line, with a stuck one at its head, are worth more than that one.
 const KEY_BEHIND: usize = 1;
-/// How long a kind keeps no idle connections once this share of connects met drops or full tables.
+/// How long a kind keeps no idle connections once this share of connects met drops or full tables; the least
+/// weight of one in it; one alone is enough where nothing had gone for so long: those at rest are dropped.
 const TIGHT: Nanos = 60_000 * MS;
+const TIGHT_RESTED: Nanos = 2_000 * MS;
 const TIGHT_SHARE: f64 = 0.15;
 const TIGHT_WEIGHT: f64 = 0.05;
 
@@ -87,8 +89,9 @@
     no: ConnectNo,
     class: usize,
     route: usize,
-    /// Idle connections were given back before it.
+    /// Idle connections were given back before it; for how long nothing had gone there.
     fresh: bool,
+    rested: Nanos,
     called_off: bool,
 }
 
@@ -109,33 +112,32 @@
 }
 
 #[derive(Default)]
-struct Routes {
-    entry: Vec<ListEntry>,
+struct Route {
+    entry: ListEntry,
     /// What a limit binds, by its first route: the route where routes are apart, else all of a destination's.
-    gate: Vec<usize>,
+    gate: usize,
     /// Held for silence or failing: one trial at a time.
-    suspect: Vec<bool>,
+    suspect: bool,
     /// Cold from then on, when it had answered again.
-    cold_since: Vec<Option<Nanos>>,
-    fail: Vec<f64>,
+    cold_since: Option<Nanos>,
+    fail: f64,
     /// Suspended until then, and for how long the next time if no wait is told.
-    closed_until: Vec<Nanos>,
-    wait: Vec<Nanos>,
-    sent_at: Vec<Nanos>,
+    closed_until: Nanos,
+    wait: Nanos,
+    sent_at: Nanos,
     /// Mails relayed of late, fading while it is sound, and when that was reckoned.
-    traffic: Vec<f64>,
-    traffic_at: Vec<Nanos>,
-    /// When a mail was last relayed in usual time.
-    spoke_at: Vec<Nanos>,
+    traffic: f64,
+    traffic_at: Nanos,
+    spoke_at: Nanos,
     /// Stretches each space between sends to a cold or struck route, and untold waits; drawn with each send.
-    stretch: Vec<f64>,
+    stretch: f64,
     /// Something failed there, or was refused for long, since it was last sound: it will return cold.
-    struck: Vec<bool>,
+    struck: bool,
     /// Under the place of the gate, what its limit shows.
-    gap: Vec<Nanos>,
-    gate_sent_at: Vec<Nanos>,
-    refused_at: Vec<Nanos>,
-    refused_since: Vec<Option<Nanos>>,
+    gap: Nanos,
+    gate_sent_at: Nanos,
+    refused_at: Nanos,
+    refused_since: Option<Nanos>,
 }
 
 #[derive(Default)]
@@ -151,18 +153,15 @@
 pub struct Dispatcher {
     facts: BootFacts,
     rng: Pcg64Mcg,
-    /// By queue class: usual answer time over all routes, in nanoseconds.
     usual: Vec<f64>,
-    routes: Routes,
+    routes: Vec<Route>,
     index: BTreeMap<EndpointId, usize>,
     decks: BTreeMap<DestinationId, Deck>,
     mails: BTreeMap<MailId, Mail>,
     keys: BTreeMap<KeyId, KeyLine>,
     out: Vec<Connect>,
     no_slot_until: Nanos,
-    /// No trials before then.
     trial_until: Nanos,
-    /// The share of connects to all routes that were not answered in usual time.
     missed: f64,
     /// By kind: the share of connects that met drops or full tables, of how many; no idle ones until then.
     tight: BTreeMap<usize, (f64, f64, Nanos)>,
@@ -177,7 +176,7 @@
         Dispatcher {
             rng: Pcg64Mcg::seed_from_u64(facts.seed),
             usual: vec![FIRST_USUAL; facts.classes.len()],
-            routes: Routes::default(),
+            routes: Vec::new(),
             index: BTreeMap::new(),
             decks: BTreeMap::new(),
             mails: BTreeMap::new(),
@@ -195,16 +194,19 @@
     }
 
     pub fn list_news(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
-        self.routes.entry.iter_mut().for_each(|e| e.serving &= scope != ListScope::Whole);
+        if scope == ListScope::Whole {
+            let serving = self.routes.iter_mut().filter(|r| r.entry.serving);
+            serving.for_each(|r| (r.entry.serving, r.sent_at) = (false, now));
+        }
         for entry in entries {
             let route = match self.index.get(&entry.endpoint) {
                 Some(&route) => route,
-                None if entry.serving => self.add_route(entry),
+                None if entry.serving => self.add_route(entry, now, out),
                 None => continue,
             };
-            if !std::mem::replace(&mut self.routes.entry[route].serving, entry.serving) {
-                // All dispatchers hear of it at once.
-                self.routes.sent_at[route] = now;
+            let r = &mut self.routes[route];
+            if std::mem::replace(&mut r.entry.serving, entry.serving) != entry.serving {
+                r.sent_at = now; // All dispatchers hear of its return at once.
             }
         }
         self.go_on(now, out);
@@ -228,7 +230,7 @@
         let Some(mail) = self.mails.get_mut(&end.mail) else { return };
         let key = mail.new.key;
         if end.outcome.may_have_run() && mail.ran.is_none() {
-            mail.ran = Some((connect.at, self.routes.entry[connect.route].zone));
+            mail.ran = Some((connect.at, self.routes[connect.route].entry.zone));
         }
         self.learn(now, connect, &end, out);
         if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
@@ -250,7 +252,7 @@
         self.go_on(now, out);
         // Idle connections fill tables; what is sent on one dropped unseen is lost. New ones cost handshakes.
         if self.tight(connect.route, now) {
-            out.hang_up(self.routes.entry[connect.route].endpoint);
+            out.hang_up(self.routes[connect.route].entry.endpoint);
         }
     }
 
@@ -271,25 +273,40 @@
 
     /// Whether a connect whose connection came up just now may be written: no drain or wait began since.
     pub fn still_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
-        let open = |&r: &usize| self.routes.entry[r].serving && self.routes.closed_until[r] <= now;
+        let open = |&r: &usize| self.routes[r].entry.serving && self.routes[r].closed_until <= now;
         self.index.get(&endpoint).is_some_and(open)
     }
 
-    fn add_route(&mut self, entry: &ListEntry) -> usize {
+    fn add_route(&mut self, entry: &ListEntry, now: Nanos, out: &mut impl Outlet) -> usize {
         let apart = self.facts.apart.get(entry.kind.0).copied().unwrap_or(false);
         let deck = self.decks.entry(entry.destination).or_default();
-        let gate = deck.shared_gate.filter(|_| !apart).unwrap_or(self.routes.entry.len());
+        // The place of one long gone is taken: nothing grows with ids. One back still later is taken for new.
+        let long_gone = |&c: &usize| {
+            let r: &Route = &self.routes[c];
+            let over = !r.entry.serving && now >= r.closed_until.max(r.sent_at + FORGET_AFTER);
+            over && deck.shared_gate != Some(c) && !self.out.iter().any(|o| o.route == c)
+        };
+        let old = deck.cards.iter().copied().find(long_gone);
+        let route = old.unwrap_or(self.routes.len());
+        let gate = deck.shared_gate.filter(|_| !apart).unwrap_or(route);
         deck.shared_gate = Some(gate).filter(|_| !apart);
-        let route = self.routes.add(entry, gate);
-        deck.cards.push(route);
+        let new = Route { entry: *entry, gate, wait: FIRST_WAIT, sent_at: now, ..Route::default() };
+        if let Some(old) = old {
+            let old = std::mem::replace(&mut self.routes[old], new).entry.endpoint;
+            self.index.remove(&old);
+            out.forget(old);
+        } else {
+            self.routes.push(new);
+            deck.cards.push(route);
+        }
         self.index.insert(entry.endpoint, route);
         // A wait told before it was listed binds it too. One listed in its destination's outage is as cold:
         // all backlogs would meet at it. It could slow a sound newcomer with struck siblings.
         let (bound, r) = (self.bound(route), &mut self.routes);
-        r.closed_until[route] = bound.iter().map(|&s| r.closed_until[s]).max().unwrap_or(0);
-        r.struck[route] = bound.iter().any(|&s| r.struck[s]);
-        r.traffic[route] = r.traffic[bound[0]];
-        r.stretch[route] = self.rng.random_range(0.5..1.5);
+        r[route].closed_until = bound.iter().map(|&s| r[s].closed_until).max().unwrap_or(0);
+        r[route].struck = bound.iter().any(|&s| r[s].struck);
+        r[route].traffic = r[bound[0]].traffic;
+        r[route].stretch = self.rng.random_range(0.5..1.5);
         route
     }
 
@@ -341,15 +358,15 @@
     }
 
     fn bound(&self, route: usize) -> Vec<usize> {
-        let same = |&r: &usize| self.routes.gate[r] == self.routes.gate[route];
-        self.cards(self.routes.entry[route].destination).iter().copied().filter(same).collect()
+        let same = |&r: &usize| self.routes[r].gate == self.routes[route].gate;
+        self.cards(self.routes[route].entry.destination).iter().copied().filter(same).collect()
     }
 
     /// When a client had best come back: when a route of the destination opens again.
     fn come_back(&self, id: MailId) -> Nanos {
         let routes =
-            self.cards(self.mails[&id].new.destination).iter().filter(|&&r| self.routes.entry[r].serving);
-        let soonest = routes.map(|&r| self.routes.closed_until[r]).min().unwrap_or(0);
+            self.cards(self.mails[&id].new.destination).iter().filter(|&&r| self.routes[r].entry.serving);
+        let soonest = routes.map(|&r| self.routes[r].closed_until).min().unwrap_or(0);
         soonest.saturating_sub(self.now).min(self.facts.max_come_back)
     }
 
@@ -369,7 +386,7 @@
 
     fn learn(&mut self, now: Nanos, connect: Connect, end: &ConnectEnd, out: &mut impl Outlet) {
         let Connect { route, class, .. } = connect;
-        let (gate, kind) = (self.routes.gate[route], self.routes.entry[route].kind.0);
+        let (gate, kind) = (self.routes[route].gate, self.routes[route].entry.kind.0);
         let late = end.took > self.silent_after(route, class);
         if matches!(end.outcome, Outcome::Relayed | Outcome::TimedOut | Outcome::CalledOff) {
             let missed = f64::from(u8::from(late || end.outcome != Outcome::Relayed));
@@ -377,17 +394,17 @@
         }
         // Where the trials' share is less than a slot, they take that share of its time.
         let part = self.facts.slots as f64 * TRIAL_SHARE;
-        if self.routes.suspect[route] && part < 1.0 && (late || end.outcome != Outcome::Relayed) {
+        if self.routes[route].suspect && part < 1.0 && (late || end.outcome != Outcome::Relayed) {
             self.trial_until = now + (end.took as f64 * (1.0 / part - 1.0)) as Nanos;
         }
         let at_once = end.outcome == Outcome::Unconnected && end.took < self.facts.connect_timeout / 2;
-        // A reset as late as an answer is no dropped idle connection; and one drop alone happens anywhere.
-        let early = (end.took as f64) < self.usual(self.routes.entry[route].destination, class) / 2.0;
+        // A reset as late as an answer is no dropped idle connection; one in dense traffic happens anywhere.
+        let early = (end.took as f64) < self.usual(self.routes[route].entry.destination, class) / 2.0;
         let met = at_once || (end.outcome == Outcome::Reset && !connect.fresh && early);
         let (share, of, until) = self.tight.entry(kind).or_default();
         *of += 1.0;
         *share += (1.0 / *of).max(TIGHT_WEIGHT) * (f64::from(u8::from(met)) - *share);
-        if met && *share > TIGHT_SHARE {
+        if met && (*share > TIGHT_SHARE || connect.rested > TIGHT_RESTED) {
             out.log(&format!(
                 "kind {kind} keeps no idle connections: {share:.2} of connects met drops or no room"
             ));
@@ -395,16 +412,16 @@
         }
         match end.outcome {
             Outcome::Relayed => {
-                self.routes.refused_since[gate] = None;
-                let gap = self.routes.gap[gate] as f64 * (1.0 - GAP_SHARE);
-                self.routes.gap[gate] = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
-                self.bound(route).into_iter().for_each(|r| self.routes.wait[r] = FIRST_WAIT);
-                self.routes.count(route, now, 1.0);
-                self.routes.fail[route] *= 1.0 - FAIL_WEIGHT;
+                self.routes[gate].refused_since = None;
+                let gap = self.routes[gate].gap as f64 * (1.0 - GAP_SHARE);
+                self.routes[gate].gap = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
+                self.bound(route).into_iter().for_each(|r| self.routes[r].wait = FIRST_WAIT);
+                self.routes[route].count(now, 1.0);
+                self.routes[route].fail *= 1.0 - FAIL_WEIGHT;
                 if !late {
-                    self.routes.spoke_at[route] = now;
+                    self.routes[route].spoke_at = now;
                     let usual = &mut self.usual[class];
-                    let deck = self.decks.entry(self.routes.entry[route].destination).or_default();
+                    let deck = self.decks.entry(self.routes[route].entry.destination).or_default();
                     let pace = 1.0 + deck.slower;
                     *usual += PACE_WEIGHT * (end.took as f64 / pace - *usual);
                     let seen = (end.took as f64 / *usual).max(0.1);
@@ -412,7 +429,7 @@
                     deck.answers += 1.0;
                     deck.slower += (1.0 / (1.0 + deck.answers)).max(PACE_WEIGHT) * (seen - pace);
                 }
-                match self.routes.suspect[route] && late {
+                match self.routes[route].suspect && late {
                     true => self.suspect(route, now, "", out),
                     false => self.cleared(route, now, end.took, out),
                 }
@@ -421,24 +438,24 @@
             // No connection, said at once: its table is full, or it is down. It alone is refused, untold.
             Outcome::Unconnected if at_once => {
                 self.suspend(route, now, 0);
-                if self.routes.wait[route] > 4 * FIRST_WAIT {
-                    self.routes.strike(route, now);
+                if self.routes[route].wait > 4 * FIRST_WAIT {
+                    self.routes[route].strike(now);
                 }
             }
             // It may have been an idle connection dropped unseen, and then it tells nothing of the route.
             Outcome::Reset if !connect.fresh => {}
             Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
-                self.routes.fail[route] += FAIL_WEIGHT * (1.0 - self.routes.fail[route]);
+                self.routes[route].fail += FAIL_WEIGHT * (1.0 - self.routes[route].fail);
                 let r = &self.routes;
-                let serving = (0..r.entry.len()).filter(|&i| r.entry[i].serving);
-                let mut shares: Vec<f64> = serving.map(|i| r.fail[i]).collect();
+                let serving = (0..r.len()).filter(|&i| r[i].entry.serving);
+                let mut shares: Vec<f64> = serving.map(|i| r[i].fail).collect();
                 shares.sort_by(f64::total_cmp);
-                let (share, median) = (r.fail[route], shares.get(shares.len() / 2).copied().unwrap_or(0.0));
-                if self.routes.open(route) && share <= median + FAIL_MARGIN {
+                let (share, median) = (r[route].fail, shares.get(shares.len() / 2).copied().unwrap_or(0.0));
+                if self.routes[route].open() && share <= median + FAIL_MARGIN {
                     return;
                 }
-                self.routes.strike(route, now);
-                self.routes.cold_since[route] = None;
+                self.routes[route].strike(now);
+                self.routes[route].cold_since = None;
                 self.suspect(route, now, &format!("failure share {share:.2}, fleet {median:.2}"), out);
             }
             Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
@@ -446,23 +463,22 @@
         }
     }
 
-    /// A refusal as full: suspends all that the limit binds, until its told wait ends or for a doubling short
-    /// while, and widens the gap. Connects out at the last refusal tell nothing new.
+    /// A refusal as full: suspends all that the limit binds, widens the gap. Connects out then tell no more.
     fn refused(&mut self, route: usize, sent: Nanos, now: Nanos, told: Nanos) {
-        let gate = self.routes.gate[route];
+        let gate = self.routes[route].gate;
         let shut_after = (SHUT_AFTER as f64 / self.crowd()) as Nanos;
-        let fresh = sent >= self.routes.refused_at[gate];
-        let since = *self.routes.refused_since[gate].get_or_insert(now);
+        let fresh = sent >= self.routes[gate].refused_at;
+        let since = *self.routes[gate].refused_since.get_or_insert(now);
         if fresh {
-            self.routes.gap[gate] = (self.routes.gap[gate] * 2).clamp(GAP_STEP, LONGEST_GAP);
-            self.routes.refused_at[gate] = now;
+            self.routes[gate].gap = (self.routes[gate].gap * 2).clamp(GAP_STEP, LONGEST_GAP);
+            self.routes[gate].refused_at = now;
         }
         for route in self.bound(route) {
             if fresh || told > 0 {
                 self.suspend(route, now, told);
             }
-            if told >= SHUT_AFTER || (now - since >= shut_after && self.routes.gap[gate] > GAP_STEP) {
-                self.routes.strike(route, now);
+            if told >= SHUT_AFTER || (now - since >= shut_after && self.routes[gate].gap > GAP_STEP) {
+                self.routes[route].strike(now);
             }
         }
     }
@@ -475,31 +491,31 @@
     fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
         let crowd = self.crowd();
         let r = &mut self.routes;
-        let untold = (r.wait[route] as f64 * (1.0 + (crowd - 1.0) * r.stretch[route])) as Nanos;
-        r.closed_until[route] = r.closed_until[route].max(now + if told > 0 { told } else { untold });
+        let untold = (r[route].wait as f64 * (1.0 + (crowd - 1.0) * r[route].stretch)) as Nanos;
+        r[route].closed_until = r[route].closed_until.max(now + if told > 0 { told } else { untold });
         if told == 0 {
-            r.wait[route] = (r.wait[route] * 2).min(LONGEST_WAIT);
+            r[route].wait = (r[route].wait * 2).min(LONGEST_WAIT);
         }
     }
 
     fn tight(&self, route: usize, now: Nanos) -> bool {
-        self.tight.get(&self.routes.entry[route].kind.0).is_some_and(|&(_, _, until)| now < until)
+        self.tight.get(&self.routes[route].entry.kind.0).is_some_and(|&(_, _, until)| now < until)
     }
 
     /// How long a connect may go unanswered. While many destinations hang one more is likely to: what was
     /// seen at any route counts. Could hold slow answers for silence.
     fn silent_after(&self, route: usize, class: usize) -> Nanos {
         let times = SILENT_TIMES * (1.0 - self.missed).max(LEAST_PATIENCE);
-        ((times * self.usual(self.routes.entry[route].destination, class)) as Nanos).max(SILENT_FLOOR)
+        ((times * self.usual(self.routes[route].entry.destination, class)) as Nanos).max(SILENT_FLOOR)
     }
 
     /// Suspends a route for the rest between trials, and marks it suspect if it was not.
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
-        self.routes.count(route, now, 0.0);
+        self.routes[route].count(now, 0.0);
         let r = &mut self.routes;
-        r.closed_until[route] = r.closed_until[route].max(now + TRIAL_REST);
-        if !std::mem::replace(&mut r.suspect[route], true) {
-            out.log(&format!("route {} suspect: {why}", r.entry[route].endpoint.0));
+        r[route].closed_until = r[route].closed_until.max(now + TRIAL_REST);
+        if !std::mem::replace(&mut r[route].suspect, true) {
+            out.log(&format!("route {} suspect: {why}", r[route].entry.endpoint.0));
         }
     }
 
@@ -507,15 +523,15 @@
     /// or been refused for long. A cold route, slow at first, is still cold when suspected and cleared.
     fn cleared(&mut self, route: usize, now: Nanos, took: Nanos, out: &mut impl Outlet) {
         let r = &mut self.routes;
-        let (suspect, cold) = (std::mem::take(&mut r.suspect[route]), r.cold_since[route]);
-        let begins = Some(now).filter(|_| std::mem::take(&mut r.struck[route]));
-        r.cold_since[route] = cold.filter(|since| now < since + self.facts.ramp).or(begins);
-        let word = match (cold, r.cold_since[route]) {
+        let (suspect, cold) = (std::mem::take(&mut r[route].suspect), r[route].cold_since);
+        let begins = Some(now).filter(|_| std::mem::take(&mut r[route].struck));
+        r[route].cold_since = cold.filter(|since| now < since + self.facts.ramp).or(begins);
+        let word = match (cold, r[route].cold_since) {
             (None, Some(_)) => "returns cold",
             (_, None) if suspect || cold.is_some() => "open",
             _ => return,
         };
-        let (id, share) = (r.entry[route].endpoint.0, r.fail[route]);
+        let (id, share) = (r[route].entry.endpoint.0, r[route].fail);
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
@@ -523,45 +539,42 @@
     /// cold destination bears. Where it had next to none, all of them together go by one mail in `least`.
     fn space(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
         let f = &self.facts;
-        let rate = self.routes.traffic[route] / TRAFFIC_SPAN * COLD_ROOM * warm * f.tip_multiple;
+        let rate = self.routes[route].traffic / TRAFFIC_SPAN * COLD_ROOM * warm * f.tip_multiple;
         let space = (1.0 / rate.max(1e-18)).min(f64::from(f.dispatchers) * least as f64);
-        (space * self.routes.stretch[route]) as Nanos
+        (space * self.routes[route].stretch) as Nanos
     }
 
     /// When this mail may go by this route, as things stand; NEVER: not before something else happens.
     fn opens_at(&self, route: usize, mail: &Mail, now: Nanos) -> Nanos {
         let r = &self.routes;
         let row = &self.facts.classes[mail.new.class.0];
-        if !r.entry[route].serving {
+        let elsewhere = mail.ran.is_some_and(|(_, zone)| zone != r[route].entry.zone);
+        let bound = matches!(row.repeat, Repeat::Tagged { same_zone: true, .. });
+        if !r[route].entry.serving || (bound && elsewhere) {
             return NEVER;
         }
-        if let (Some((_, zone)), Repeat::Tagged { same_zone: true, .. }) = (mail.ran, row.repeat)
-            && zone != r.entry[route].zone
-        {
-            return NEVER;
-        }
-        let (gate, cold) = (r.gate[route], self.facts.cold_share);
-        let mut at = r.closed_until[route].max(self.routes.gate_sent_at[gate] + self.routes.gap[gate]);
-        if r.suspect[route] {
+        let (gate, cold) = (r[route].gate, self.facts.cold_share);
+        let mut at = r[route].closed_until.max(self.routes[gate].gate_sent_at + self.routes[gate].gap);
+        if r[route].suspect {
             // One trial at a time; overdue ones hold up none. Many at once would leave sound routes no slots.
             let most = ((self.facts.slots as f64 * TRIAL_SHARE) as usize).max(1);
-            if self.count_out(|o| r.suspect[o.route]) >= most
+            if self.count_out(|o| r[o.route].suspect) >= most
                 || self.count_out(|o| o.route == route && now < self.silent_at(o)) > 0
             {
                 return NEVER;
             }
             at = at
                 .max(self.trial_until)
-                .max(r.closed_until[route] + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
-        } else if let Some(since) = r.cold_since[route] {
+                .max(r[route].closed_until + if row.repeat == Repeat::OnceOnly { SPARE } else { 0 });
+        } else if let Some(since) = r[route].cold_since {
             let ramp = ((now - since) as f64 / self.facts.ramp as f64).min(1.0);
             let space = self.space(route, cold + (1.0 - cold) * ramp, COLD_REST);
-            at = at.max(r.sent_at[route] + space);
+            at = at.max(r[route].sent_at + space);
         }
-        if r.struck[route] {
+        if r[route].struck {
             // Those told when a shut route opens come apart.
             let space = self.space(route, cold, STRUCK_REST);
-            at = at.max(r.sent_at[route].max(r.closed_until[route].saturating_sub(space / 2)) + space);
+            at = at.max(r[route].sent_at.max(r[route].closed_until.saturating_sub(space / 2)) + space);
         }
         at
     }
@@ -622,8 +635,8 @@
     /// connect overdue while others are answered is a lost answer, and holds for none but itself.
     fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
         for o in self.out.clone() {
-            let silent = now >= self.silent_at(&o) && o.at > self.routes.spoke_at[o.route];
-            if silent && !self.routes.suspect[o.route] {
+            let silent = now >= self.silent_at(&o) && o.at > self.routes[o.route].spoke_at;
+            if silent && !self.routes[o.route].suspect {
                 let why = format!("oldest connect {} ms unanswered", (now - o.at) / MS);
                 self.suspect(o.route, now, &why, out);
             }
@@ -651,7 +664,7 @@
         let patience = self.facts.classes[mail.new.class.0].target_delay;
         let Some((at, zone)) = mail.ran.filter(|_| behind > KEY_BEHIND) else { return false };
         let sound = |&r: &usize| {
-            self.routes.entry[r].zone == zone && self.routes.entry[r].serving && !self.routes.suspect[r]
+            self.routes[r].entry.zone == zone && self.routes[r].entry.serving && !self.routes[r].suspect
         };
         self.now >= at + patience && !self.cards(mail.new.destination).iter().any(sound)
     }
@@ -672,11 +685,10 @@
     }
 
     fn send_all(&mut self, now: Nanos, out: &mut impl Outlet) {
-        // A backlog that takes longer than the horizon: each mail would go out just before its end. Looking
-        // as far ahead, what is worth most goes first. Harm: a burst that soon ends leaves old mails late.
+        // Through a long backlog all mails would go out just before their end. Harm: a burst is late.
         let backlog = self.mails.values().filter(|m| m.stage == Stage::Waiting);
         let takes: f64 = backlog.map(|m| self.usual(m.new.destination, m.new.class.0)).sum();
-        let horizon = HORIZON.max((takes / self.facts.slots as f64) as Nanos);
+        let horizon = HORIZON.max((takes / 2.0 / self.facts.slots as f64) as Nanos);
         while self.out.len() < self.facts.slots && now >= self.no_slot_until {
             let mut best: Option<(f64, Nanos, MailId)> = None;
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
@@ -692,16 +704,15 @@
         }
     }
 
-    /// With all slots taken and a mail waiting for that alone, calls off the connect longest overdue on a
-    /// suspect route, a once-only one later. Stops hung, silent or crawling routes from starving all others;
-    /// it could bounce a once-only mail that would yet have been answered, so it acts on one at a time.
+    /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a suspect
+    /// route: hung ones starve all others. Could bounce a once-only mail yet to be answered: one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.out.len() < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
         }
         let late = |o: &Connect| {
             let more = if self.facts.classes[o.class].repeat == Repeat::OnceOnly { 2 } else { 1 };
-            self.routes.suspect[o.route] && now >= o.at + more * (self.silent_at(o) - o.at)
+            self.routes[o.route].suspect && now >= o.at + more * (self.silent_at(o) - o.at)
         };
         let Some(i) = self.out.iter().position(late) else { return };
         let kept = |(&id, m): (&MailId, &Mail)| {
@@ -716,7 +727,7 @@
     fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
         let most = ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2);
         let cards = self.cards(mail.new.destination);
-        self.count_out(|o| self.routes.entry[o.route].destination == mail.new.destination) < most
+        self.count_out(|o| self.routes[o.route].entry.destination == mail.new.destination) < most
             && cards.iter().any(|&r| self.opens_at(r, mail, now) <= now)
     }
 
@@ -742,7 +753,7 @@
         let time_out = match self.facts.classes[class].repeat {
             // For a once-only mail a time-out is a bounce; but a hung route must not hold a slot for good.
             Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
-            _ if self.routes.suspect[route] => TRIAL_TIMEOUT.min(left),
+            _ if self.routes[route].suspect => TRIAL_TIMEOUT.min(left),
             _ => {
                 let usual = self.usual(mail.new.destination, class);
                 ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left)
@@ -750,14 +761,16 @@
         };
         let fresh = self.tight(route, now);
         if fresh {
-            out.hang_up(self.routes.entry[route].endpoint);
-        }
-        self.out.push(Connect { at: now, mail: id, no, class, route, fresh, called_off: false });
-        self.routes.sent_at[route] = now;
-        self.routes.stretch[route] = self.rng.random_range(0.5..1.5);
-        self.routes.gate_sent_at[self.routes.gate[route]] = now;
+            out.hang_up(self.routes[route].entry.endpoint);
+        }
+        let rested = now - self.routes[route].sent_at;
+        self.out.push(Connect { at: now, mail: id, no, class, route, fresh, rested, called_off: false });
+        self.routes[route].sent_at = now;
+        self.routes[route].stretch = self.rng.random_range(0.5..1.5);
+        let gate = self.routes[route].gate;
+        self.routes[gate].gate_sent_at = now;
         self.shift(id, Stage::Out, out);
-        out.connect(id, self.routes.entry[route].endpoint, time_out);
+        out.connect(id, self.routes[route].entry.endpoint, time_out);
     }
 
     fn next_wake(&self, now: Nanos) -> Nanos {
@@ -780,36 +793,22 @@
     }
 }
 
-impl Routes {
-    fn add(&mut self, entry: &ListEntry, gate: usize) -> usize {
-        self.gate.push(gate);
-        self.entry.push(ListEntry { serving: false, ..*entry });
-        [&mut self.suspect, &mut self.struck].into_iter().for_each(|v| v.push(false));
-        [&mut self.cold_since, &mut self.refused_since].into_iter().for_each(|v| v.push(None));
-        [&mut self.fail, &mut self.traffic].into_iter().for_each(|v| v.push(0.0));
-        let times = [&mut self.closed_until, &mut self.sent_at, &mut self.traffic_at, &mut self.spoke_at];
-        times.into_iter().for_each(|v| v.push(0));
-        [&mut self.gap, &mut self.gate_sent_at, &mut self.refused_at].into_iter().for_each(|v| v.push(0));
-        self.wait.push(FIRST_WAIT);
-        self.stretch.push(1.0);
-        self.entry.len() - 1
-    }
-
-    fn strike(&mut self, route: usize, now: Nanos) {
-        self.count(route, now, 0.0);
-        self.struck[route] = true;
+impl Route {
+    fn strike(&mut self, now: Nanos) {
+        self.count(now, 0.0);
+        self.struck = true;
     }
 
-    fn open(&self, route: usize) -> bool {
-        !self.suspect[route] && self.cold_since[route].is_none()
+    fn open(&self) -> bool {
+        !self.suspect && self.cold_since.is_none()
     }
 
     /// Lets the route's traffic fade up to now and adds to it, while the route is open and sound.
-    fn count(&mut self, route: usize, now: Nanos, relayed: f64) {
-        if self.open(route) && !self.struck[route] {
-            let faded = (-((now - self.traffic_at[route]) as f64) / TRAFFIC_SPAN).exp();
-            self.traffic[route] = self.traffic[route] * faded + relayed;
-            self.traffic_at[route] = now;
+    fn count(&mut self, now: Nanos, relayed: f64) {
+        if self.open() && !self.struck {
+            let faded = (-((now - self.traffic_at) as f64) / TRAFFIC_SPAN).exp();
+            self.traffic = self.traffic * faded + relayed;
+            self.traffic_at = now;
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,10 +7,10 @@
 pub struct MailId(pub u64);
 
 /// An endpoint; the front may number them as it likes, the same for as long as an instance lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct EndpointId(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct DestinationId(pub u64);
 
 /// What mails of an ordered queue class are about.
@@ -22,10 +22,10 @@
 pub struct ClassId(pub usize);
 
 /// A row of [`BootFacts::apart`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub struct KindId(pub usize);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub struct ZoneId(pub usize);
 
 /// The connects of one mail, counted from nought.
@@ -86,7 +86,7 @@
     Whole,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ListEntry {
     pub endpoint: EndpointId,
     pub destination: DestinationId,
@@ -157,6 +157,8 @@
     fn call_off(&mut self, mail: MailId, no: ConnectNo);
     /// Closes the idle connections to an endpoint.
     fn hang_up(&mut self, endpoint: EndpointId);
+    /// The endpoint is gone and nothing is known of it any more: its number may be another's from now on.
+    fn forget(&mut self, endpoint: EndpointId);
     /// Asks for [`crate::control::Dispatcher::woken`] after this span.
     fn wake(&mut self, after: Nanos);
     fn log(&mut self, line: &str);
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -245,6 +245,30 @@
     assert_eq!(w.o.hung_up, Vec::<u32>::new());
 }
 
+#[test]
+fn the_place_of_an_endpoint_long_gone_is_the_next_one_s() {
+    let mut w = World::new(facts());
+    for n in 0..60 {
+        // Each destination's first endpoint is replaced by one with a new id, every five seconds.
+        for dest in 0..3 {
+            let last = w.o.entries.iter().rposition(|e| e.destination.0 == dest).unwrap();
+            w.serve(last as u32, false, ListScope::Update);
+            let next = ListEntry { endpoint: EndpointId(w.o.entries.len() as u32), ..w.o.entries[last] };
+            w.o.entries.push(ListEntry { serving: true, ..next });
+            w.o.ways.push(Way::Answers(100 * MS));
+            w.list(ListScope::Update);
+            w.mail(0, dest, None, 12 * S);
+        }
+        w.pass(5 * S);
+        assert!(n < 20 || w.o.entries.len() - w.o.forgotten.len() < 12 + 3 * 20, "after {n}");
+    }
+    assert_eq!(w.o.relayed.len(), 180);
+    let mut once = w.o.forgotten.clone();
+    once.sort();
+    once.dedup();
+    assert_eq!(once.len(), w.o.forgotten.len());
+}
+
 /// Found on the day churn on sockets: once the hold was full, each mail went out just before its end.
 #[test]
 fn under_lasting_overload_most_mails_that_go_out_are_in_time() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -59,6 +59,7 @@
     pub relayed: Vec<MailId>,
     pub lines: Vec<String>,
     pub hung_up: Vec<u32>,
+    pub forgotten: Vec<u32>,
     mails: BTreeMap<MailId, Known>,
     order: BTreeMap<KeyId, Vec<MailId>>,
     rests: BTreeMap<KeyId, (Nanos, MailId)>,
@@ -201,6 +202,12 @@
     fn hang_up(&mut self, endpoint: EndpointId) {
         self.hung_up.push(endpoint.0);
     }
+    fn forget(&mut self, endpoint: EndpointId) {
+        assert!(!self.entries[endpoint.0 as usize].serving, "forgotten while it serves");
+        let out = self.mails.values().any(|m| m.out.is_some_and(|(to, _)| to == endpoint.0));
+        assert!(!out, "forgotten with a connect out");
+        self.forgotten.push(endpoint.0);
+    }
     fn wake(&mut self, after: Nanos) {
         assert!(after > 0);
         // As the bench does, a little early.
@@ -242,6 +249,7 @@
             relayed: vec![],
             lines: vec![],
             hung_up: vec![],
+            forgotten: vec![],
             mails: BTreeMap::new(),
             order: BTreeMap::new(),
             rests: BTreeMap::new(),
