--- a/src/control.rs
+++ b/src/control.rs
@@ -45,19 +45,19 @@
 /// The least weight of one answer in the usual answer times, and the usual time before any is known.
 const PACE_WEIGHT: f64 = 0.1;
 const FIRST_USUAL: f64 = 300e6;
-/// What a warm route can take over what it took: it had room, or it would have refused.
+/// What a warm route can take over what it took, and over how long that is averaged.
 const COLD_ROOM: f64 = 1.2;
-/// Over how long a route's own traffic is averaged for the cold budget.
 const TRAFFIC_SPAN: f64 = 8e9;
-/// How far ahead the ranking looks for what waiting would lose, and how much worth itself counts beside that.
+/// How far ahead the ranking looks at least, and by how much less than the backlog takes; worth counts too.
 const HORIZON: Nanos = 1_500 * MS;
+const SHORT_BACKLOG: f64 = 2e9;
 const WORTH_ITSELF: f64 = 0.03;
 /// What is learnt of an endpoint outlasts it by so long, in case it returns.
 const FORGET_AFTER: Nanos = 60_000 * MS;
 /// The shares of the slots that one destination, and all suspect routes together, may hold.
 const SLOT_SHARE: f64 = 0.35;
 const TRIAL_SHARE: f64 = 0.25;
-/// More mails than this in a key's line, with a stuck one at its head, are worth more than that one.
+/// More mails than this behind a stuck one are worth more than it.
 const KEY_BEHIND: usize = 1;
 /// How long a kind keeps no idle connections once this share of connects met drops or full tables; the least
 /// weight of one in it; one alone is enough where nothing had gone for so long: those at rest are dropped.
@@ -688,7 +688,7 @@
         // Through a long backlog all mails would go out just before their end. Harm: a burst is late.
         let backlog = self.mails.values().filter(|m| m.stage == Stage::Waiting);
         let takes: f64 = backlog.map(|m| self.usual(m.new.destination, m.new.class.0)).sum();
-        let horizon = HORIZON.max((takes / 2.0 / self.facts.slots as f64) as Nanos);
+        let horizon = HORIZON.max((takes / self.facts.slots as f64 - SHORT_BACKLOG) as Nanos);
         while self.out.len() < self.facts.slots && now >= self.no_slot_until {
             let mut best: Option<(f64, Nanos, MailId)> = None;
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
