A route that refuses again before it relays is down, and no sign of a full table

A probe of the refusals showed six crashed endpoints refusing at once from 8.5 s to 20.7 s, each trial counted as a full table; after a restart the first refusals alone decided for 60 s (learn, control.rs). Only a refusal by a route that relayed since its last one counts now, and the log says it once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -398,17 +398,16 @@
             self.trial_until = now + (end.took as f64 * (1.0 / part - 1.0)) as Nanos;
         }
         let at_once = end.outcome == Outcome::Unconnected && end.took < self.facts.connect_timeout / 2;
-        // A reset as late as an answer is no dropped idle connection; one in dense traffic happens anywhere.
+        // No drop: a reset as late as an answer. No full table: a route that refuses again before it relays.
         let early = (end.took as f64) < self.usual(self.routes[route].entry.destination, class) / 2.0;
-        let met = at_once || (end.outcome == Outcome::Reset && !connect.fresh && early);
+        let sound = self.routes[route].wait == FIRST_WAIT && !self.routes[route].struck;
+        let met = (at_once && sound) || (end.outcome == Outcome::Reset && !connect.fresh && early);
         let (share, of, until) = self.tight.entry(kind).or_default();
         *of += 1.0;
         *share += (1.0 / *of).max(TIGHT_WEIGHT) * (f64::from(u8::from(met)) - *share);
-        if met && (*share > TIGHT_SHARE || connect.rested > TIGHT_RESTED) {
-            out.log(&format!(
-                "kind {kind} keeps no idle connections: {share:.2} of connects met drops or no room"
-            ));
-            *until = now + TIGHT;
+        let many = *share > TIGHT_SHARE || connect.rested > TIGHT_RESTED;
+        if met && many && std::mem::replace(until, now + TIGHT) <= now {
+            out.log(&format!("kind {kind} keeps no idle connections: {share:.2} of connects"));
         }
         match end.outcome {
             Outcome::Relayed => {
