What is open to one mail is asked once for all of its like

At fault: send_all and next_wake asked has_route and opens_at anew for each of the mails held, at each event.

--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,7 @@
 use crate::interface::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const MS: Nanos = 1_000_000;
 const NEVER: Nanos = Nanos::MAX;
@@ -364,9 +364,8 @@
 
     /// When a client had best come back: when a route of the destination opens again.
     fn come_back(&self, id: MailId) -> Nanos {
-        let routes =
-            self.cards(self.mails[&id].new.destination).iter().filter(|&&r| self.routes[r].entry.serving);
-        let soonest = routes.map(|&r| self.routes[r].closed_until).min().unwrap_or(0);
+        let routes = self.cards(self.mails[&id].new.destination).iter().map(|&r| &self.routes[r]);
+        let soonest = routes.filter(|r| r.entry.serving).map(|r| r.closed_until).min().unwrap_or(0);
         soonest.saturating_sub(self.now).min(self.facts.max_come_back)
     }
 
@@ -492,9 +491,7 @@
         let r = &mut self.routes;
         let untold = (r[route].wait as f64 * (1.0 + (crowd - 1.0) * r[route].stretch)) as Nanos;
         r[route].closed_until = r[route].closed_until.max(now + if told > 0 { told } else { untold });
-        if told == 0 {
-            r[route].wait = (r[route].wait * 2).min(LONGEST_WAIT);
-        }
+        r[route].wait = if told > 0 { r[route].wait } else { (r[route].wait * 2).min(LONGEST_WAIT) };
     }
 
     fn tight(&self, route: usize, now: Nanos) -> bool {
@@ -644,9 +641,7 @@
 
     fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
         let over = |m: &Mail| match m.stage {
-            Stage::Waiting => {
-                now + self.margin >= m.new.due || !self.may_go_again(m, now) || self.blocks_key(m)
-            }
+            Stage::Waiting => !self.may_go_again(m, now) || self.blocks_key(m),
             Stage::Out => now >= m.new.due,
             _ => false,
         };
@@ -662,10 +657,8 @@
         let behind = mail.new.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
         let patience = self.facts.classes[mail.new.class.0].target_delay;
         let Some((at, zone)) = mail.ran.filter(|_| behind > KEY_BEHIND) else { return false };
-        let sound = |&r: &usize| {
-            self.routes[r].entry.zone == zone && self.routes[r].entry.serving && !self.routes[r].suspect
-        };
-        self.now >= at + patience && !self.cards(mail.new.destination).iter().any(sound)
+        let sound = |r: &Route| r.entry.zone == zone && r.entry.serving && !r.suspect;
+        self.now >= at + patience && !self.cards(mail.new.destination).iter().any(|&r| sound(&self.routes[r]))
     }
 
     /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up
@@ -684,17 +677,22 @@
     }
 
     fn send_all(&mut self, now: Nanos, out: &mut impl Outlet) {
-        // Through a long backlog all mails would go out just before their end. Harm: a burst is late.
-        let backlog = self.mails.values().filter(|m| m.stage == Stage::Waiting);
-        let takes: f64 = backlog.map(|m| self.usual(m.new.destination, m.new.class.0)).sum();
-        let horizon = HORIZON.max((takes / self.facts.slots as f64 - SHORT_BACKLOG) as Nanos);
         while self.out.len() < self.facts.slots && now >= self.no_slot_until {
+            // Through a long backlog all mails would go out just before their end. Harm: a burst is late.
+            let backlog = self.mails.values().filter(|m| m.stage == Stage::Waiting);
+            let takes: f64 = backlog.map(|m| self.usual(m.new.destination, m.new.class.0)).sum();
+            let horizon = HORIZON.max((takes / self.facts.slots as f64 - SHORT_BACKLOG) as Nanos);
             let mut best: Option<(f64, Nanos, MailId)> = None;
+            let mut known = BTreeMap::new();
             for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
                 let worth = self.loss_rate(mail, now, horizon);
                 let better = best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.new.due < b.1));
-                if better && self.turn_at(id, mail) <= now && self.has_route(mail, now) {
-                    best = Some((worth, mail.new.due, id));
+                if better && self.turn_at(id, mail) <= now {
+                    // What is open to one mail is open to its like: asked for each, a backlog took all time.
+                    let like = (mail.new.destination, mail.new.class.0, mail.ran.map(|(_, zone)| zone.0));
+                    if *known.entry(like).or_insert_with(|| self.has_route(mail, now)) {
+                        best = Some((worth, mail.new.due, id));
+                    }
                 }
             }
             let Some((_, _, id)) = best else { return };
@@ -779,11 +777,14 @@
             note(self.silent_at(o));
             note(2 * self.silent_at(o) - o.at);
         }
+        let mut known = BTreeSet::new();
         for (&id, mail) in self.mails.iter().filter(|(_, m)| !m.stage.ended()) {
             note(mail.new.due - if mail.stage == Stage::Out { 0 } else { self.margin.min(mail.new.due) });
             if mail.stage == Stage::Waiting && self.out.len() < self.facts.slots {
                 let turn = self.turn_at(id, mail);
-                for &route in self.cards(mail.new.destination) {
+                let new =
+                    known.insert((mail.new.destination, mail.new.class.0, mail.ran.map(|r| r.1.0), turn));
+                for &route in self.cards(mail.new.destination).iter().filter(|_| new) {
                     note(self.opens_at(route, mail, now).max(turn).max(self.no_slot_until));
                 }
             }
