A refusal is believed only when its answer is whole; a 200 from its first line on

Bodies were read on without bound for the keep-alive time; a 200 behind which the head was spoilt counted as a reset, and numbers were read with signs.

Now 200 is true from its first line; any other answer counts when it is whole, within 1 s, 64 KiB and one consistent length, else it is spoilt: may have run, connection closed.

--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use crate::conns::{ConnId, Role};
 use crate::event_loop::Daemon;
-use crate::http::{self, Body};
+use crate::http::{self, Head};
 use crate::mails::{Due, Hands, MailSlot};
 use crate::resp::COMMAND_MOST;
 use bellsill::interface::*;
@@ -28,10 +28,24 @@
     by_name: BTreeMap<String, EndpointId>,
     /// The connects that connections carry or rise for.
     pub calls: BTreeMap<ConnId, MailSlot>,
-    /// Connections on which the rest of an answer's body is still to come.
-    pub emptying: BTreeMap<ConnId, Body>,
+    /// Answers to calls that have begun to come.
+    pub answers: BTreeMap<ConnId, Answer>,
+    /// Connections on which the rest of an answer that is known is still to come.
+    pub emptying: BTreeMap<ConnId, Answer>,
 }
 
+/// An answer as far as it has come: its head, once that is whole, and how much more may come.
+pub struct Answer {
+    head: Option<Head>,
+    left: u64,
+}
+
+/// The most that an answer's body may take.
+const BODY_MOST: u64 = 64 * 1024;
+/// How long an answer may take from its first byte to its last. One that does not end would else hold its slot until the
+/// time-out; it covers peers that stall within an answer. The harm: a slower one counts as spoilt.
+const ANSWER_WITHIN: Nanos = 1_000_000_000;
+
 impl Index<EndpointId> for Endpoints {
     type Output = Endpoint;
     fn index(&self, id: EndpointId) -> &Endpoint {
@@ -162,35 +176,68 @@
         self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| self.now < c.until)
     }
 
-    /// The answer to a call, as far as it has come. True: it is complete.
+    /// Reads on in an answer. True: it is whole.
+    fn read_on(&mut self, id: ConnId, answer: &mut Answer) -> Result<bool, http::Malformed> {
+        let Some(conn) = self.conns.get_mut(id) else { return Err(http::Malformed) };
+        if answer.head.is_none() {
+            answer.head = http::head(&mut conn.input)?;
+        }
+        let Some(head) = &mut answer.head else { return Ok(false) };
+        let whole = head.body.empty(&mut conn.input, &mut answer.left)?;
+        // Without a length it ends with its connection.
+        Ok(whole || (conn.ended && head.body == http::Body::UntilEnd))
+    }
+
+    /// The answer to a call, as far as it has come. True: it is known. Anything but a mail relayed is believed only when
+    /// the answer is whole and sound: a spoilt one may stand for a mail that ran, and would go out again.
     fn answer(&mut self, id: ConnId, slot: MailSlot) -> Result<bool, http::Malformed> {
         let Some(conn) = self.conns.get_mut(id) else { return Ok(true) };
+        if conn.input.is_empty() && !conn.ended {
+            return Ok(false);
+        }
         let written = conn.output.is_empty();
-        let Some(mut head) = http::head(&mut conn.input)? else { return Ok(false) };
-        let outcome = match head.status {
-            200 => Outcome::Relayed,
-            429 | 503 if head.over_slots => Outcome::Unsent(true),
-            429 | 503 => Outcome::Full(head.wait),
+        let begun = self.endpoints.answers.remove(&id);
+        if begun.is_none() {
+            self.deadlines.set(Due::Conn(id), self.now + ANSWER_WITHIN);
+        }
+        let mut answer = begun.unwrap_or(Answer { head: None, left: BODY_MOST });
+        let read = self.read_on(id, &mut answer);
+        let first = self.conns.get_mut(id).is_some_and(|c| http::says_relayed(c.input.bytes()));
+        let (status, wait) = answer.head.as_ref().map_or((0, 0), |head| (head.status, head.wait));
+        let relayed = status == 200 || (answer.head.is_none() && first);
+        let outcome = match status {
+            _ if relayed => Outcome::Relayed,
+            _ if !read? => {
+                self.endpoints.answers.insert(id, answer);
+                return Ok(false);
+            }
+            429 | 503 if answer.head.as_ref().is_some_and(|head| head.over_slots) => Outcome::Unsent(true),
+            429 | 503 => Outcome::Full(wait),
             504 | 410 => Outcome::Unsent(false),
             _ => Outcome::Errored,
         };
-        let body = head.body.take(&mut conn.input, |_| {});
-        let keep = written && !head.last && body.is_ok();
         self.endpoints.calls.remove(&id);
-        match (keep, &head.body) {
-            (true, Body::Done) => self.pool(id),
-            (true, _) => {
-                self.endpoints.emptying.insert(id, head.body);
-                self.deadlines.set(Due::Conn(id), self.now + self.keep_alive);
-                if self.conns.arm(id).is_err() {
+        match read {
+            Ok(whole) if written && !answer.head.as_ref().is_some_and(|head| head.last) => {
+                self.endpoints.emptying.insert(id, answer);
+                if whole {
+                    self.emptied(id);
+                } else if self.conns.arm(id).is_err() {
                     self.drop_idle(id);
                 }
             }
-            _ => self.conns.close(id),
+            _ => self.drop_idle(id),
         }
-        self.end_call(slot, outcome, head.status == 410);
+        self.end_call(slot, outcome, status == 410);
         Ok(true)
     }
+
+    /// An answer is whole: its connection is kept for the next call.
+    fn emptied(&mut self, id: ConnId) {
+        self.endpoints.emptying.remove(&id);
+        self.deadlines.clear(Due::Conn(id));
+        self.pool(id);
+    }
 }
 
 impl Daemon {
@@ -207,14 +254,14 @@
         let filled = hands.conns.fill(id);
         let ended = filled.is_err() || hands.conns.get(id).is_some_and(|c| c.ended);
         match hands.answer(id, slot) {
-            Ok(true) => return,
+            Ok(true) => {}
             // What is not written by its time is not written later: its deadline is the next thing seen.
-            Ok(false) if !ended && !hands.in_time(slot) => return,
-            Ok(false) if !ended && hands.conns.flush(id).is_ok() => return,
-            // No HTTP, or no answer before the end: nobody knows whether it ran.
-            _ => {}
+            Ok(false) if !ended && !hands.in_time(slot) => {}
+            Ok(false) if !ended && hands.conns.flush(id).is_ok() => {}
+            // The end before an answer: nobody knows whether it ran.
+            Ok(_) => hands.break_call(slot, Outcome::Reset),
+            Err(_) => hands.break_call(slot, Outcome::Spoilt),
         }
-        hands.break_call(slot, Outcome::Reset);
     }
 
     /// While the connection came up its endpoint may have started to drain, or a wait may have begun there: only the
@@ -245,15 +292,17 @@
         let mut good = hands.conns.fill(id).is_ok();
         let Some(conn) = hands.conns.get_mut(id) else { return };
         good &= !conn.ended;
-        if let Some(body) = hands.endpoints.emptying.get_mut(&id) {
-            good &= body.take(&mut conn.input, |_| {}).is_ok();
-            if good && *body == Body::Done {
-                hands.endpoints.emptying.remove(&id);
-                return hands.pool(id);
+        let empty = conn.input.is_empty();
+        if let Some(mut answer) = hands.endpoints.emptying.remove(&id) {
+            let last = |answer: &Answer| answer.head.as_ref().is_some_and(|head| head.last);
+            match hands.read_on(id, &mut answer) {
+                Ok(true) if !last(&answer) => return hands.emptied(id),
+                Ok(false) if good && !last(&answer) => drop(hands.endpoints.emptying.insert(id, answer)),
+                _ => good = false,
             }
         } else {
             // Nothing is owed on an idle connection.
-            good &= conn.input.is_empty();
+            good &= empty;
         }
         if !good || hands.conns.arm(id).is_err() {
             hands.drop_idle(id);
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -262,6 +262,9 @@
             Due::Call(slot) => hands.break_call(slot, Outcome::TimedOut),
             Due::Conn(id) => match hands.conns.get(id).map(|c| c.role) {
                 Some(Role::Endpoint(_)) => match hands.endpoints.calls.get(&id) {
+                    Some(&slot) if hands.endpoints.answers.contains_key(&id) => {
+                        hands.break_call(slot, Outcome::Spoilt)
+                    }
                     Some(&slot) => hands.break_call(slot, Outcome::Unconnected),
                     None => hands.drop_idle(id),
                 },
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -7,7 +7,7 @@
 pub const HEAD_MOST: usize = 16 * 1024;
 
 /// The peer does not speak HTTP as it should.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Malformed;
 
 /// What of a body is still to come.
@@ -36,6 +36,20 @@
     pub body: Body,
 }
 
+/// Whether the first line of an answer has come and says that the mail is relayed. That line is true whatever spoils the
+/// rest.
+pub fn says_relayed(bytes: &[u8]) -> bool {
+    let Some(end) = bytes.iter().position(|&b| b == b'\n') else { return false };
+    let line = bytes[..end].trim_ascii_end();
+    let status = line.strip_prefix(b"HTTP/1.1 200").or(line.strip_prefix(b"HTTP/1.0 200"));
+    status.is_some_and(|reason| reason.first().is_none_or(|b| *b == b' '))
+}
+
+fn number(digits: &str, radix: u32) -> Result<u64, Malformed> {
+    let plain = digits.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(digits, radix).ok().filter(|_| plain).ok_or(Malformed)
+}
+
 /// Takes the head of the next answer from the ring, once all of it has come.
 pub fn head(ring: &mut Ring) -> Result<Option<Head>, Malformed> {
     loop {
@@ -46,7 +60,7 @@
             Ok(httparse::Status::Partial) if ring.len() < HEAD_MOST => return Ok(None),
             _ => return Err(Malformed),
         };
-        let status = answer.code.ok_or(Malformed)?;
+        let status = answer.code.filter(|code| (100..600).contains(code)).ok_or(Malformed)?;
         let mut head = Head {
             status,
             wait: 0,
@@ -54,14 +68,21 @@
             last: answer.version == Some(0),
             body: Body::UntilEnd,
         };
-        let mut chunked = false;
+        let (mut chunked, mut length) = (false, None);
         for header in answer.headers.iter() {
             let value = std::str::from_utf8(header.value).unwrap_or("").trim();
             let is = |name: &str| header.name.eq_ignore_ascii_case(name);
             if is("content-length") {
-                head.body = Body::Sized(value.parse().map_err(|_| Malformed)?);
+                // Two lengths that differ, or a length beside chunks: nobody knows where the answer ends.
+                let told = number(value, 10)?;
+                if length.replace(told).is_some_and(|other| other != told) {
+                    return Err(Malformed);
+                }
             } else if is("transfer-encoding") {
-                chunked = value.eq_ignore_ascii_case("chunked");
+                if !value.eq_ignore_ascii_case("chunked") {
+                    return Err(Malformed);
+                }
+                chunked = true;
             } else if is("connection") {
                 head.last = value.eq_ignore_ascii_case("close") || (head.last && value != "keep-alive");
             } else if is("retry-after") {
@@ -75,17 +96,31 @@
         if status < 200 {
             continue;
         }
-        if chunked {
-            head.body = Body::Chunked(0);
-        } else if matches!(status, 204 | 304) || head.body == Body::Sized(0) {
-            head.body = Body::Done;
-        }
+        head.body = match length {
+            _ if matches!(status, 204 | 304) => Body::Done,
+            Some(_) if chunked => return Err(Malformed),
+            Some(0) => Body::Done,
+            Some(length) => Body::Sized(length),
+            None if chunked => Body::Chunked(0),
+            None => Body::UntilEnd,
+        };
         head.last |= head.body == Body::UntilEnd;
         return Ok(Some(head));
     }
 }
 
 impl Body {
+    /// Takes what has come and throws it away, `left` bytes at the most. True: that was all of it.
+    pub fn empty(&mut self, ring: &mut Ring, left: &mut u64) -> Result<bool, Malformed> {
+        if matches!(self, Body::Sized(size) | Body::Chunked(size) if *size > *left) {
+            return Err(Malformed);
+        }
+        let mut taken = 0;
+        self.take(ring, |bytes| taken += bytes.len() as u64)?;
+        *left = left.checked_sub(taken).ok_or(Malformed)?;
+        Ok(*self == Body::Done)
+    }
+
     /// Takes what has come of the body from the ring and hands it to the sink, until it is done or more must come.
     pub fn take(&mut self, ring: &mut Ring, mut sink: impl FnMut(&[u8])) -> Result<(), Malformed> {
         while *self != Body::Done {
@@ -121,7 +156,7 @@
                         _ => {
                             let size = line.split(|b| *b == b';').next().unwrap_or(b"").trim_ascii();
                             let size = std::str::from_utf8(size).map_err(|_| Malformed)?;
-                            match u64::from_str_radix(size, 16).map_err(|_| Malformed)? {
+                            match number(size, 16)? {
                                 0 => Body::Trailers,
                                 size => Body::Chunked(size),
                             }
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -194,6 +194,7 @@
         };
         if let Some(conn) = call.conn {
             self.endpoints.calls.remove(&conn);
+            self.endpoints.answers.remove(&conn);
             self.deadlines.clear(Due::Conn(conn));
             self.conns.close(conn);
         }
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -76,7 +76,8 @@
     SaysLast(&'static str),
     Hangs,
     Breaks,
-    Babbles,
+    /// Writes just this, and keeps the connection open.
+    Writes(&'static str),
 }
 
 #[derive(Clone)]
@@ -104,7 +105,7 @@
                     }
                     Does::Hangs => Ok(()),
                     Does::Breaks => return,
-                    Does::Babbles => write!(to, "no HTTP at all\r\n\r\n"),
+                    Does::Writes(text) => to.write_all(text.as_bytes()),
                 };
                 if done.is_err() || matches!(does, Does::SaysLast(_)) {
                     return;
@@ -525,11 +526,12 @@
 
 #[test]
 fn what_is_no_http_is_a_reset_and_a_connection_s_end_is_met() {
-    let e = Endpoint::start(Does::Babbles);
+    let babbles = Does::Writes("no HTTP at all\r\n\r\n");
+    let e = Endpoint::start(babbles);
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.start();
     let mut client = rig.client();
-    for does in [Does::Babbles, Does::Breaks] {
+    for does in [babbles, Does::Breaks] {
         e.does(does);
         let once = client.mail("payment", 7, 8000, "once");
         wait_for("its end", || rig.platform.notice(&once).is_some());
@@ -547,6 +549,47 @@
     assert_eq!(rig.platform.notices().len(), 2);
 }
 
+#[test]
+fn a_spoilt_answer_may_have_run_unless_its_first_line_says_relayed() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let relayed = [
+        "HTTP/1.1 200 OK\r\nno header at all\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on",
+        "HTTP/1.1 200 OK\r\nX-Endless: a",
+        "HTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for (n, text) in relayed.iter().enumerate() {
+        e.does(Does::Writes(text));
+        client.mail("payment", 7, 8000, "relayed");
+        wait_for("the call", || e.calls().len() > n);
+        wait_for("its end", || rig.kept().mails.is_empty());
+    }
+    let spoilt = [
+        "HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\nand so on",
+        "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nshort",
+        "HTTP/1.1 429 Full\r\nRetry-After: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 503 Full\r\nX-Endless: a",
+        "HTTP/1.1 099 What\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for text in spoilt {
+        e.does(Does::Writes(text));
+        let once = client.mail("payment", 7, 20_000, "spoilt");
+        wait_for("its end", || rig.platform.notice(&once).is_some());
+        assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead", "{text:?}");
+    }
+    e.does(OK);
+    client.mail("notice", 7, 8000, "after all that");
+    wait_for("the mail", || e.calls().iter().any(|c| c.body == "after all that"));
+    assert_eq!(e.calls().len(), relayed.len() + spoilt.len() + 1, "each went out once");
+    assert_eq!(rig.platform.notices().len(), spoilt.len());
+}
+
 #[test]
 fn the_watch_is_followed_over_splits_bad_lines_and_breaks() {
     let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
--- a/src/control.rs
+++ b/src/control.rs
@@ -341,7 +341,7 @@
         }
     }
 
-    /// Gives up a mail at once: deferred where trying again is harmless, else bounced.
+    /// Deferred where trying again is harmless, else bounced.
     fn give_up(&mut self, id: MailId, now: Nanos, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
         let harmless = self.count_out(|c| c.mail == id) == 0
@@ -423,7 +423,6 @@
                     let pace = 1.0 + deck.slower;
                     *usual += PACE_WEIGHT * (end.took as f64 / pace - *usual);
                     let seen = (end.took as f64 / *usual).max(0.1);
-                    // The first answers weigh more, against one of usual time.
                     deck.answers += 1.0;
                     deck.slower += (1.0 / (1.0 + deck.answers)).max(PACE_WEIGHT) * (seen - pace);
                 }
@@ -440,24 +439,26 @@
                     self.routes[route].strike(now);
                 }
             }
-            // It may have been an idle connection dropped unseen, and then it tells nothing of the route.
-            Outcome::Reset if !connect.fresh => {}
-            Outcome::Errored | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
-                self.routes[route].fail += FAIL_WEIGHT * (1.0 - self.routes[route].fail);
+            Outcome::Reset if !connect.fresh => {} // Perhaps an idle connection dropped unseen.
+            Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
+            Outcome::Unsent(false) | Outcome::CalledOff => {}
+            _ => {
+                // Single answers are spoilt on the way from any route; one that spoils all is found later.
+                let spoilt = end.outcome == Outcome::Spoilt;
+                let part = if spoilt { 0.25 } else { 1.0 };
+                self.routes[route].fail += part * FAIL_WEIGHT * (1.0 - self.routes[route].fail);
                 let r = &self.routes;
                 let serving = (0..r.len()).filter(|&i| r[i].entry.serving);
                 let mut shares: Vec<f64> = serving.map(|i| r[i].fail).collect();
                 shares.sort_by(f64::total_cmp);
                 let (share, median) = (r[route].fail, shares.get(shares.len() / 2).copied().unwrap_or(0.0));
-                if self.routes[route].open() && share <= median + FAIL_MARGIN {
+                if (spoilt || self.routes[route].open()) && share <= median + FAIL_MARGIN {
                     return;
                 }
                 self.routes[route].strike(now);
                 self.routes[route].cold_since = None;
                 self.suspect(route, now, &format!("failure share {share:.2}, fleet {median:.2}"), out);
             }
-            Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
-            Outcome::Unsent(false) | Outcome::CalledOff => {}
         }
     }
 
@@ -504,7 +505,6 @@
         ((times * self.usual(self.routes[route].entry.destination, class)) as Nanos).max(SILENT_FLOOR)
     }
 
-    /// Suspends a route for the rest between trials, and marks it suspect if it was not.
     fn suspect(&mut self, route: usize, now: Nanos, why: &str, out: &mut impl Outlet) {
         self.routes[route].count(now, 0.0);
         let r = &mut self.routes;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,6 +126,8 @@
     /// No connection could be had.
     Unconnected,
     Reset,
+    /// An answer came that cannot be read; it may have run.
+    Spoilt,
     CalledOff,
     /// Not sent at all; true: no slot was free.
     Unsent(bool),
