Where new connections break too, idle ones are kept again

Ruled out: CPU (0.07 s at most), descriptors (57). At fault: learn counted refusals of new connections as well while none were kept, and nothing ended the 60 s. Now only kept connections tell, and a new one that is reset ends it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -165,7 +165,6 @@
     missed: f64,
     /// By kind: the share of connects that met drops or full tables, of how many; no idle ones until then.
     tight: BTreeMap<usize, (f64, f64, Nanos)>,
-    /// How long before the end of its queue lifetime a mail is answered at the latest.
     margin: Nanos,
     wake_at: Nanos,
     now: Nanos,
@@ -341,7 +340,6 @@
         }
     }
 
-    /// Deferred where trying again is harmless, else bounced.
     fn give_up(&mut self, id: MailId, now: Nanos, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
         let harmless = self.count_out(|c| c.mail == id) == 0
@@ -391,7 +389,6 @@
             let missed = f64::from(u8::from(late || end.outcome != Outcome::Relayed));
             self.missed += MISSED_WEIGHT * (missed - self.missed);
         }
-        // Where the trials' share is less than a slot, they take that share of its time.
         let part = self.facts.slots as f64 * TRIAL_SHARE;
         if self.routes[route].suspect && part < 1.0 && (late || end.outcome != Outcome::Relayed) {
             self.trial_until = now + (end.took as f64 * (1.0 / part - 1.0)) as Nanos;
@@ -400,10 +397,13 @@
         // No drop: a reset as late as an answer. No full table: a route that refuses again before it relays.
         let early = (end.took as f64) < self.usual(self.routes[route].entry.destination, class) / 2.0;
         let sound = self.routes[route].wait == FIRST_WAIT && !self.routes[route].struck;
-        let met = (at_once && sound) || (end.outcome == Outcome::Reset && !connect.fresh && early);
+        let met = !connect.fresh && ((at_once && sound) || (end.outcome == Outcome::Reset && early));
         let (share, of, until) = self.tight.entry(kind).or_default();
         *of += 1.0;
         *share += (1.0 / *of).max(TIGHT_WEIGHT) * (f64::from(u8::from(met)) - *share);
+        if connect.fresh && end.outcome == Outcome::Reset {
+            (*share, *of, *until) = (0.0, 1.0 / TIGHT_WEIGHT, now); // New ones break as well.
+        }
         let many = *share > TIGHT_SHARE || connect.rested > TIGHT_RESTED;
         if met && many && std::mem::replace(until, now + TIGHT) <= now {
             out.log(&format!("kind {kind} keeps no idle connections: {share:.2} of connects"));
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -215,8 +215,8 @@
         let mut w = World::new(facts());
         w.o.ways[..4].fill(way);
         w.mail(0, 0, None, 12 * S);
-        w.pass(S);
         w.o.ways.fill(Way::Answers(100 * MS));
+        w.pass(S);
         w.mail(0, 1, None, 12 * S);
         w.mail(0, 2, None, 12 * S);
         w.pass(5 * S);
@@ -269,6 +269,26 @@
     assert_eq!(once.len(), w.o.forgotten.len());
 }
 
+/// Found on the day wide+reset+stale on sockets: connections broke whether new or kept, and all were new for a minute.
+#[test]
+fn where_new_connections_break_too_idle_ones_are_kept_again() {
+    let mut w = World::new(facts());
+    w.o.ways[..4].fill(Way::Resets);
+    for _ in 0..4 {
+        w.mail(0, 0, None, 12 * S);
+        w.pass(S);
+    }
+    assert!(!w.o.hung_up.is_empty(), "given up at first");
+    w.o.ways.fill(Way::Answers(100 * MS));
+    w.pass(5 * S);
+    w.o.hung_up.clear();
+    for _ in 0..20 {
+        w.mail(0, 1, None, 12 * S);
+        w.pass(S);
+    }
+    assert_eq!(w.o.hung_up, Vec::<u32>::new());
+}
+
 /// Found on the day churn on sockets: once the hold was full, each mail went out just before its end.
 #[test]
 fn under_lasting_overload_mails_go_out_well_before_their_end() {
