A watch that says nothing for 2.6 s is asked for anew

Now a watch that says nothing for 2.6 s, its head included, is closed and taken up again after the last version.

--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -11,6 +11,10 @@
 
 /// How long to wait before the watch is connected to again.
 const AGAIN: Nanos = 250_000_000;
+/// A watch says something every 2 s, if only an empty line. One that says nothing for longer is dead, though its connection
+/// may never end: it would hide drains for good. It covers a head that never comes. Harm: while discovery is down, it is
+/// asked again and again, which costs it nothing.
+const SILENT_FOR: Nanos = 2_600_000_000;
 /// The longest line that is read; a longer one is skipped.
 const LINE_MOST: usize = 8 * 1024 * 1024;
 
@@ -118,10 +122,11 @@
         let rising = hands.conns.get(id).is_some_and(|c| c.rising);
         if rising {
             match hands.conns.risen(id) {
-                Ok(()) => hands.deadlines.clear(Due::Conn(id)),
+                Ok(()) => {}
                 Err(_) => return hands.watch_broke(id),
             }
         }
+        hands.deadlines.set(Due::Conn(id), hands.now + SILENT_FOR);
         let Some(lines) = hands.watch_lines(id) else { return hands.watch_broke(id) };
         for line in lines {
             self.list_line(&line);
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -169,7 +169,8 @@
         wait_for("a watch", || !self.watches.lock().unwrap().is_empty());
         for watch in self.watches.lock().unwrap().iter_mut() {
             for byte in text.bytes() {
-                watch.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']).unwrap();
+                // One that has ended hears no more.
+                let _ = watch.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']);
             }
         }
     }
@@ -626,6 +627,15 @@
     });
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_asked_for_anew_from_where_it_was() {
+    let mut rig = Rig::new(&[]);
+    rig.start();
+    rig.platform.tell(&format!("{}\n", json!({"version": 5, "full": false, "servers": []})));
+    // The stand-in keeps the connection open and sends nothing more.
+    wait_for("another watch", || rig.platform.since.lock().unwrap().iter().any(|s| s.contains("since=5 ")));
+}
+
 /// An endpoint whose queue of new connections is full, by the one given back: one more comes up when there is room.
 fn crowded() -> (TcpListener, TcpStream) {
     let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
