--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,227 @@
+//! An experiment: world, load, troubles, seeds and what varies, read from one TOML file and checked whole.
+
+use crate::spec::*;
+use serde::Deserialize;
+use std::path::{Path, PathBuf};
+use toml::{Table, Value};
+
+/// One thing that is wrong with an experiment's file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// Such as `troubles[1].zone`.
+    pub field: String,
+    /// Counted from 1; none where the field is missing.
+    pub line: Option<usize>,
+    pub expected: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "line {line}, field {}: expected {}", self.field, self.expected),
+            None => write!(f, "field {}: expected {}", self.field, self.expected),
+        }
+    }
+}
+
+/// Why an experiment cannot be run; nothing has been started.
+#[derive(Debug)]
+pub enum BadExperiment {
+    Unread(PathBuf, std::io::Error),
+    /// No TOML, or not of the form: what the reader of TOML says, with line and column.
+    Form(PathBuf, String),
+    Faults(PathBuf, Vec<Fault>),
+}
+
+impl std::fmt::Display for BadExperiment {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            BadExperiment::Unread(path, e) => write!(f, "{}: {e}", path.display()),
+            BadExperiment::Form(path, e) => write!(f, "{}: {}", path.display(), e.trim_end()),
+            BadExperiment::Faults(path, faults) => {
+                let lines: Vec<String> =
+                    faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect();
+                f.write_str(&lines.join("\n"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for BadExperiment {}
+
+/// What varies between the runs of an experiment: each value makes a variant, run with every seed.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Vary {
+    /// A field of the file such as `load.rate`.
+    pub field: Option<String>,
+    #[serde(default)]
+    pub values: Vec<Value>,
+    /// Builds of the program by a name of their own; sockets only.
+    #[serde(default)]
+    pub programs: std::collections::BTreeMap<String, PathBuf>,
+}
+
+/// One way of running an experiment.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    pub name: String,
+    pub spec: Spec,
+    /// The build of the dispatcher, where the variant names one.
+    pub program: Option<PathBuf>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    pub name: String,
+    pub title: String,
+    pub seeds: Vec<u64>,
+    pub variants: Vec<Variant>,
+}
+
+/// Puts `over` on top of `base`, table by table; anything else replaces.
+fn overlay(base: &mut Table, over: Table) {
+    for (key, value) in over {
+        match (base.get_mut(&key), value) {
+            (Some(Value::Table(old)), Value::Table(new)) => overlay(old, new),
+            (_, value) => {
+                base.insert(key, value);
+            }
+        }
+    }
+}
+
+/// Sets a field such as `load.rate` or `troubles[0].share`. False: its place does not exist.
+fn set(table: &mut Table, field: &str, value: &Value) -> bool {
+    let (head, rest) = field.split_once('.').map_or((field, None), |(h, r)| (h, Some(r)));
+    let (name, index) = match head.split_once('[') {
+        Some((name, index)) => (name, index.trim_end_matches(']').parse::<usize>().ok()),
+        None => (head, None),
+    };
+    let Some(rest) = rest else {
+        table.insert(name.to_string(), value.clone());
+        return true;
+    };
+    match (table.get_mut(name), index) {
+        (Some(Value::Table(inner)), None) => set(inner, rest, value),
+        (Some(Value::Array(list)), Some(i)) => match list.get_mut(i) {
+            Some(Value::Table(inner)) => set(inner, rest, value),
+            _ => false,
+        },
+        (None, None) => {
+            let mut inner = Table::new();
+            let done = set(&mut inner, rest, value);
+            table.insert(name.to_string(), Value::Table(inner));
+            done
+        }
+        _ => false,
+    }
+}
+
+/// The line on which a field such as `troubles[1].zone` stands, or the nearest thing around it.
+fn line_of(text: &str, field: &str) -> Option<usize> {
+    use toml::de::{DeTable, DeValue};
+    let whole = DeTable::parse(text).ok()?;
+    let (mut at, mut table) = (None, whole.get_ref());
+    for part in field.split('.') {
+        let (name, index) = part.split_once('[').map_or((part, None), |(n, i)| (n, Some(i)));
+        let Some(inner) = table.get(name) else { break };
+        at = Some(inner.span().start);
+        let mut value = inner.get_ref();
+        if let (Some(i), DeValue::Array(list)) = (index, value) {
+            let Some(inner) = i.trim_end_matches(']').parse().ok().and_then(|i: usize| list.get(i)) else {
+                break;
+            };
+            at = Some(inner.span().start);
+            value = inner.get_ref();
+        }
+        let DeValue::Table(inner) = value else { break };
+        table = inner;
+    }
+    at.map(|at| text[..at.min(text.len())].matches('\n').count() + 1)
+}
+
+/// What the file holds beside the run itself.
+const AROUND: [&str; 4] = ["title", "seeds", "vary", "long"];
+
+/// Reads an experiment; `long` takes its longer form.
+pub fn read(path: &Path, long: bool) -> Result<Experiment, BadExperiment> {
+    read_varied(path, long, None)
+}
+
+/// The same, with something else that varies than the file says.
+pub fn read_varied(path: &Path, long: bool, vary: Option<Vary>) -> Result<Experiment, BadExperiment> {
+    let text = std::fs::read_to_string(path).map_err(|e| BadExperiment::Unread(path.into(), e))?;
+    let name = path.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    parse(&text, &name, path, long, vary)
+}
+
+pub fn parse(
+    text: &str,
+    name: &str,
+    path: &Path,
+    long: bool,
+    vary: Option<Vary>,
+) -> Result<Experiment, BadExperiment> {
+    let form = |e: toml::de::Error| BadExperiment::Form(path.into(), e.to_string());
+    // The whole file first, so that what the reader says has its line.
+    let mut file: File = toml::from_str(text).map_err(form)?;
+    file.vary = vary.or(file.vary);
+    let mut table: Table = toml::from_str(text).map_err(form)?;
+    let over = table.get("long").cloned();
+    AROUND.iter().for_each(|key| drop(table.remove(*key)));
+    if let (true, Some(Value::Table(over))) = (long, over) {
+        overlay(&mut table, over);
+    }
+    let mut faults = Vec::new();
+    let mut fault = |field: &str, expected: &str| {
+        faults.push(Fault { field: field.into(), line: line_of(text, field), expected: expected.into() })
+    };
+    if file.seeds.is_empty() {
+        fault("seeds", "at least one whole number");
+    }
+    let mut variants = Vec::new();
+    let mut add = |name: String, table: Table, program, fault: &mut dyn FnMut(&str, &str)| match table
+        .try_into::<Spec>()
+    {
+        Ok(spec) => {
+            check(&spec, fault);
+            variants.push(Variant { name, spec, program });
+        }
+        Err(e) => fault("vary.values", &format!("values that its field can take ({})", e.message())),
+    };
+    match &file.vary {
+        None => add("as written".into(), table, None, &mut fault),
+        Some(vary) => {
+            if vary.field.is_some() == vary.values.is_empty() {
+                fault("vary", "a field together with its values, or programs");
+            }
+            if vary.field.is_none() && vary.programs.is_empty() {
+                fault("vary", "a field with values, or programs");
+            }
+            for value in &vary.values {
+                let (mut table, field) = (table.clone(), vary.field.as_deref().unwrap_or(""));
+                if set(&mut table, field, value) {
+                    add(format!("{field} = {value}"), table, None, &mut fault);
+                } else {
+                    fault("vary.field", "a field of this file such as load.rate");
+                }
+            }
+            for (name, program) in &vary.programs {
+                add(name.clone(), table.clone(), Some(program.clone()), &mut fault);
+            }
+        }
+    }
+    // What is wrong in each variant is said once.
+    let mut said: Vec<Fault> = Vec::new();
+    faults.into_iter().for_each(|fault| {
+        if !said.contains(&fault) {
+            said.push(fault)
+        }
+    });
+    if said.is_empty() {
+        Ok(Experiment { name: name.into(), title: file.title, seeds: file.seeds, variants })
+    } else {
+        Err(BadExperiment::Faults(path.into(), said))
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! The laboratory: a model of endpoints and their failures without I/O, two drives of it (real sockets, and virtual time),
+//! a load generator, an auditor of the six rules, experiments and reports. `docs/lab.md` says how to use it.
+
+pub mod audit;
+pub mod command_line;
+pub mod compare;
+pub mod experiment;
+pub mod ledger;
+pub mod load;
+pub mod measure;
+pub mod record;
+pub mod report;
+pub mod run;
+pub mod spec;
+pub mod virtual_time;
+pub mod world;
--- /dev/null
+++ b/lab/src/load.rs
@@ -0,0 +1,150 @@
+//! The load: mails as they are drawn ahead from the seed, and what clients do with an answer. Open loop: nothing here
+//! waits for an answer before the next mail, and times count from the intended moment.
+
+use crate::world::plan::*;
+use bellsill::interface::{MailId, Nanos};
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp1, weighted::WeightedIndex};
+use rand_pcg::Pcg64Mcg;
+
+/// A mail that a client means to hand in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// Counted from nought; also what its repeats are known by.
+    pub no: u64,
+    pub at: Nanos,
+    pub class: usize,
+    pub destination: usize,
+    pub key: Option<u64>,
+    pub dispatcher: usize,
+}
+
+/// Ids name the arrival and how often it had been handed in before.
+const TRIES: u64 = 16;
+
+pub fn mail_id(arrival: u64, tries: u32) -> MailId {
+    MailId((arrival + 1) * TRIES + u64::from(tries))
+}
+/// The arrival of a mail, and how often it had been handed in before.
+pub fn arrival_of(mail: MailId) -> (u64, u32) {
+    ((mail.0 / TRIES).saturating_sub(1), (mail.0 % TRIES) as u32)
+}
+
+/// All arrivals of a run in order of time.
+pub struct Arrivals {
+    plan: Plan,
+    rng: Pcg64Mcg,
+    classes: WeightedIndex<f64>,
+    destinations: WeightedIndex<f64>,
+    /// The most that the rate is ever multiplied by.
+    peak: f64,
+    at: f64,
+    burst: (usize, usize),
+    next: u64,
+}
+
+impl Arrivals {
+    pub fn new(plan: &Plan) -> Arrivals {
+        let shares = plan.spec.classes.iter().map(|c| c.share);
+        // The shares were checked: none is negative, not all are nought.
+        let index = |w: Vec<f64>| WeightedIndex::new(w).expect("shares that are not all nought");
+        Arrivals {
+            rng: Pcg64Mcg::seed_from_u64(plan.seed ^ 0x6c6f_6164),
+            classes: index(shares.collect()),
+            destinations: index(plan.parts.clone()),
+            peak: plan.spec.load.steps.iter().map(|s| s.times).fold(1.0, f64::max),
+            at: START as f64,
+            burst: (0, 0),
+            next: 0,
+            plan: plan.clone(),
+        }
+    }
+
+    /// By how much the rate is multiplied at a moment.
+    fn times(&self, at: f64) -> f64 {
+        let s = (at - START as f64) / 1e9;
+        self.plan.spec.load.steps.iter().filter(|step| step.at_s <= s).fold(1.0, |before, step| {
+            let reached = if step.over_s > 0.0 { ((s - step.at_s) / step.over_s).min(1.0) } else { 1.0 };
+            before + (step.times - before) * reached
+        })
+    }
+
+    fn arrival(&mut self, destination: usize) -> Arrival {
+        let (plan, rng) = (&self.plan, &mut self.rng);
+        let (no, at, class) = (self.next, self.at as Nanos, self.classes.sample(rng));
+        self.next += 1;
+        let (keys, count) = (plan.spec.classes[class].ordered_keys, plan.spec.dispatchers.count);
+        let key = (keys > 0).then(|| 1 + ((class as u64) << 40) + rng.random_range(0..keys as u64));
+        let hot = plan.hot.iter().find(|(from, to, _, _)| (*from..*to).contains(&at));
+        let drawn: f64 = rng.random();
+        let any = rng.random_range(0..count);
+        let dispatcher = match (key, hot) {
+            // A key stays with its dispatcher.
+            (Some(key), _) => key as usize % count,
+            (None, Some((_, _, part, whom))) if drawn < *part => whom[any % whom.len()],
+            _ => any,
+        };
+        Arrival { no, at, class, destination, key, dispatcher }
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        if self.burst.0 > 0 {
+            self.burst.0 -= 1;
+            return Some(self.arrival(self.burst.1));
+        }
+        let (share, size) = (self.plan.spec.load.burst_share, self.plan.spec.load.burst_size);
+        let bursts = share / size as f64;
+        let events = self.plan.spec.load.rate * (1.0 - share + bursts);
+        loop {
+            let gap: f64 = Exp1.sample(&mut self.rng);
+            self.at += gap / (events * self.peak) * 1e9;
+            if self.at >= self.plan.load_until as f64 {
+                return None;
+            }
+            if self.rng.random::<f64>() * self.peak < self.times(self.at) {
+                break;
+            }
+        }
+        let destination = self.destinations.sample(&mut self.rng);
+        if self.rng.random::<f64>() < bursts / (1.0 - share + bursts) {
+            self.burst = (size - 1, destination);
+        }
+        Some(self.arrival(destination))
+    }
+}
+
+/// Why a client may hand a mail in again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Back {
+    /// Turned away or deferred; the time to come back if one was told.
+    Refused(Option<Nanos>),
+    /// No connection, or no answer in time: another dispatcher is tried.
+    NoAnswer,
+}
+
+/// When a client hands a mail in again and at which dispatcher, if it still may.
+pub fn again(plan: &Plan, arrival: &Arrival, tries: u32, back: Back, now: Nanos) -> Option<(Nanos, usize)> {
+    let load = &plan.spec.load;
+    let drawn = draw(plan.seed, arrival.no, u64::from(tries), 11);
+    let pause = ms(between(load.retry_ms, drawn));
+    let (wait, dispatcher) = match back {
+        Back::Refused(told) => (told.unwrap_or(pause).max(MS), arrival.dispatcher),
+        Back::NoAnswer => (pause, (arrival.dispatcher + tries as usize + 1) % plan.spec.dispatchers.count),
+    };
+    let due = arrival.at + ms(plan.spec.classes[arrival.class].lifetime_ms);
+    (tries < load.retries && now + wait + 50 * MS < due).then_some((now + wait, dispatcher))
+}
+
+/// What a mail that is relayed so long after its intended hand-in is worth; 1 is in time.
+pub fn worth(class: &crate::spec::Class, delay: Nanos) -> f64 {
+    let (late, target) = (delay as f64 / 1e6 - class.target_ms, class.target_ms);
+    match () {
+        () if delay as f64 / 1e6 >= class.lifetime_ms => 0.0,
+        () if late <= 0.0 => 1.0,
+        () => 0.5f64.powf(late / target).max(class.late_share),
+    }
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    bellsill_lab::command_line::main()
+}
--- /dev/null
+++ b/lab/src/measure.rs
@@ -0,0 +1,259 @@
+//! What a run comes to: delivered importance over time, latencies with their whole distribution, and counts. Fed with the
+//! same [`Seen`] as the auditor. Times count from the moment at which a mail was meant to be handed in first.
+
+use crate::load::{Arrival, arrival_of, worth};
+use crate::record::*;
+use crate::spec::Class;
+use crate::world::Answer;
+use crate::world::plan::*;
+use bellsill::interface::{MailId, Nanos};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet};
+
+/// The span of one point of the curves.
+pub const BUCKET: Nanos = 500 * MS;
+
+/// A whole distribution: the value up to which each step counts, in microseconds, with how many there are in it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    pub count: u64,
+    pub mean_us: f64,
+    pub p50_us: u64,
+    pub p90_us: u64,
+    pub p99_us: u64,
+    pub p999_us: u64,
+    pub max_us: u64,
+    pub steps: Vec<(u64, u64)>,
+}
+
+/// Two significant digits, up to an hour.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("bounds that hold")
+}
+
+fn record(h: &mut Histogram<u64>, span: Nanos) {
+    h.saturating_record((span / 1_000).max(1));
+}
+
+impl Spread {
+    pub fn of(h: &Histogram<u64>) -> Spread {
+        Spread {
+            count: h.len(),
+            mean_us: if h.is_empty() { 0.0 } else { h.mean() },
+            p50_us: h.value_at_quantile(0.5),
+            p90_us: h.value_at_quantile(0.9),
+            p99_us: h.value_at_quantile(0.99),
+            p999_us: h.value_at_quantile(0.999),
+            max_us: h.max(),
+            steps: h.iter_recorded().map(|v| (v.value_iterated_to(), v.count_at_value())).collect(),
+        }
+    }
+    /// The value under which this share of all lies, in milliseconds.
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        let mut left = (self.count as f64 * share).ceil().max(1.0) as u64;
+        for (value, count) in &self.steps {
+            if *count >= left {
+                return *value as f64 / 1e3;
+            }
+            left -= count;
+        }
+        self.max_us as f64 / 1e3
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ClassResult {
+    pub name: String,
+    pub asked: f64,
+    pub delivered: f64,
+    /// From the intended hand-in to the answer of the endpoint.
+    pub latency: Spread,
+    pub late: u64,
+    pub bounced: u64,
+    pub deferred: u64,
+}
+
+/// One point of the curves; counts of what happened in the span, importance by the moment of the intended hand-in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Point {
+    pub asked: f64,
+    pub delivered: f64,
+    pub calls: u64,
+    pub refused: u64,
+    pub errors: u64,
+    pub unanswered: u64,
+    pub opened: u64,
+    pub turned_away: u64,
+    pub deferred: u64,
+    pub bounced: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Results {
+    pub arrivals: u64,
+    pub handed_in: u64,
+    pub asked: f64,
+    pub delivered: f64,
+    /// Delivered over asked, in the whole run, in its worst 10 s and of the worst class.
+    pub share: f64,
+    pub worst_span: f64,
+    pub worst_class: f64,
+    pub classes: Vec<ClassResult>,
+    /// From the intended hand-in to the dispatcher's answer to it.
+    pub hand_in: Spread,
+    pub points: Vec<Point>,
+    pub calls: u64,
+    pub refused: u64,
+    pub opened: u64,
+    pub turned_away: u64,
+    pub no_answer: u64,
+}
+
+struct State {
+    at: Nanos,
+    class: u16,
+    relayed: bool,
+}
+
+pub struct Measure {
+    classes: Vec<Class>,
+    arrivals: Vec<State>,
+    calls: HashMap<CallNo, MailId>,
+    unheard: HashSet<MailId>,
+    latency: Vec<Histogram<u64>>,
+    hand_in: Histogram<u64>,
+    results: Results,
+}
+
+impl Measure {
+    pub fn new(plan: &Plan) -> Measure {
+        let classes = plan.spec.classes.clone();
+        let points = ((plan.over_at - START) / BUCKET + 2) as usize;
+        let row = |c: &Class| ClassResult { name: c.name.clone(), ..Default::default() };
+        Measure {
+            latency: classes.iter().map(|_| histogram()).collect(),
+            hand_in: histogram(),
+            arrivals: vec![],
+            calls: HashMap::new(),
+            unheard: HashSet::new(),
+            results: Results {
+                classes: classes.iter().map(row).collect(),
+                points: vec![Point::default(); points],
+                ..Default::default()
+            },
+            classes,
+        }
+    }
+
+    fn point(&mut self, at: Nanos) -> &mut Point {
+        let i = ((at.saturating_sub(START) / BUCKET) as usize).min(self.results.points.len() - 1);
+        &mut self.results.points[i]
+    }
+
+    /// Arrivals come in their order, each once, whatever becomes of it.
+    pub fn arrived(&mut self, arrival: &Arrival) {
+        let importance = self.classes[arrival.class].importance;
+        self.arrivals.push(State { at: arrival.at, class: arrival.class as u16, relayed: false });
+        self.results.arrivals += 1;
+        self.results.classes[arrival.class].asked += importance;
+        self.point(arrival.at).asked += importance;
+    }
+
+    /// A connection to an endpoint was opened.
+    pub fn opened(&mut self, at: Nanos) {
+        self.results.opened += 1;
+        self.point(at).opened += 1;
+    }
+
+    fn meant_at(&self, mail: MailId) -> Option<(Nanos, usize)> {
+        self.arrivals.get(arrival_of(mail).0 as usize).map(|a| (a.at, a.class as usize))
+    }
+
+    /// An answer to a hand-in has come, so long after it was meant to be made.
+    pub fn hand_in_answered(&mut self, span: Nanos) {
+        record(&mut self.hand_in, span);
+    }
+
+    pub fn see(&mut self, at: Nanos, seen: &Seen) {
+        match seen {
+            Seen::HandedIn(_) => self.results.handed_in += 1,
+            Seen::TurnedAway { .. } => {
+                self.results.turned_away += 1;
+                self.point(at).turned_away += 1;
+            }
+            Seen::Unheard { mail } => {
+                self.results.no_answer += 1;
+                self.unheard.insert(*mail);
+            }
+            Seen::Call { call, mail, .. } => {
+                self.calls.insert(*call, *mail);
+                self.results.calls += 1;
+                self.point(at).calls += 1;
+            }
+            Seen::Answered { call, answer } => {
+                let mail = self.calls.remove(call);
+                match answer {
+                    Answer::Full(_) => {
+                        self.results.refused += 1;
+                        self.point(at).refused += 1;
+                    }
+                    Answer::Errored | Answer::Spoilt => self.point(at).errors += 1,
+                    Answer::Relayed => mail.into_iter().for_each(|mail| self.relayed(at, mail)),
+                }
+            }
+            Seen::Broken { call, .. } if self.calls.remove(call).is_some() => self.point(at).unanswered += 1,
+            Seen::Notice { mail, deferred } => {
+                let Some((_, class)) = self.meant_at(*mail) else { return };
+                match deferred {
+                    Some(_) => {
+                        self.results.classes[class].deferred += 1;
+                        self.point(at).deferred += 1;
+                    }
+                    None => {
+                        self.results.classes[class].bounced += 1;
+                        self.point(at).bounced += 1;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn relayed(&mut self, at: Nanos, mail: MailId) {
+        let Some(state) = self.arrivals.get_mut(arrival_of(mail).0 as usize) else { return };
+        if self.unheard.contains(&mail) || std::mem::replace(&mut state.relayed, true) {
+            return;
+        }
+        let (meant, class) = (state.at, state.class as usize);
+        let delay = at.saturating_sub(meant);
+        let row = &self.classes[class];
+        let worth = row.importance * worth(row, delay);
+        let late = delay > ms(row.target_ms);
+        record(&mut self.latency[class], delay);
+        self.results.classes[class].delivered += worth;
+        self.results.classes[class].late += u64::from(late);
+        self.point(meant).delivered += worth;
+    }
+
+    pub fn finish(mut self) -> Results {
+        let r = &mut self.results;
+        let share = |delivered: f64, asked: f64| if asked > 0.0 { delivered / asked } else { 1.0 };
+        for (row, h) in r.classes.iter_mut().zip(&self.latency) {
+            row.latency = Spread::of(h);
+        }
+        r.hand_in = Spread::of(&self.hand_in);
+        (r.asked, r.delivered) = r.points.iter().fold((0.0, 0.0), |s, p| (s.0 + p.asked, s.1 + p.delivered));
+        r.share = share(r.delivered, r.asked);
+        let span = (10 * S / BUCKET) as usize;
+        let loaded = r.points.iter().rposition(|p| p.asked > 0.0).map_or(0, |i| i + 1);
+        let of = |points: &[Point]| {
+            let sums = points.iter().fold((0.0, 0.0), |s, p| (s.0 + p.asked, s.1 + p.delivered));
+            share(sums.1, sums.0)
+        };
+        r.worst_span = r.points[..loaded].windows(span.min(loaded.max(1))).map(of).fold(1.0, f64::min);
+        r.worst_class = r.classes.iter().map(|c| share(c.delivered, c.asked)).fold(1.0, f64::min);
+        r.points.truncate(r.points.iter().rposition(|p| *p != Point::default()).map_or(0, |i| i + 1));
+        self.results
+    }
+}
--- /dev/null
+++ b/lab/src/report/mod.rs
@@ -0,0 +1,369 @@
+//! A report: one HTML file that needs nothing else, with what the runs say as tables and plots.
+
+pub mod plot;
+
+use crate::compare;
+use crate::measure::{BUCKET, Point, Spread};
+use crate::run::{RunLine, Usage};
+use crate::world::plan::START;
+use anyhow::Result;
+use plot::{Chart, Line, Span};
+
+/// More dispatchers than these are drawn as the least, the middle and the most of all.
+const EACH_DRAWN: usize = 8;
+/// Points of the curves that are taken together.
+const SMOOTH: usize = 2;
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+fn time(point: usize) -> f64 {
+    point as f64 * BUCKET as f64 / 1e9
+}
+
+/// A curve over time from the points of a run, some points at a time.
+fn curve(points: &[Point], of: impl Fn(&[Point]) -> f64) -> Vec<(f64, f64)> {
+    points.chunks(SMOOTH).enumerate().map(|(i, c)| (time(i * SMOOTH), of(c))).collect()
+}
+
+fn a_second(of: impl Fn(&Point) -> u64) -> impl Fn(&[Point]) -> f64 {
+    move |points| points.iter().map(&of).sum::<u64>() as f64 * 1e9 / (points.len() as f64 * BUCKET as f64)
+}
+
+/// The mean of the curves of several seeds, as long as any goes on.
+fn mean(curves: &[Vec<(f64, f64)>]) -> Vec<(f64, f64)> {
+    let longest = curves.iter().max_by_key(|c| c.len());
+    let Some(longest) = longest else { return vec![] };
+    (0..longest.len())
+        .map(|i| {
+            let at: Vec<f64> =
+                curves.iter().filter_map(|c| c.get(i)).map(|p| p.1).filter(|y| y.is_finite()).collect();
+            (longest[i].0, at.iter().sum::<f64>() / at.len() as f64)
+        })
+        .collect()
+}
+
+/// For each variant the mean over its seeds, and each seed thinly.
+fn over_time(runs: &[&RunLine], of: impl Fn(&RunLine) -> Vec<(f64, f64)>) -> Vec<Line> {
+    let mut names: Vec<&str> = vec![];
+    runs.iter().for_each(|r| {
+        if !names.contains(&r.variant.as_str()) {
+            names.push(&r.variant)
+        }
+    });
+    let mut lines = vec![];
+    for (colour, name) in names.iter().enumerate() {
+        let curves: Vec<_> = runs.iter().filter(|r| r.variant == *name).map(|r| of(r)).collect();
+        let (thin, name) = (true, name.to_string());
+        if curves.len() > 1 {
+            let one = |points: &Vec<_>| Line { name: String::new(), colour, thin, points: points.clone() };
+            lines.extend(curves.iter().map(one));
+        }
+        lines.push(Line { name, colour, thin: false, points: mean(&curves) });
+    }
+    lines
+}
+
+fn latency(spread: &Spread) -> Vec<(f64, f64)> {
+    if spread.count == 0 {
+        return vec![];
+    }
+    // Nines: 0 is the median's half, 1 is 0.9, 2 is 0.99.
+    let most = (spread.count as f64).log10().min(5.0);
+    (0..=60)
+        .map(|i| most * f64::from(i) / 60.0)
+        .map(|n| (n, spread.quantile_ms(1.0 - 10f64.powf(-n))))
+        .collect()
+}
+
+fn nines(n: f64) -> String {
+    let share = 100.0 * (1.0 - 10f64.powf(-n));
+    let text = format!("{share:.*}", (n.floor() as usize).max(1));
+    format!("{}%", text.trim_end_matches('0').trim_end_matches('.'))
+}
+
+/// A figure of each dispatcher over time: each drawn, or the least, the middle and the most where there are many.
+fn by_dispatcher(usage: &[Usage], of: impl Fn(&(f64, f64, f64, u64)) -> f64) -> Vec<Line> {
+    let line = |u: &Usage| u.samples.iter().map(|s| (s.0, of(s))).collect::<Vec<_>>();
+    if usage.len() <= EACH_DRAWN {
+        let one = |(i, u): (usize, &Usage)| Line {
+            name: format!("dispatcher {}", u.dispatcher),
+            colour: i,
+            thin: false,
+            points: line(u),
+        };
+        return usage.iter().enumerate().map(one).collect();
+    }
+    let curves: Vec<_> = usage.iter().map(line).collect();
+    let longest = curves.iter().map(Vec::len).max().unwrap_or(0);
+    let mut lines: Vec<Line> = ["least", "middle", "most"]
+        .iter()
+        .enumerate()
+        .map(|(colour, name)| Line { name: name.to_string(), colour, thin: false, points: vec![] })
+        .collect();
+    for i in 0..longest {
+        let mut at: Vec<(f64, f64)> = curves.iter().filter_map(|c| c.get(i).copied()).collect();
+        at.sort_by(|a, b| a.1.total_cmp(&b.1));
+        for (line, pick) in lines.iter_mut().zip([0, at.len() / 2, at.len() - 1]) {
+            line.points.push((at[0].0, at[pick].1));
+        }
+    }
+    lines
+}
+
+fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let cells = |tag: &str, row: &[String]| -> String {
+        row.iter().map(|c| format!("<{tag}>{}</{tag}>", escape(c))).collect::<String>()
+    };
+    let head: Vec<String> = head.iter().map(|h| h.to_string()).collect();
+    let body: String = rows.iter().map(|row| format!("<tr>{}</tr>", cells("td", row))).collect();
+    format!("<table><tr>{}</tr>{body}</table>", cells("th", &head))
+}
+
+const STYLE: &str = "body{font:15px/1.5 sans-serif;max-width:900px;margin:24px auto;padding:0 16px;color:#222;background:#fff}\
+table{border-collapse:collapse;margin:12px 0;font-size:13px}td,th{border:1px solid #ccc;padding:3px 8px;text-align:right}\
+td:first-child,th:first-child{text-align:left}h1{font-size:24px}h2{font-size:19px;margin-top:36px}svg{max-width:100%;height:auto}\
+.bad{background:#fbe3e0;padding:8px 12px;border-left:4px solid #b22}.good{color:#2a6b2a}.note{color:#555;font-size:13px}";
+
+pub fn html(runs: &[RunLine]) -> Result<String> {
+    let mut names: Vec<&str> = vec![];
+    runs.iter().for_each(|r| {
+        if !names.contains(&r.experiment.as_str()) {
+            names.push(&r.experiment)
+        }
+    });
+    let mut body = String::new();
+    for name in &names {
+        let of: Vec<RunLine> = runs.iter().filter(|r| r.experiment == *name).cloned().collect();
+        body += &section(&of)?;
+    }
+    let title = names.join(", ");
+    Ok(format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>{}</title><style>{STYLE}</style></head>\
+         <body>{body}</body></html>\n",
+        escape(&title)
+    ))
+}
+
+/// All that the runs of one experiment say.
+fn section(runs: &[RunLine]) -> Result<String> {
+    let valid: Vec<&RunLine> = runs.iter().filter(|r| r.valid()).collect();
+    let Some(first) = runs.first() else { return Ok(String::new()) };
+    let mut text = format!("<h1>{}</h1>", escape(&first.title));
+    text += &format!(
+        "<p class=\"note\">{}: {} dispatchers, {} endpoints, {} mails a second for {} s; {}. Shaded: troubles. Where an \
+         experiment has several seeds, each is a thin line and their mean a thick one.</p>",
+        escape(&first.experiment),
+        first.dispatchers,
+        first.endpoints,
+        first.rate,
+        first.load_s,
+        match first.drive {
+            crate::spec::Drive::Virtual => "the decisions in virtual time, simulated",
+            crate::spec::Drive::Sockets => "real processes on loopback sockets",
+        }
+    );
+    let marks: Vec<String> = first
+        .troubles
+        .iter()
+        .map(|m| format!("{:?} on {} from {} to {} s", m.what, m.whom, m.from_s, m.to_s))
+        .collect();
+    if !marks.is_empty() {
+        text += &format!("<p>Troubles: {}.</p>", escape(&marks.join("; ")));
+    }
+    for run in runs.iter().filter(|r| !r.valid()) {
+        let whose = format!("{}, seed {}: {}", run.variant, run.seed, run.not_valid.join("; "));
+        text += &format!("<p class=\"bad\">Not valid, and left out below: {}</p>", escape(&whose));
+    }
+    text += &verdicts(runs);
+    if valid.is_empty() {
+        return Ok(text);
+    }
+    text += &figures(&valid);
+    let compared = compare::table(runs);
+    if !compared.is_empty() {
+        text += &format!("<h2>Variants, paired by seed</h2><pre>{}</pre>", escape(&compared));
+    }
+    let spans: Vec<Span> = first
+        .troubles
+        .iter()
+        .map(|m| Span { name: format!("{:?}", m.what), from: m.from_s, to: m.to_s })
+        .collect();
+    for chart in charts(&valid, &spans) {
+        text += &chart.svg()?;
+    }
+    Ok(text)
+}
+
+fn verdicts(runs: &[RunLine]) -> String {
+    let broken: Vec<&RunLine> = runs.iter().filter(|r| !r.verdict.kept()).collect();
+    if broken.is_empty() {
+        let (mails, calls) = runs.iter().fold((0, 0), |s, r| (s.0 + r.verdict.mails, s.1 + r.verdict.calls));
+        return format!(
+            "<p class=\"good\">The six rules were kept, over {mails} mails handed in and {calls} calls.</p>"
+        );
+    }
+    let mut text = String::new();
+    for run in broken {
+        let counts: Vec<String> =
+            run.verdict.breaks.iter().map(|(rule, n)| format!("{rule:?} {n} times")).collect();
+        text += &format!(
+            "<div class=\"bad\">Rules broken by {}, seed {}: {}<ul>",
+            escape(&run.variant),
+            run.seed,
+            escape(&counts.join(", "))
+        );
+        for words in run.verdict.words.iter().take(20) {
+            text += &format!("<li>{}</li>", escape(&words.to_string()));
+        }
+        text += "</ul></div>";
+    }
+    text
+}
+
+fn figures(runs: &[&RunLine]) -> String {
+    let row = |r: &&RunLine| {
+        let d = &r.results;
+        vec![
+            format!("{}, seed {}", r.variant, r.seed),
+            format!("{:.4}", d.share),
+            format!("{:.3}", d.worst_span),
+            format!("{:.3}", d.worst_class),
+            d.arrivals.to_string(),
+            d.calls.to_string(),
+            d.refused.to_string(),
+            d.opened.to_string(),
+            d.turned_away.to_string(),
+            if r.cost.usage.is_empty() { "-".into() } else { format!("{:.0}", compare::cpu_us(r)) },
+        ]
+    };
+    let head = [
+        "run",
+        "importance delivered",
+        "worst 10 s",
+        "worst class",
+        "mails",
+        "calls",
+        "refused",
+        "opened",
+        "turned away",
+        "CPU us a mail",
+    ];
+    let rows: Vec<Vec<String>> = runs.iter().map(row).collect();
+    let mut text = format!("<h2>Figures</h2>{}", table(&head, &rows));
+    let mut rows = vec![];
+    for run in runs {
+        for c in &run.results.classes {
+            let l = &c.latency;
+            let ms = |us: u64| format!("{:.1}", us as f64 / 1e3);
+            let share = if c.asked > 0.0 { c.delivered / c.asked } else { 1.0 };
+            let whose = format!("{}, seed {}: {}", run.variant, run.seed, c.name);
+            let counts = [c.late, c.bounced, c.deferred].map(|n| n.to_string());
+            let mut row = vec![whose, format!("{share:.4}")];
+            row.extend([l.p50_us, l.p90_us, l.p99_us, l.p999_us, l.max_us].map(ms));
+            row.extend(counts);
+            rows.push(row);
+        }
+    }
+    let head = ["class", "delivered", "p50 ms", "p90", "p99", "p99.9", "max", "late", "bounced", "deferred"];
+    text += &table(&head, &rows);
+    text
+}
+
+fn charts<'a>(runs: &[&RunLine], spans: &'a [Span]) -> Vec<Chart<'a>> {
+    let x_to = runs.iter().map(|r| time(r.results.points.len())).fold(0.0, f64::max);
+    let chart = |title, y, lines: Vec<Line>, y_top| Chart {
+        title,
+        x: "seconds",
+        y,
+        lines,
+        spans,
+        levels: vec![],
+        y_log: false,
+        y_top,
+        x_to,
+        x_words: None,
+    };
+    let share = |p: &[Point]| {
+        let (asked, got) = p.iter().fold((0.0, 0.0), |s, p| (s.0 + p.asked, s.1 + p.delivered));
+        got / asked
+    };
+    let mut charts = vec![
+        chart(
+            "Delivered importance of what was asked for, by the moment of asking",
+            "share",
+            over_time(runs, |r| curve(&r.results.points, share)),
+            1.0,
+        ),
+        chart("Calls", "a second", over_time(runs, |r| curve(&r.results.points, a_second(|p| p.calls))), 1.0),
+        chart(
+            "Refused calls",
+            "a second",
+            over_time(runs, |r| curve(&r.results.points, a_second(|p| p.refused))),
+            1.0,
+        ),
+        chart(
+            "Calls broken off, errors and answers that cannot be read",
+            "a second",
+            over_time(runs, |r| curve(&r.results.points, a_second(|p| p.unanswered + p.errors))),
+            1.0,
+        ),
+        chart(
+            "Mails turned away, deferred and bounced",
+            "a second",
+            over_time(runs, |r| {
+                curve(&r.results.points, a_second(|p| p.turned_away + p.deferred + p.bounced))
+            }),
+            1.0,
+        ),
+        chart(
+            "Connections opened",
+            "a second",
+            over_time(runs, |r| curve(&r.results.points, a_second(|p| p.opened))),
+            1.0,
+        ),
+    ];
+    if runs.iter().any(|r| !r.returns.is_empty()) {
+        let load = |r: &RunLine| {
+            r.returns.iter().map(|l| ((l.at - START) as f64 / 1e9, l.calls / l.capacity)).collect::<Vec<_>>()
+        };
+        charts.push(Chart {
+            levels: vec![(1.0, "all that they can do")],
+            ..chart(
+                "Load on all endpoints that have returned cold, against what they can do at the moment",
+                "calls / capacity",
+                over_time(runs, load),
+                1.0,
+            )
+        });
+    }
+    let mut lines = vec![];
+    let first = runs[0];
+    for (colour, class) in first.results.classes.iter().enumerate() {
+        for (i, run) in runs.iter().filter(|r| r.variant == first.variant).enumerate() {
+            let found = run.results.classes.iter().find(|c| c.name == class.name);
+            let name = if i == 0 { class.name.clone() } else { String::new() };
+            let points = found.map_or(vec![], |c| latency(&c.latency));
+            lines.push(Line { name, colour, thin: i > 0, points });
+        }
+    }
+    if first.results.hand_in.max_us > 1 {
+        let points = latency(&first.results.hand_in);
+        lines.push(Line { name: "answer to the hand-in".into(), colour: 7, thin: false, points });
+    }
+    charts.push(Chart {
+        x: "share of the mails under it",
+        x_to: 0.0,
+        y_log: true,
+        spans: &[],
+        x_words: Some(nines),
+        ..chart("Latency by queue class, from the intended hand-in (first variant)", "ms", lines, 1.0)
+    });
+    if !first.cost.usage.is_empty() {
+        let usage = &first.cost.usage;
+        charts.push(chart("Processor time of each dispatcher", "cores", by_dispatcher(usage, |s| s.1), 0.05));
+        charts.push(chart("Memory of each dispatcher", "MB", by_dispatcher(usage, |s| s.2), 1.0));
+    }
+    charts
+}
--- /dev/null
+++ b/lab/src/run.rs
@@ -0,0 +1,281 @@
+//! Runs of an experiment and the line that each leaves on disk.
+
+use crate::audit::Verdict;
+use crate::experiment::{Experiment, Variant};
+use crate::measure::Results;
+use crate::spec::{Drive, TroubleKind};
+use crate::virtual_time;
+use crate::world::ReturnLoad;
+use crate::world::plan::*;
+use anyhow::{Context, Result};
+use indicatif::{ProgressBar, ProgressStyle};
+use serde::{Deserialize, Serialize};
+use std::io::{BufRead, Write};
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+/// A trouble as a report marks it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    pub what: TroubleKind,
+    pub whom: String,
+    pub from_s: f64,
+    pub to_s: f64,
+}
+
+/// What one dispatcher's process used, sampled; sockets only.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    pub dispatcher: usize,
+    /// Second, share of a core since the sample before, resident megabytes, descriptors.
+    pub samples: Vec<(f64, f64, f64, u64)>,
+    pub cpu_s: f64,
+    pub peak_mb: f64,
+}
+
+/// What the run cost this machine: not the same in equal runs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cost {
+    pub wall_s: f64,
+    /// Of the laboratory's own process.
+    pub peak_mb: f64,
+    /// How late the generator was, in milliseconds: at its 99th percentile and at worst.
+    pub late_p99_ms: f64,
+    pub late_max_ms: f64,
+    pub usage: Vec<Usage>,
+}
+
+/// One run: one line of JSON.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunLine {
+    pub experiment: String,
+    pub title: String,
+    pub variant: String,
+    pub seed: u64,
+    pub drive: Drive,
+    /// Of all that the run is made of; a run with another is another run.
+    pub print: String,
+    /// Why the run says nothing; it is valid where this is empty.
+    pub not_valid: Vec<String>,
+    pub dispatchers: usize,
+    pub endpoints: usize,
+    pub load_s: f64,
+    pub rate: f64,
+    pub troubles: Vec<Mark>,
+    pub results: Results,
+    pub verdict: Verdict,
+    pub returns: Vec<ReturnLoad>,
+    /// Calls on the decisions; virtual time only.
+    pub steps: u64,
+    pub cost: Cost,
+}
+
+impl RunLine {
+    pub fn valid(&self) -> bool {
+        self.not_valid.is_empty()
+    }
+}
+
+/// How runs are to be done, beside what the experiment says.
+#[derive(Clone, Debug)]
+pub struct How {
+    pub drive: Option<Drive>,
+    pub seeds: Option<Vec<u64>>,
+    /// The dispatcher's program, for runs on sockets whose variant names none.
+    pub program: PathBuf,
+    /// Logs and state folders of dispatchers.
+    pub work: PathBuf,
+    pub quiet: bool,
+}
+
+fn marks(variant: &Variant) -> Vec<Mark> {
+    let mark = |t: &crate::spec::Trouble| Mark {
+        what: t.what,
+        whom: match (&t.zone, t.destination, t.endpoint, t.dispatcher, t.share) {
+            (Some(zone), ..) => zone.clone(),
+            (_, Some(d), ..) => format!("destination {d}"),
+            (_, _, Some(e), ..) => format!("endpoint {e}"),
+            (_, _, _, Some(n), _) => format!("dispatcher {n}"),
+            (.., Some(share)) => format!("{:.0}%", share * 100.0),
+            _ => "all".into(),
+        },
+        from_s: t.from_s,
+        to_s: t.to_s,
+    };
+    variant.spec.troubles.iter().map(mark).collect()
+}
+
+/// The most memory that this process ever held, in megabytes.
+pub fn peak_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+/// One run, from its plan to its line.
+pub fn one(
+    experiment: &Experiment,
+    variant: &Variant,
+    seed: u64,
+    how: &How,
+    tick: &mut dyn FnMut(f64),
+) -> Result<RunLine> {
+    let drive = how.drive.unwrap_or(variant.spec.run.drive);
+    let plan = Plan::new(&variant.spec, seed);
+    let mut line = RunLine {
+        experiment: experiment.name.clone(),
+        title: experiment.title.clone(),
+        variant: variant.name.clone(),
+        seed,
+        drive,
+        print: print(variant, drive, how),
+        not_valid: vec![],
+        dispatchers: variant.spec.dispatchers.count,
+        endpoints: plan.endpoints.len(),
+        load_s: variant.spec.run.seconds,
+        rate: variant.spec.load.rate,
+        troubles: marks(variant),
+        results: Results::default(),
+        verdict: Verdict::default(),
+        returns: vec![],
+        steps: 0,
+        cost: Cost::default(),
+    };
+    let from = Instant::now();
+    match drive {
+        Drive::Virtual => {
+            let played = virtual_time::run(plan, tick);
+            (line.results, line.verdict, line.returns) = (played.results, played.verdict, played.returns);
+            line.steps = played.steps;
+        }
+        Drive::Sockets => {
+            anyhow::bail!("runs on sockets are not built yet");
+        }
+    }
+    line.cost.wall_s = from.elapsed().as_secs_f64();
+    line.cost.peak_mb = peak_mb();
+    Ok(line)
+}
+
+/// Names all that a run is made of but its seed.
+fn print(variant: &Variant, drive: Drive, how: &How) -> String {
+    let mut hash = crc32fast::Hasher::new();
+    hash.update(format!("{:?} {drive:?}", variant.spec).as_bytes());
+    if drive == Drive::Sockets {
+        // Another build is another run.
+        let program = variant.program.as_ref().unwrap_or(&how.program);
+        hash.update(&std::fs::read(program).unwrap_or_default());
+    }
+    format!("{:08x}", hash.finalize())
+}
+
+/// Reads the lines of a file of runs.
+pub fn lines(path: &Path) -> Result<Vec<RunLine>> {
+    let file = std::fs::File::open(path).with_context(|| path.display().to_string())?;
+    let mut runs = vec![];
+    for (i, line) in std::io::BufReader::new(file).lines().enumerate() {
+        let line = line.with_context(|| path.display().to_string())?;
+        match serde_json::from_str(&line) {
+            Ok(run) => runs.push(run),
+            // A line that was being written when the laboratory was killed.
+            Err(e) if e.is_eof() => {
+                tracing::warn!("{}: line {} is cut off and skipped", path.display(), i + 1)
+            }
+            Err(e) => anyhow::bail!("{}: line {}: {e}", path.display(), i + 1),
+        }
+    }
+    Ok(runs)
+}
+
+fn bar(what: &str, quiet: bool) -> ProgressBar {
+    let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(1_000) };
+    let style = ProgressStyle::with_template("{msg} [{bar:32}] {percent:>3}% {elapsed}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar.set_message(what.to_string());
+    bar
+}
+
+/// Plays what of an experiment is not in the file yet, a line a run, and hands back all of its lines.
+pub fn all(experiment: &Experiment, how: &How, file: &Path) -> Result<Vec<RunLine>> {
+    let old = if file.exists() { lines(file)? } else { vec![] };
+    if let Some(folder) = file.parent() {
+        std::fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
+    }
+    let mut out = std::fs::OpenOptions::new().create(true).append(true).open(file)?;
+    // A line that was cut off must not swallow the next one.
+    if std::fs::read(file)?.last().is_some_and(|b| *b != b'\n') {
+        out.write_all(b"\n")?;
+    }
+    let mut runs = vec![];
+    for variant in &experiment.variants {
+        for &seed in how.seeds.as_ref().unwrap_or(&experiment.seeds) {
+            let drive = how.drive.unwrap_or(variant.spec.run.drive);
+            let print = print(variant, drive, how);
+            let same = |r: &&RunLine| r.print == print && r.seed == seed && r.variant == variant.name;
+            if let Some(run) = old.iter().find(same) {
+                runs.push(run.clone());
+                continue;
+            }
+            let bar = bar(&format!("{}, {}, seed {seed}", experiment.name, variant.name), how.quiet);
+            let run =
+                one(experiment, variant, seed, how, &mut |part| bar.set_position((part * 1_000.0) as u64))?;
+            bar.finish_and_clear();
+            // In one write, so that a line is whole or the last.
+            let mut line = serde_json::to_vec(&run)?;
+            line.push(b'\n');
+            out.write_all(&line)?;
+            out.flush()?;
+            runs.push(run);
+        }
+    }
+    Ok(runs)
+}
+
+/// What a run says in a few lines.
+pub fn summary(run: &RunLine) -> String {
+    let r = &run.results;
+    let mut text = format!(
+        "{}, {}, seed {} ({:?}): delivered {:.4} of the importance asked for (worst 10 s {:.3}, worst class {:.3}); \
+         {} mails, {} calls, {} refused, {} connections opened, {} turned away, {} unheard; {:.1} s, {:.0} MB",
+        run.experiment,
+        run.variant,
+        run.seed,
+        run.drive,
+        r.share,
+        r.worst_span,
+        r.worst_class,
+        r.arrivals,
+        r.calls,
+        r.refused,
+        r.opened,
+        r.turned_away,
+        r.no_answer,
+        run.cost.wall_s,
+        run.cost.peak_mb
+    );
+    for c in &r.classes {
+        text += &format!(
+            "\n  {}: {:.4}, p50 {:.0} ms, p99 {:.0} ms, {} late, {} bounced, {} deferred",
+            c.name,
+            if c.asked > 0.0 { c.delivered / c.asked } else { 1.0 },
+            c.latency.p50_us as f64 / 1e3,
+            c.latency.p99_us as f64 / 1e3,
+            c.late,
+            c.bounced,
+            c.deferred
+        );
+    }
+    if run.verdict.kept() {
+        text += &format!("\n  rules kept, {} effects in {} calls", run.verdict.applied, run.verdict.calls);
+    }
+    for (rule, count) in &run.verdict.breaks {
+        text += &format!("\n  RULE BROKEN {rule:?}: {count} times");
+    }
+    for words in run.verdict.words.iter().take(5) {
+        text += &format!("\n    {words}");
+    }
+    for why in &run.not_valid {
+        text += &format!("\n  NOT VALID: {why}");
+    }
+    text
+}
--- /dev/null
+++ b/lab/src/virtual_time.rs
@@ -0,0 +1,592 @@
+//! The world in virtual time: it drives the decisions directly, with no sockets and no sleeping. Each dispatcher is a
+//! [`Host`], which stands for what the daemon is around the decisions: the mails held, idle connections, time-outs, the
+//! journal that outlasts a kill. Equal plans give equal runs, byte for byte.
+
+use crate::audit::{Slack, Verdict};
+use crate::ledger::Ledger;
+use crate::load::*;
+use crate::measure::Results;
+use crate::record::*;
+use crate::world::plan::*;
+use crate::world::*;
+use bellsill::control::Dispatcher;
+use bellsill::interface::{Outcome as ConnectOutcome, *};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+
+/// Descriptors that the daemon keeps from idle connections, about.
+const KEPT_SOCKETS: usize = 64;
+/// A dispatcher that was told to end goes on sending for so long.
+const LEAVES_AFTER: Nanos = 2_900 * MS;
+/// From a start until mails are taken.
+const START_TAKES: Nanos = 50 * MS;
+
+/// What the decisions answered in one call.
+enum Command {
+    Connect(MailId, EndpointId, Nanos),
+    Defer(MailId, Nanos),
+    Bounce(MailId),
+    CallOff(MailId, ConnectNo),
+    HangUp(EndpointId),
+    Wake(Nanos),
+}
+
+#[derive(Default)]
+struct Answers(Vec<Command>);
+
+impl Outlet for Answers {
+    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+        self.0.push(Command::Connect(mail, endpoint, time_out));
+    }
+    fn defer(&mut self, mail: MailId, come_back: Nanos) {
+        self.0.push(Command::Defer(mail, come_back));
+    }
+    fn bounce(&mut self, mail: MailId) {
+        self.0.push(Command::Bounce(mail));
+    }
+    fn call_off(&mut self, mail: MailId, no: ConnectNo) {
+        self.0.push(Command::CallOff(mail, no));
+    }
+    fn hang_up(&mut self, endpoint: EndpointId) {
+        self.0.push(Command::HangUp(endpoint));
+    }
+    fn forget(&mut self, _: EndpointId) {}
+    fn wake(&mut self, after: Nanos) {
+        self.0.push(Command::Wake(after));
+    }
+    fn log(&mut self, _: &str) {}
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    no: ConnectNo,
+    endpoint: EndpointId,
+    at: Nanos,
+    conn: Option<ConnId>,
+    call: Option<CallNo>,
+}
+
+struct Held {
+    arrival: Arrival,
+    due: Nanos,
+    taken: u64,
+    connects: u32,
+    ran: Option<(Nanos, ZoneId)>,
+    out: Option<Out>,
+    ended: bool,
+}
+
+#[derive(Default)]
+struct Host {
+    d: Option<Dispatcher>,
+    takes_from: Nanos,
+    leaving: bool,
+    mails: BTreeMap<MailId, Held>,
+    held: usize,
+    taken: u64,
+    /// Idle connections by endpoint, the last used last.
+    idle: BTreeMap<EndpointId, Vec<(Nanos, ConnId)>>,
+    /// The same in the order in which they became idle.
+    idle_since: VecDeque<(Nanos, EndpointId, ConnId)>,
+    idle_count: usize,
+    wake: u64,
+    starts: u32,
+    version: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Again { arrival: u64, tries: u32, dispatcher: usize },
+    Wake { host: usize, count: u64 },
+    TimeOut { host: usize, mail: MailId, no: u32, unconnected: bool },
+    Leaves { host: usize, starts: u32 },
+}
+
+/// What a run in virtual time came to.
+pub struct Played {
+    pub verdict: Verdict,
+    pub results: Results,
+    pub returns: Vec<ReturnLoad>,
+    /// Calls on the decisions, all dispatchers together.
+    pub steps: u64,
+}
+
+struct Lab {
+    world: World,
+    ledger: Ledger,
+    hosts: Vec<Host>,
+    due: BinaryHeap<Reverse<(Nanos, u64, Event)>>,
+    seq: u64,
+    now: Nanos,
+    /// Who waits for what on a connection.
+    on: HashMap<ConnId, (usize, MailId)>,
+    call_nos: HashMap<CallId, CallNo>,
+    /// Arrivals that may be handed in again.
+    open: BTreeMap<u64, Arrival>,
+    ended: VecDeque<(usize, ConnectEnd)>,
+    steps: u64,
+}
+
+/// Runs a plan to its end. `tick` is told how far it is, from 0 to 1.
+pub fn run(plan: Plan, tick: &mut dyn FnMut(f64)) -> Played {
+    let mut arrivals = Arrivals::new(&plan).peekable();
+    let (over_at, count) = (plan.over_at, plan.spec.dispatchers.count);
+    let mut lab = Lab {
+        ledger: Ledger::new(&plan, Slack::VIRTUAL),
+        world: World::new(plan),
+        hosts: (0..count).map(|_| Host::default()).collect(),
+        due: BinaryHeap::new(),
+        seq: 0,
+        now: START,
+        on: HashMap::new(),
+        call_nos: HashMap::new(),
+        open: BTreeMap::new(),
+        ended: VecDeque::new(),
+        steps: 0,
+    };
+    for host in 0..count {
+        lab.hosts[host].version = lab.world.first_version();
+        lab.start(host);
+        lab.hosts[host].takes_from = START;
+    }
+    let mut said = START;
+    loop {
+        let own = lab.due.peek().map(|Reverse((at, _, _))| *at);
+        let next = [own, lab.world.next_due(), arrivals.peek().map(|a| a.at)].into_iter().flatten().min();
+        let Some(at) = next.filter(|at| *at <= over_at) else { break };
+        lab.now = at;
+        if at > said + S / 4 {
+            said = at;
+            tick((at - START) as f64 / (over_at - START) as f64);
+        }
+        lab.world.advance(at);
+        lab.settle();
+        if own == Some(at)
+            && let Some(Reverse((_, _, event))) = lab.due.pop()
+        {
+            lab.event(event);
+        } else if arrivals.peek().is_some_and(|a| a.at == at)
+            && let Some(arrival) = arrivals.next()
+        {
+            lab.ledger.arrived(&arrival);
+            let dispatcher = arrival.dispatcher;
+            lab.hand_in(arrival, 0, dispatcher);
+        }
+        lab.settle();
+    }
+    let (verdict, results) = lab.ledger.finish(over_at);
+    Played { verdict, results, returns: lab.world.returns, steps: lab.steps }
+}
+
+impl Lab {
+    fn later(&mut self, at: Nanos, event: Event) {
+        self.seq += 1;
+        self.due.push(Reverse((at, self.seq, event)));
+    }
+
+    fn see(&mut self, seen: Seen) {
+        self.ledger.see(self.now, seen);
+    }
+
+    /// Carries out what the world did and tells the decisions of outcomes, until nothing is left to tell.
+    fn settle(&mut self) {
+        loop {
+            if let Some(effect) = self.world.effect() {
+                self.effect(effect);
+            } else if let Some((host, end)) = self.ended.pop_front() {
+                self.ask(host, |d, now, out| d.connect_ended(now, end, out));
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// One call on a dispatcher's decisions; what they answer is done at once.
+    fn ask(&mut self, host: usize, call: impl FnOnce(&mut Dispatcher, Nanos, &mut Answers)) {
+        let Some(d) = &mut self.hosts[host].d else { return };
+        self.steps += 1;
+        let mut answers = Answers::default();
+        call(d, self.now, &mut answers);
+        for command in answers.0 {
+            match command {
+                Command::Connect(mail, endpoint, time_out) => self.connect(host, mail, endpoint, time_out),
+                Command::Defer(mail, come_back) => self.give_up(host, mail, Some(come_back)),
+                Command::Bounce(mail) => self.give_up(host, mail, None),
+                Command::CallOff(mail, no) => {
+                    let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
+                    if out.is_some_and(|out| out.no == no) {
+                        self.close_call(host, mail);
+                        self.end_call(host, mail, ConnectOutcome::CalledOff, false);
+                    }
+                }
+                Command::HangUp(endpoint) => self.hang_up(host, endpoint),
+                Command::Wake(after) => {
+                    self.hosts[host].wake += 1;
+                    let count = self.hosts[host].wake;
+                    self.later(self.now + after, Event::Wake { host, count });
+                }
+            }
+        }
+    }
+
+    // Clients.
+
+    fn hand_in(&mut self, arrival: Arrival, tries: u32, dispatcher: usize) {
+        let (now, mail) = (self.now, mail_id(arrival.no, tries));
+        let due = arrival.at + ms(self.world.plan.spec.classes[arrival.class].lifetime_ms);
+        self.open.entry(arrival.no).or_insert_with(|| arrival.clone());
+        let room = self.world.plan.hold();
+        let host = &mut self.hosts[dispatcher];
+        let listens = host.d.is_some() && !host.leaving && now >= host.takes_from;
+        if !listens {
+            return self.back(arrival, tries, Back::NoAnswer);
+        }
+        let hand_in = HandIn {
+            mail,
+            arrival: arrival.no,
+            class: arrival.class,
+            destination: arrival.destination,
+            key: arrival.key,
+            dispatcher,
+            due,
+            again: tries > 0,
+        };
+        let full = host.held >= room;
+        self.see(Seen::HandedIn(hand_in));
+        self.ledger.measure.hand_in_answered(now - arrival.at.max(if tries > 0 { now } else { 0 }));
+        if full {
+            self.see(Seen::TurnedAway { mail, come_back: None });
+            return self.back(arrival, tries, Back::Refused(None));
+        }
+        self.see(Seen::Taken { mail });
+        let host = &mut self.hosts[dispatcher];
+        host.taken += 1;
+        host.held += 1;
+        let held = Held { arrival, due, taken: host.taken, connects: 0, ran: None, out: None, ended: false };
+        let new = new_mail(mail, &held);
+        host.mails.insert(mail, held);
+        self.ask(dispatcher, |d, now, out| d.mail_taken(now, new, out));
+    }
+
+    /// The client may hand the mail in again.
+    fn back(&mut self, arrival: Arrival, tries: u32, back: Back) {
+        match again(&self.world.plan, &arrival, tries, back, self.now) {
+            Some((at, dispatcher)) => {
+                self.later(at, Event::Again { arrival: arrival.no, tries: tries + 1, dispatcher })
+            }
+            None => drop(self.open.remove(&arrival.no)),
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Again { arrival, tries, dispatcher } => {
+                if let Some(arrival) = self.open.get(&arrival).cloned() {
+                    self.hand_in(arrival, tries, dispatcher);
+                }
+            }
+            Event::Wake { host, count } if self.hosts[host].wake == count => {
+                self.ask(host, |d, now, out| d.woken(now, out))
+            }
+            Event::Wake { .. } => {}
+            Event::TimeOut { host, mail, no, unconnected } => {
+                let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
+                if out.is_some_and(|out| out.no.0 == no) {
+                    self.close_call(host, mail);
+                    let outcome =
+                        if unconnected { ConnectOutcome::Unconnected } else { ConnectOutcome::TimedOut };
+                    self.end_call(host, mail, outcome, false);
+                }
+            }
+            Event::Leaves { host, starts } => {
+                if self.hosts[host].starts == starts {
+                    self.kill(host);
+                }
+            }
+        }
+    }
+
+    // Calls.
+
+    fn connect(&mut self, host: usize, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+        let now = self.now;
+        let connect_timeout = ms(self.world.plan.spec.dispatchers.connect_timeout_ms);
+        let Some(held) = self.hosts[host].mails.get_mut(&mail) else { return };
+        let no = ConnectNo(held.connects);
+        held.connects += 1;
+        held.out = Some(Out { no, endpoint, at: now, conn: None, call: None });
+        let conn = match self.idle(host, endpoint) {
+            Some(conn) => conn,
+            None => match self.world.open(host, endpoint) {
+                Opening::Up(conn) => {
+                    self.ledger.measure.opened(now);
+                    conn
+                }
+                Opening::Refused => return self.end_call(host, mail, ConnectOutcome::Unconnected, false),
+                Opening::Never => {
+                    let at = now + time_out.min(connect_timeout);
+                    return self.later(at, Event::TimeOut { host, mail, no: no.0, unconnected: true });
+                }
+            },
+        };
+        self.later(now + time_out, Event::TimeOut { host, mail, no: no.0, unconnected: false });
+        let Some(held) = self.hosts[host].mails.get_mut(&mail) else { return };
+        let new = NewCall { mail, class: held.arrival.class, dispatcher: host, tag: held.arrival.no };
+        let call = self.ledger.call_no();
+        if let Some(out) = &mut held.out {
+            (out.conn, out.call) = (Some(conn), Some(call));
+        }
+        let id = self.world.call(conn, new);
+        let seen = Seen::Call { call, mail, endpoint, dispatcher: host, begun: now, fresh: id.is_some() };
+        self.see(seen);
+        match id {
+            Some(id) => {
+                self.on.insert(conn, (host, mail));
+                self.call_nos.insert(id, call);
+            }
+            None => {
+                self.see(Seen::Broken { call, by_endpoint: true });
+                self.end_call(host, mail, ConnectOutcome::Reset, false);
+            }
+        }
+    }
+
+    /// An idle connection that is still good.
+    fn idle(&mut self, host: usize, endpoint: EndpointId) -> Option<ConnId> {
+        let d = &self.world.plan.spec.dispatchers;
+        let (keep, most) = (ms(d.keep_alive_ms) / 20 * 19, (d.sockets as usize).saturating_sub(KEPT_SOCKETS));
+        let h = &mut self.hosts[host];
+        while let Some(&(since, at, conn)) = h.idle_since.front()
+            && (since + keep <= self.now || h.idle_count > most)
+        {
+            h.idle_since.pop_front();
+            if let Some(idle) = h.idle.get_mut(&at)
+                && let Some(i) = idle.iter().position(|x| *x == (since, conn))
+            {
+                idle.remove(i);
+                h.idle_count -= 1;
+                self.world.close(conn);
+            }
+        }
+        while let Some((_, conn)) = h.idle.get_mut(&endpoint).and_then(Vec::pop) {
+            h.idle_count -= 1;
+            if self.world.stands(conn) {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn pool(&mut self, host: usize, endpoint: EndpointId, conn: ConnId) {
+        let h = &mut self.hosts[host];
+        h.idle.entry(endpoint).or_default().push((self.now, conn));
+        h.idle_since.push_back((self.now, endpoint, conn));
+        h.idle_count += 1;
+    }
+
+    fn hang_up(&mut self, host: usize, endpoint: EndpointId) {
+        for (_, conn) in self.hosts[host].idle.remove(&endpoint).unwrap_or_default() {
+            self.hosts[host].idle_count -= 1;
+            self.world.close(conn);
+        }
+    }
+
+    /// Closes the connection of a mail's connect.
+    fn close_call(&mut self, host: usize, mail: MailId) {
+        let Some(out) = self.hosts[host].mails.get(&mail).and_then(|m| m.out) else { return };
+        if let Some(conn) = out.conn {
+            self.on.remove(&conn);
+            self.world.close(conn);
+        }
+        if let Some(call) = out.call {
+            self.see(Seen::Broken { call, by_endpoint: false });
+        }
+    }
+
+    fn end_call(&mut self, host: usize, mail: MailId, outcome: ConnectOutcome, over: bool) {
+        let now = self.now;
+        let h = &mut self.hosts[host];
+        let Some(held) = h.mails.get_mut(&mail) else { return };
+        let Some(out) = held.out.take() else { return };
+        if outcome.may_have_run() {
+            let zone = ZoneId(self.world.endpoint(out.endpoint).zone);
+            held.ran.get_or_insert((out.at, zone));
+        }
+        let over = over || held.ended || outcome == ConnectOutcome::Relayed;
+        if over {
+            if !held.ended {
+                h.held -= 1;
+            }
+            let arrival = held.arrival.no;
+            h.mails.remove(&mail);
+            if outcome == ConnectOutcome::Relayed {
+                self.open.remove(&arrival);
+            }
+        }
+        let end = ConnectEnd { mail, no: out.no, outcome, over, took: now - out.at };
+        self.ended.push_back((host, end));
+    }
+
+    fn give_up(&mut self, host: usize, mail: MailId, deferred: Option<Nanos>) {
+        let h = &mut self.hosts[host];
+        let Some(held) = h.mails.get_mut(&mail) else { return };
+        if std::mem::replace(&mut held.ended, true) {
+            return;
+        }
+        h.held -= 1;
+        let arrival = held.arrival.clone();
+        if held.out.is_none() {
+            h.mails.remove(&mail);
+        }
+        self.see(Seen::Notice { mail, deferred });
+        let tries = arrival_of(mail).1;
+        match deferred {
+            Some(wait) => self.back(arrival, tries, Back::Refused(Some(wait).filter(|w| *w > 0))),
+            None => drop(self.open.remove(&arrival.no)),
+        }
+    }
+
+    // What the world does.
+
+    fn effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { call, conn, answer } => {
+                let Some((host, mail)) = self.on.remove(&conn) else { return };
+                if let Some(call) = self.call_nos.remove(&call) {
+                    self.see(Seen::Answered { call, answer });
+                }
+                let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
+                let outcome = match answer {
+                    Answer::Relayed => ConnectOutcome::Relayed,
+                    Answer::Errored => ConnectOutcome::Errored,
+                    Answer::Full(wait) => ConnectOutcome::Full(wait.unwrap_or(0)),
+                    Answer::Spoilt => ConnectOutcome::Spoilt,
+                };
+                match (answer, out) {
+                    (Answer::Spoilt, _) | (_, None) => self.world.close(conn),
+                    (_, Some(out)) => self.pool(host, out.endpoint, conn),
+                }
+                self.end_call(host, mail, outcome, false);
+            }
+            Effect::Break { conn } => {
+                let Some((host, mail)) = self.on.remove(&conn) else { return };
+                let call = self.hosts[host].mails.get(&mail).and_then(|m| m.out).and_then(|o| o.call);
+                if let Some(call) = call {
+                    self.see(Seen::Broken { call, by_endpoint: true });
+                }
+                self.end_call(host, mail, ConnectOutcome::Reset, false);
+            }
+            Effect::Applied { call, fresh, .. } => {
+                if let Some(call) = self.call_nos.get(&call).copied() {
+                    self.see(Seen::Applied { call, fresh });
+                }
+            }
+            Effect::Reach { .. } => {}
+            Effect::Appeared { endpoint } => {
+                let plan = self.world.endpoint(endpoint);
+                self.ledger.audit.endpoint_appeared(plan.zone, plan.gate);
+            }
+            Effect::Tell { dispatcher, upto } => self.told(dispatcher, upto),
+            Effect::Dispatcher { dispatcher, news } => match news {
+                DispatcherNews::Kill => self.kill(dispatcher),
+                DispatcherNews::Term => {
+                    self.hosts[dispatcher].leaving = true;
+                    let starts = self.hosts[dispatcher].starts;
+                    self.later(self.now + LEAVES_AFTER, Event::Leaves { host: dispatcher, starts });
+                }
+                DispatcherNews::Start => self.start(dispatcher),
+            },
+            Effect::Tipped { endpoint, knowing, all } => self.see(Seen::Tipped { endpoint, knowing, all }),
+        }
+    }
+
+    fn told(&mut self, host: usize, upto: usize) {
+        if self.hosts[host].d.is_none() || upto <= self.hosts[host].version {
+            return;
+        }
+        let changes = self.world.changes(self.hosts[host].version, upto).to_vec();
+        self.hosts[host].version = upto;
+        let mut entries = vec![];
+        for change in changes {
+            let (endpoint, serving) = (change.endpoint, change.listed == Listed::Up);
+            entries.push(self.entry(endpoint, serving));
+            self.see(Seen::Listed { dispatcher: host, endpoint, serving });
+            if !serving {
+                self.hang_up(host, endpoint);
+            }
+        }
+        self.ask(host, |d, now, out| d.list_news(now, ListScope::Update, &entries, out));
+    }
+
+    fn entry(&self, endpoint: EndpointId, serving: bool) -> ListEntry {
+        let plan = self.world.endpoint(endpoint);
+        ListEntry {
+            endpoint,
+            destination: DestinationId(plan.destination as u64),
+            zone: ZoneId(plan.zone),
+            kind: KindId(plan.kind),
+            serving,
+        }
+    }
+
+    fn kill(&mut self, host: usize) {
+        let h = &mut self.hosts[host];
+        if h.d.take().is_none() {
+            return;
+        }
+        let idle: Vec<ConnId> = std::mem::take(&mut h.idle).into_values().flatten().map(|i| i.1).collect();
+        h.idle_since.clear();
+        (h.idle_count, h.leaving) = (0, false);
+        idle.into_iter().for_each(|conn| self.world.close(conn));
+        let out: Vec<MailId> =
+            self.hosts[host].mails.iter().filter(|m| m.1.out.is_some()).map(|m| *m.0).collect();
+        for mail in out {
+            self.close_call(host, mail);
+            let Some(held) = self.hosts[host].mails.get_mut(&mail) else { continue };
+            if let Some(out) = held.out.take().filter(|out| out.call.is_some()) {
+                let zone = ZoneId(self.world.endpoint(out.endpoint).zone);
+                held.ran.get_or_insert((out.at, zone));
+            }
+        }
+        self.hosts[host].mails.retain(|_, held| !held.ended);
+        self.ended.retain(|(of, _)| *of != host);
+        self.see(Seen::Ended { dispatcher: host });
+    }
+
+    /// Starts a dispatcher with the list as it was told last and what its journal holds.
+    fn start(&mut self, host: usize) {
+        if self.hosts[host].d.is_some() {
+            return;
+        }
+        let h = &mut self.hosts[host];
+        h.starts += 1;
+        h.wake += 1;
+        h.leaving = false;
+        h.takes_from = self.now + START_TAKES;
+        let facts = self.world.plan.boot_facts(host, h.starts);
+        h.d = Some(Dispatcher::boot(self.now, facts));
+        let list = self.world.listing(self.hosts[host].version);
+        let entries: Vec<ListEntry> =
+            list.iter().map(|(e, listed)| self.entry(*e, *listed == Listed::Up)).collect();
+        self.see(Seen::Started { dispatcher: host });
+        self.ask(host, |d, now, out| d.list_news(now, ListScope::Whole, &entries, out));
+        let mut kept: Vec<(u64, NewMail)> =
+            self.hosts[host].mails.iter().map(|(id, held)| (held.taken, new_mail(*id, held))).collect();
+        kept.sort_by_key(|k| k.0);
+        for (_, new) in kept {
+            self.ask(host, |d, now, out| d.mail_taken(now, new, out));
+        }
+        self.see(Seen::Ready { dispatcher: host });
+    }
+}
+
+fn new_mail(id: MailId, held: &Held) -> NewMail {
+    NewMail {
+        id,
+        class: ClassId(held.arrival.class),
+        key: held.arrival.key.map(KeyId),
+        destination: DestinationId(held.arrival.destination as u64),
+        due: held.due,
+        past: Past { connects: held.connects, ran: held.ran },
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,18 +3,18 @@
 /// A time or a span, in whole nanoseconds.
 pub type Nanos = u64;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MailId(pub u64);
 
 /// An endpoint; the front may number them as it likes, the same for as long as an instance lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct EndpointId(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct DestinationId(pub u64);
 
 /// What mails of an ordered queue class are about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyId(pub u64);
 
 /// A row of [`BootFacts::classes`].
