--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod record;
 pub mod report;
 pub mod run;
+pub mod sockets;
 pub mod spec;
 pub mod virtual_time;
 pub mod world;
--- /dev/null
+++ b/lab/src/sockets/clients.rs
@@ -0,0 +1,225 @@
+//! Stand-ins for clients: RESP2, open loop. A hand-in starts when it was meant to; it waits for nobody else's answer.
+
+use super::{Handed, Shared};
+use crate::load::{Arrival, Back, again, mail_id};
+use crate::record::*;
+use crate::spec::RepeatWord;
+use crate::world::plan::*;
+use bellsill::interface::Nanos;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// Connections to one dispatcher that nobody uses just now.
+#[derive(Default)]
+pub(super) struct Pool(Vec<TcpStream>);
+
+/// The tag and the body that a mail goes out with, and must come with.
+pub(super) fn content(plan: &Plan, arrival: &Arrival) -> (String, Vec<u8>) {
+    let tagged = plan.spec.classes[arrival.class].repeat == RepeatWord::Tagged;
+    let tag = if tagged { format!("{:016x}", arrival.no + 1) } else { String::new() };
+    let mut body = format!("mail {} ", arrival.no).into_bytes();
+    body.resize(plan.spec.load.body_bytes.max(body.len()), b'.');
+    (tag, body)
+}
+
+/// Takes arrivals from the schedule, each as soon as it comes.
+pub(super) async fn take_in(shared: Rc<Shared>, mut from: mpsc::UnboundedReceiver<Arrival>) {
+    while let Some(arrival) = from.recv().await {
+        {
+            let mut s = shared.state.borrow_mut();
+            let late = s.now().saturating_sub(arrival.at);
+            s.late.saturating_record((late / 1_000).max(1));
+            s.ledger.arrived(&arrival);
+            s.pending += 1;
+        }
+        let dispatcher = arrival.dispatcher;
+        tokio::task::spawn_local(hand_in(shared.clone(), Rc::new(arrival), 0, dispatcher));
+    }
+}
+
+/// Hands a mail in again at a later moment.
+pub(super) fn later(shared: &Rc<Shared>, arrival: Rc<Arrival>, tries: u32, at: Nanos, dispatcher: usize) {
+    shared.state.borrow_mut().pending += 1;
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep_until(shared.instant(at)).await;
+        hand_in(shared, arrival, tries, dispatcher).await;
+    });
+}
+
+enum Heard {
+    Ok,
+    Busy(Option<Nanos>),
+    Failed(String),
+    /// The connection could not be had, or has ended before an answer.
+    Ended,
+    Nothing,
+}
+
+async fn hand_in(shared: Rc<Shared>, arrival: Rc<Arrival>, tries: u32, dispatcher: usize) {
+    let back = put(&shared, &arrival, tries, dispatcher).await;
+    let next = shared.with(|s| {
+        s.pending -= 1;
+        let now = s.now();
+        back.and_then(|back| again(&s.world.plan, &arrival, tries, back, now))
+    });
+    if let Some((at, to)) = next.filter(|_| !*shared.over.borrow()) {
+        later(&shared, arrival, tries + 1, at, to);
+    }
+}
+
+/// Hands a mail in once. What the client goes by if it is to come back.
+async fn put(shared: &Rc<Shared>, arrival: &Rc<Arrival>, tries: u32, dispatcher: usize) -> Option<Back> {
+    let meant = if tries == 0 { arrival.at } else { shared.now() };
+    let mail = mail_id(arrival.no, tries);
+    let mut stream = match pooled(shared, dispatcher) {
+        Some(stream) => (stream, true),
+        None => match connect(shared, dispatcher).await {
+            Some(stream) => (stream, false),
+            None => return Some(Back::NoAnswer),
+        },
+    };
+    let (command, wait) = {
+        let mut s = shared.state.borrow_mut();
+        let now = s.now();
+        let class = s.world.plan.spec.classes[arrival.class].clone();
+        let left = (arrival.at + ms(class.lifetime_ms)).saturating_sub(now) / MS;
+        if left == 0 {
+            return None;
+        }
+        let (tag, body) = content(&s.world.plan, arrival);
+        let hand_in = HandIn {
+            mail,
+            arrival: arrival.no,
+            class: arrival.class,
+            destination: arrival.destination,
+            key: arrival.key,
+            dispatcher,
+            due: now + left * MS,
+            again: tries > 0,
+        };
+        s.mails.insert(mail, Handed { hand_in, arrival: Rc::clone(arrival), tries });
+        s.see(Seen::HandedIn(hand_in));
+        let mut fields = format!("c={},d={left},dest={}", class.name, arrival.destination);
+        if !tag.is_empty() {
+            fields += &format!(",k={tag}");
+        }
+        if tries > 0 {
+            fields += ",r=1";
+        }
+        let words: [&[u8]; 5] = [
+            b"MSG.PUT",
+            &format!("{:016x}", arrival.key.unwrap_or(0)).into_bytes(),
+            &format!("{:016x}", mail.0).into_bytes(),
+            fields.as_bytes(),
+            &body,
+        ];
+        let mut command = format!("*{}\r\n", words.len()).into_bytes();
+        for word in words {
+            command.extend(format!("${}\r\n", word.len()).as_bytes());
+            command.extend(word);
+            command.extend(b"\r\n");
+        }
+        (command, ms(s.world.plan.spec.load.answer_ms))
+    };
+    let until = tokio::time::Instant::now() + Duration::from_nanos(wait);
+    let heard = loop {
+        let heard =
+            tokio::time::timeout_at(until, ask(&mut stream.0, &command)).await.unwrap_or(Heard::Nothing);
+        match heard {
+            // Its closing crossed this: once more on a new connection.
+            Heard::Ended if stream.1 => match connect(shared, dispatcher).await {
+                Some(new) => stream = (new, false),
+                None => break Heard::Ended,
+            },
+            heard => break heard,
+        }
+    };
+    let answered = matches!(heard, Heard::Ok | Heard::Busy(_) | Heard::Failed(_));
+    if answered {
+        shared.clients.borrow_mut()[dispatcher].0.push(stream.0);
+    }
+    shared.with(|s| {
+        if answered {
+            let span = s.now().saturating_sub(meant);
+            s.ledger.measure.hand_in_answered(span);
+        }
+        match heard {
+            Heard::Ok => {
+                s.see(Seen::Taken { mail });
+                None
+            }
+            Heard::Busy(come_back) => {
+                s.see(Seen::TurnedAway { mail, come_back });
+                Some(Back::Refused(come_back))
+            }
+            Heard::Failed(why) => {
+                s.see(Seen::TurnedAway { mail, come_back: None });
+                s.fault(format!("mail {:016x} was answered {why}", mail.0));
+                Some(Back::Refused(None))
+            }
+            Heard::Ended | Heard::Nothing => {
+                s.see(Seen::Unheard { mail });
+                Some(Back::NoAnswer)
+            }
+        }
+    })
+}
+
+/// The last used connection that has not been ended by the other side.
+fn pooled(shared: &Rc<Shared>, dispatcher: usize) -> Option<TcpStream> {
+    loop {
+        let stream = shared.clients.borrow_mut()[dispatcher].0.pop()?;
+        let mut byte = [0; 1];
+        if matches!(stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock) {
+            return Some(stream);
+        }
+    }
+}
+
+async fn connect(shared: &Rc<Shared>, dispatcher: usize) -> Option<TcpStream> {
+    let (at, wait) = {
+        let s = shared.state.borrow();
+        (s.net.listen(dispatcher), ms(s.world.plan.spec.load.answer_ms))
+    };
+    let stream = tokio::time::timeout(Duration::from_nanos(wait), TcpStream::connect(at)).await;
+    let stream = stream.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(stream)
+}
+
+async fn ask(stream: &mut TcpStream, command: &[u8]) -> Heard {
+    if stream.write_all(command).await.is_err() {
+        return Heard::Ended;
+    }
+    let mut line = Vec::with_capacity(64);
+    while !line.ends_with(b"\r\n") {
+        match stream.read_buf(&mut line).await {
+            Ok(n) if n > 0 && line.len() < 1_024 => {}
+            _ => return Heard::Ended,
+        }
+    }
+    let line = String::from_utf8_lossy(&line).trim_end().to_string();
+    match line.split_once(' ').map_or((line.as_str(), ""), |(a, b)| (a, b)) {
+        ("-BUSY", told) => Heard::Busy(told.parse().ok().map(ms)),
+        _ if line.starts_with('+') => Heard::Ok,
+        _ => Heard::Failed(line),
+    }
+}
+
+/// Asks a dispatcher until it says that it is there.
+pub(super) async fn ready(at: std::net::SocketAddr) {
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(at).await {
+            let asked =
+                tokio::time::timeout(Duration::from_secs(1), ask(&mut stream, b"*1\r\n$4\r\nPING\r\n"));
+            if let Ok(Heard::Ok) = asked.await {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/lab/src/sockets/endpoints.rs
@@ -0,0 +1,280 @@
+//! Stand-ins for endpoints: HTTP/1.1 servers, one listener each, all behind the one world.
+
+use super::{Handed, Say, Shared};
+use crate::record::*;
+use crate::world::*;
+use anyhow::Result;
+use bellsill::interface::{EndpointId, MailId, Nanos};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+const BACKLOG: i32 = 1_024;
+/// A call's head and body, at most.
+const CALL_MOST: usize = 80 * 1024;
+
+/// An endpoint that can be connected to, or seems to be there and says nothing.
+pub(super) struct Listening {
+    reach: Reach,
+    accepts: Option<JoinHandle<()>>,
+    socket: Rc<TcpListener>,
+    /// Connections that fill the queue of one that is silent, so that no other comes up.
+    _fill: Vec<Socket>,
+}
+
+impl Drop for Listening {
+    fn drop(&mut self) {
+        if let Some(accepts) = &self.accepts {
+            accepts.abort();
+        }
+    }
+}
+
+fn socket() -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+fn listener(at: SocketAddr) -> Result<TcpListener> {
+    let socket = socket()?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into())?)
+}
+
+/// Makes the listener of an endpoint what the world says of it: open, refusing, or silent.
+pub(super) fn reach(shared: &Rc<Shared>, endpoint: EndpointId) -> Result<()> {
+    let (reach, at, old) = {
+        let mut s = shared.state.borrow_mut();
+        let at = s.net.endpoint(endpoint);
+        let reach = s.world.reach(endpoint);
+        if s.listeners[endpoint.0 as usize].as_ref().is_some_and(|l| l.reach == reach) {
+            return Ok(());
+        }
+        (reach, at, s.listeners[endpoint.0 as usize].take())
+    };
+    let new = match reach {
+        Reach::Refusing => None,
+        Reach::Open => {
+            let socket = match old {
+                Some(old) => {
+                    SockRef::from(&*old.socket).listen(BACKLOG)?;
+                    Rc::clone(&old.socket)
+                }
+                None => Rc::new(listener(at)?),
+            };
+            let accepts = tokio::task::spawn_local(accept(Rc::clone(shared), endpoint, Rc::clone(&socket)));
+            Some(Listening { reach, accepts: Some(accepts), socket, _fill: vec![] })
+        }
+        Reach::Silent => {
+            let socket = match &old {
+                Some(old) => Rc::clone(&old.socket),
+                None => Rc::new(listener(at)?),
+            };
+            drop(old);
+            // One connection fills a queue of nought; the kernel then leaves all others unanswered.
+            SockRef::from(&*socket).listen(0)?;
+            let mut fill = vec![];
+            for _ in 0..2 {
+                let filler = self::socket()?;
+                // It is under way, or it is up: either is meant.
+                let _ = filler.connect(&at.into());
+                fill.push(filler);
+            }
+            Some(Listening { reach, accepts: None, socket, _fill: fill })
+        }
+    };
+    shared.state.borrow_mut().listeners[endpoint.0 as usize] = new;
+    Ok(())
+}
+
+async fn accept(shared: Rc<Shared>, endpoint: EndpointId, listener: Rc<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::task::spawn_local(serve(Rc::clone(&shared), endpoint, stream));
+            }
+            Err(e) => {
+                shared.with(|s| {
+                    s.fault(format!("endpoint {}: a connection could not be taken: {e}", endpoint.0))
+                });
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+/// A call as it was read.
+struct Request {
+    mail: Option<MailId>,
+    tag: Vec<u8>,
+    body: Vec<u8>,
+    /// How much of the input it was.
+    taken: usize,
+}
+
+/// Reads one call from what has come. None: more must come.
+fn request(bytes: &[u8]) -> Result<Option<Request>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Request::new(&mut headers);
+    let length = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(e) => return Err(format!("a head that is no HTTP: {e}")),
+    };
+    let value = |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    let number = |v: &[u8]| std::str::from_utf8(v).ok().and_then(|v| v.trim().parse::<usize>().ok());
+    let size = value("content-length").and_then(number).ok_or("a call without its length")?;
+    if size > CALL_MOST {
+        return Err(format!("a call of {size} bytes"));
+    }
+    if bytes.len() < length + size {
+        return Ok(None);
+    }
+    if (head.method, head.path) != (Some("POST"), Some("/events")) {
+        return Err(format!("{:?} {:?}, where POST /events was expected", head.method, head.path));
+    }
+    let id = value("x-trace-id").and_then(|v| std::str::from_utf8(v).ok());
+    Ok(Some(Request {
+        mail: id.and_then(|id| u64::from_str_radix(id, 16).ok()).map(MailId),
+        tag: value("idempotency-key").unwrap_or_default().to_vec(),
+        body: bytes[length..length + size].to_vec(),
+        taken: length + size,
+    }))
+}
+
+fn answer(answer: Answer) -> String {
+    match answer {
+        Answer::Relayed => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".into(),
+        Answer::Errored => "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n".into(),
+        Answer::Full(Some(wait)) => {
+            let seconds = wait as f64 / 1e9;
+            format!(
+                "HTTP/1.1 429 Too Many Requests\r\nRetry-After: {seconds:.6}\r\nContent-Length: 0\r\n\r\n"
+            )
+        }
+        Answer::Full(None) => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into(),
+        Answer::Spoilt => "HTP/one 2x0 \u{1}\r\n\r\n\r\n".into(),
+    }
+}
+
+fn reset(stream: TcpStream) {
+    // Closed with nothing to linger for, a connection is reset.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
+/// One connection to an endpoint, from its first byte to its last.
+async fn serve(shared: Rc<Shared>, endpoint: EndpointId, mut stream: TcpStream) {
+    let opened = shared.with(|s| {
+        let now = s.now();
+        let opened = s.world.open(usize::MAX, endpoint);
+        if matches!(opened, Opening::Up(_)) {
+            s.ledger.measure.opened(now);
+        }
+        opened
+    });
+    let conn = match opened {
+        Opening::Up(conn) => conn,
+        Opening::Refused | Opening::Never => return reset(stream),
+    };
+    let (to, mut from) = mpsc::unbounded_channel();
+    shared.state.borrow_mut().conns.insert(conn, to);
+    let mut input: Vec<u8> = Vec::with_capacity(1_024);
+    let (mut begun, mut call): (Option<Nanos>, Option<CallNo>) = (None, None);
+    let by_endpoint = loop {
+        tokio::select! {
+            biased;
+            say = from.recv() => match say {
+                Some(Say::Answer(said)) => {
+                    call = None;
+                    if stream.write_all(answer(said).as_bytes()).await.is_err() {
+                        break false;
+                    }
+                }
+                Some(Say::Break) | None => break true,
+            },
+            read = stream.read_buf(&mut input) => {
+                if !matches!(read, Ok(n) if n > 0) || input.len() > 2 * CALL_MOST {
+                    break false;
+                }
+                let now = shared.now();
+                begun.get_or_insert(now);
+                if call.is_some() {
+                    shared.with(|s| s.fault(format!("endpoint {}: a call before the last was answered", endpoint.0)));
+                    break true;
+                }
+                match request(&input) {
+                    Ok(None) => {}
+                    Ok(Some(request)) => {
+                        input.drain(..request.taken);
+                        let begun = begun.take().unwrap_or(now);
+                        match took(&shared, endpoint, conn, &request, begun) {
+                            Ok(no) => call = Some(no),
+                            Err(no) => {
+                                call = no;
+                                break true;
+                            }
+                        }
+                    }
+                    Err(why) => {
+                        shared.with(|s| s.fault(format!("endpoint {}: {why}", endpoint.0)));
+                        break true;
+                    }
+                }
+            }
+        }
+    };
+    shared.with(|s| {
+        s.conns.remove(&conn);
+        s.world.close(conn);
+        if let Some(call) = call {
+            s.see(Seen::Broken { call, by_endpoint });
+        }
+    });
+    if by_endpoint {
+        reset(stream);
+    }
+}
+
+/// A call has come whole. Err: the connection breaks, with the call that was on it.
+fn took(
+    shared: &Rc<Shared>,
+    endpoint: EndpointId,
+    conn: ConnId,
+    request: &Request,
+    begun: Nanos,
+) -> Result<CallNo, Option<CallNo>> {
+    shared.with(|s| {
+        let known: Option<Handed> = request.mail.and_then(|mail| s.mails.get(&mail)).cloned();
+        let (Some(mail), Some(known)) = (request.mail, known) else {
+            s.fault(format!("endpoint {}: a call with a mail that nobody handed in", endpoint.0));
+            return Err(None);
+        };
+        let (tag, body) = super::clients::content(&s.world.plan, &known.arrival);
+        if request.tag != tag.as_bytes() || request.body != body {
+            s.fault(format!("endpoint {}: mail {:016x} came with another tag or body", endpoint.0, mail.0));
+        }
+        if s.world.endpoint(endpoint).destination != known.arrival.destination {
+            s.fault(format!("endpoint {}: mail {:016x} is for another destination", endpoint.0, mail.0));
+        }
+        let (no, dispatcher) = (s.ledger.call_no(), known.hand_in.dispatcher);
+        let new = NewCall { mail, class: known.arrival.class, dispatcher, tag: known.arrival.no };
+        let id = s.world.call(conn, new);
+        s.see(Seen::Call { call: no, mail, endpoint, dispatcher, begun, fresh: id.is_some() });
+        match id {
+            Some(id) => {
+                s.calls.insert(id, no);
+                Ok(no)
+            }
+            None => Err(Some(no)),
+        }
+    })
+}
--- /dev/null
+++ b/lab/src/sockets/platform.rs
@@ -0,0 +1,182 @@
+//! A stand-in for the platform's agent of one dispatcher: the list, the watch on it, and the place for notices.
+
+use super::{Listing, Shared, State};
+use crate::load::{Back, again, arrival_of};
+use crate::record::*;
+use crate::world::Listed;
+use anyhow::Result;
+use bellsill::interface::MailId;
+use serde_json::{Value, json};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A watch on which nothing changes says an empty line this often.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+const REQUEST_MOST: usize = 4 << 20;
+
+fn entry(state: &State, endpoint: bellsill::interface::EndpointId, listed: Listed) -> Value {
+    let (plan, spec) = (state.world.endpoint(endpoint), &state.world.plan.spec);
+    let word = match listed {
+        Listed::Up => "up",
+        Listed::Draining => "draining",
+        Listed::Removed => "removed",
+    };
+    json!({
+        "id": format!("e-{:06}", endpoint.0), "addr": state.net.endpoint(endpoint).to_string(),
+        "zone": spec.world.zones[plan.zone], "kind": spec.kinds[plan.kind].name, "cell": plan.destination,
+        "state": word, "weight": 1.0, "started_ms": 0,
+    })
+}
+
+pub(super) fn whole(state: &State, version: usize, list: &Listing) -> Value {
+    let servers: Vec<Value> = list.iter().map(|(e, listed)| entry(state, *e, *listed)).collect();
+    json!({"version": version, "full": true, "servers": servers})
+}
+
+pub(super) fn listen(shared: &Rc<Shared>, dispatcher: usize) -> Result<()> {
+    let at = shared.state.borrow().net.platform(dispatcher);
+    let listener = std::net::TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(listener)?;
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            // A connection that breaks is taken up again by the dispatcher.
+            let shared = Rc::clone(&shared);
+            tokio::task::spawn_local(async move { drop(serve(shared, dispatcher, stream).await) });
+        }
+    });
+    Ok(())
+}
+
+/// Notes what a dispatcher has been told of the list, each version once.
+pub(super) fn said(state: &mut State, dispatcher: usize, upto: usize) {
+    let from = state.said[dispatcher];
+    state.said[dispatcher] = upto.max(from);
+    let changes: Vec<_> = state.world.changes(from.min(upto), upto).to_vec();
+    for change in changes {
+        let serving = change.listed == Listed::Up;
+        state.see(Seen::Listed { dispatcher, endpoint: change.endpoint, serving });
+    }
+}
+
+async fn serve(shared: Rc<Shared>, dispatcher: usize, mut stream: TcpStream) -> Result<()> {
+    let mut input = Vec::new();
+    loop {
+        // What is read of a request, owned: the input goes on.
+        let read = {
+            let mut headers = [httparse::EMPTY_HEADER; 32];
+            let mut head = httparse::Request::new(&mut headers);
+            match head.parse(&input)? {
+                httparse::Status::Partial => None,
+                httparse::Status::Complete(length) => {
+                    let size = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"));
+                    let size = size.and_then(|h| std::str::from_utf8(h.value).ok()?.trim().parse().ok());
+                    let size: usize = size.unwrap_or(0);
+                    let path = head.path.unwrap_or("").to_string();
+                    (input.len() >= length + size)
+                        .then(|| (path, input[length..length + size].to_vec(), length + size))
+                }
+            }
+        };
+        let Some((path, body, taken)) = read else {
+            anyhow::ensure!(input.len() < REQUEST_MOST, "a request that is too long");
+            if stream.read_buf(&mut input).await? == 0 {
+                return Ok(());
+            }
+            continue;
+        };
+        input.drain(..taken);
+        if path == "/v2/finals" {
+            let good = notices(&shared, &body);
+            let answer = if good { "204 No Content" } else { "400 Bad Request" };
+            stream.write_all(format!("HTTP/1.1 {answer}\r\nContent-Length: 0\r\n\r\n").as_bytes()).await?;
+        } else if let Some(since) = path.strip_prefix("/api/targets?follow=1&since=") {
+            return watch(&shared, dispatcher, &mut stream, since.parse().unwrap_or(0)).await;
+        } else if path == "/api/targets" {
+            let text = shared.with(|s| {
+                let upto = s.told[dispatcher];
+                whole(s, upto, &s.world.listing(upto)).to_string()
+            });
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+            stream.write_all((head + &text).as_bytes()).await?;
+        } else {
+            stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await?;
+        }
+    }
+}
+
+async fn watch(shared: &Rc<Shared>, dispatcher: usize, stream: &mut TcpStream, since: usize) -> Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+    let mut at = since;
+    let mut first = true;
+    loop {
+        let news = shared.news[dispatcher].notified();
+        tokio::pin!(news);
+        // Heard from here on, so that nothing is missed while a line is written.
+        news.as_mut().enable();
+        let upto = shared.state.borrow().told[dispatcher];
+        if upto > at || first {
+            let line = shared.with(|s| {
+                let known = at >= s.world.first_version() && at <= upto;
+                match known {
+                    false => whole(s, upto, &s.world.listing(upto)),
+                    true => {
+                        let changes = s.world.changes(at, upto).to_vec();
+                        let servers: Vec<Value> =
+                            changes.iter().map(|c| entry(s, c.endpoint, c.listed)).collect();
+                        json!({"version": upto, "full": false, "servers": servers})
+                    }
+                }
+            });
+            chunk(stream, &format!("{line}\n")).await?;
+            shared.with(|s| said(s, dispatcher, upto));
+            (at, first) = (upto, false);
+            continue;
+        }
+        let mut byte = [0; 64];
+        tokio::select! {
+            () = &mut news => {}
+            () = tokio::time::sleep(EMPTY_LINE) => chunk(stream, "\n").await?,
+            read = stream.read(&mut byte) => if read? == 0 { return Ok(()) },
+        }
+    }
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
+}
+
+/// Notices have come. False: they cannot be read.
+fn notices(shared: &Rc<Shared>, body: &[u8]) -> bool {
+    let mut read = vec![];
+    for line in body.split(|b| *b == b'\n').filter(|l| !l.trim_ascii().is_empty()) {
+        let Ok(json) = serde_json::from_slice::<Value>(line) else { return false };
+        let id = json["ref"].as_str().and_then(|id| u64::from_str_radix(id, 16).ok());
+        let deferred = match json["result"].as_str() {
+            Some("dead") => None,
+            Some("bounced") => Some(json["wait_ms"].as_f64().map_or(0, crate::world::plan::ms)),
+            _ => return false,
+        };
+        let Some(id) = id else { return false };
+        read.push((MailId(id), deferred));
+    }
+    for (mail, deferred) in read {
+        let back = shared.with(|s| {
+            s.see(Seen::Notice { mail, deferred });
+            let known = s.mails.get(&mail).cloned()?;
+            let told = deferred?;
+            let back = Back::Refused(Some(told).filter(|w| *w > 0));
+            let now = s.now();
+            let next = again(&s.world.plan, &known.arrival, arrival_of(mail).1, back, now)?;
+            Some((known, next))
+        });
+        if let Some((known, (at, to))) = back {
+            super::clients::later(shared, known.arrival, known.tries + 1, at, to);
+        }
+    }
+    true
+}
--- /dev/null
+++ b/lab/src/sockets/processes.rs
@@ -0,0 +1,241 @@
+//! The dispatchers' processes: started, told to end, killed and started again with the folder that lasts; and what they use.
+
+use super::{Shared, clients, config, platform};
+use crate::record::Seen;
+use crate::run::Usage;
+use crate::world::plan::*;
+use anyhow::{Context, Result};
+use rustix::process::{Pid, Signal, kill_process};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::process::{Child, Command};
+
+/// All dispatchers must be there within this.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+/// SIGKILL comes so long after SIGTERM.
+const TERM_TO_KILL: Duration = Duration::from_millis(3_700);
+const SAMPLE: Duration = Duration::from_millis(500);
+
+pub(super) struct Host {
+    program: PathBuf,
+    folder: PathBuf,
+    child: Option<Child>,
+    /// Its end was asked for.
+    ends: bool,
+    starts: u32,
+    usage: Usage,
+    /// Processor seconds of processes that have ended, and of the present one.
+    cpu_before: f64,
+    cpu_now: f64,
+    sampled: Option<(Instant, f64)>,
+}
+
+pub(super) async fn start_all(shared: &Rc<Shared>, program: &Path, work: &Path) -> Result<()> {
+    let (count, net) = {
+        let s = shared.state.borrow();
+        (s.world.plan.spec.dispatchers.count, s.net)
+    };
+    let program = std::fs::canonicalize(program).with_context(|| program.display().to_string())?;
+    for d in 0..count {
+        let folder = work.join(format!("net{}-d{d}", net.0));
+        // Nothing of an earlier run may be taken over.
+        if folder.exists() {
+            std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
+        }
+        std::fs::create_dir_all(folder.join("state")).with_context(|| folder.display().to_string())?;
+        let host = Host {
+            program: program.clone(),
+            folder,
+            child: None,
+            ends: false,
+            starts: 0,
+            usage: Usage { dispatcher: d, ..Default::default() },
+            cpu_before: 0.0,
+            cpu_now: 0.0,
+            sampled: None,
+        };
+        shared.hosts.borrow_mut().push(host);
+        spawn(shared, d)?;
+    }
+    for d in 0..count {
+        let at = shared.state.borrow().net.listen(d);
+        let there = tokio::time::timeout(READY_WITHIN, clients::ready(at)).await;
+        there.with_context(|| {
+            let folder = shared.hosts.borrow()[d].folder.display().to_string();
+            format!("dispatcher {d} did not get ready; its log is in {folder}")
+        })?;
+        shared.state.borrow_mut().see(Seen::Ready { dispatcher: d });
+    }
+    Ok(())
+}
+
+fn spawn(shared: &Rc<Shared>, d: usize) -> Result<()> {
+    let mut hosts = shared.hosts.borrow_mut();
+    let host = &mut hosts[d];
+    host.starts += 1;
+    host.ends = false;
+    let mut state = shared.state.borrow_mut();
+    let json = config(&state, d, host.starts);
+    let upto = state.told[d];
+    platform::said(&mut state, d, upto);
+    state.see(Seen::Started { dispatcher: d });
+    let file = host.folder.join("config.json");
+    std::fs::write(&file, json.to_string()).with_context(|| file.display().to_string())?;
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(host.folder.join("log"))?;
+    let child = Command::new(&host.program)
+        .arg("serve")
+        .arg("--config")
+        .arg(&file)
+        .arg("--state")
+        .arg(host.folder.join("state"))
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .kill_on_drop(true)
+        .spawn()
+        .with_context(|| host.program.display().to_string())?;
+    host.child = Some(child);
+    host.sampled = None;
+    Ok(())
+}
+
+fn pid(host: &Host) -> Option<Pid> {
+    host.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id as i32))
+}
+
+/// What the script says of a dispatcher is done.
+pub(super) fn news(shared: &Rc<Shared>, d: usize, news: DispatcherNews) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        match news {
+            DispatcherNews::Kill => kill(&shared, d).await,
+            DispatcherNews::Term => term(&shared, d).await,
+            DispatcherNews::Start => start(&shared, d).await,
+        }
+    });
+}
+
+async fn kill(shared: &Rc<Shared>, d: usize) {
+    let child = {
+        let mut hosts = shared.hosts.borrow_mut();
+        hosts[d].ends = true;
+        hosts[d].child.take()
+    };
+    let Some(mut child) = child else { return };
+    let _ = child.kill().await;
+    ended(shared, d);
+}
+
+fn ended(shared: &Rc<Shared>, d: usize) {
+    let mut hosts = shared.hosts.borrow_mut();
+    let host = &mut hosts[d];
+    host.cpu_before += std::mem::take(&mut host.cpu_now);
+    host.sampled = None;
+    shared.clients.borrow_mut()[d] = clients::Pool::default();
+    shared.with(|s| s.see(Seen::Ended { dispatcher: d }));
+}
+
+async fn term(shared: &Rc<Shared>, d: usize) {
+    let child = {
+        let mut hosts = shared.hosts.borrow_mut();
+        hosts[d].ends = true;
+        if let Some(pid) = pid(&hosts[d]) {
+            // It may just have ended by itself.
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        hosts[d].child.take()
+    };
+    let Some(mut child) = child else { return };
+    if tokio::time::timeout(TERM_TO_KILL, child.wait()).await.is_err() {
+        let _ = child.kill().await;
+    }
+    ended(shared, d);
+}
+
+async fn start(shared: &Rc<Shared>, d: usize) {
+    // One that was told to end has until it is killed.
+    while shared.hosts.borrow()[d].child.is_some() {
+        if *shared.over.borrow() || !shared.hosts.borrow()[d].ends {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    if *shared.over.borrow() {
+        return;
+    }
+    if let Err(e) = spawn(shared, d) {
+        return shared.with(|s| s.fault(format!("dispatcher {d} could not be started again: {e:#}")));
+    }
+    let at = shared.state.borrow().net.listen(d);
+    clients::ready(at).await;
+    shared.with(|s| s.see(Seen::Ready { dispatcher: d }));
+}
+
+/// Processor seconds, resident megabytes and descriptors of a process.
+fn used(pid: u32) -> Option<(f64, f64, u64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name may hold anything; what follows its last bracket is numbers.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok());
+    let cpu = (ticks(11)? + ticks(12)?) / rustix::param::clock_ticks_per_second() as f64;
+    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
+    let pages: f64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    let fds = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count() as u64);
+    Some((cpu, pages * rustix::param::page_size() as f64 / 1e6, fds))
+}
+
+/// Samples what each dispatcher uses, and notes one that ended unasked.
+pub(super) async fn watch(shared: Rc<Shared>) {
+    loop {
+        let count = shared.hosts.borrow().len();
+        for d in 0..count {
+            sample(&shared, d);
+        }
+        tokio::time::sleep(SAMPLE).await;
+    }
+}
+
+fn sample(shared: &Rc<Shared>, d: usize) {
+    let at = (shared.now() - START) as f64 / 1e9;
+    let mut crashed = None;
+    {
+        let mut hosts = shared.hosts.borrow_mut();
+        let host = &mut hosts[d];
+        let Some(child) = &mut host.child else { return };
+        if let Ok(Some(status)) = child.try_wait()
+            && !host.ends
+        {
+            crashed = Some(status);
+            host.child = None;
+        } else if let Some((cpu, mb, fds)) = child.id().and_then(used) {
+            let now = Instant::now();
+            if let Some((before, was)) = host.sampled {
+                let share = (cpu - was) / now.duration_since(before).as_secs_f64();
+                host.usage.samples.push((at, share, mb, fds));
+            }
+            host.sampled = Some((now, cpu));
+            host.cpu_now = cpu;
+            host.usage.peak_mb = host.usage.peak_mb.max(mb);
+        }
+    }
+    if let Some(status) = crashed {
+        shared.with(|s| s.fault(format!("dispatcher {d} ended by itself at {at:.3} s: {status}")));
+        ended(shared, d);
+    }
+}
+
+/// All processes end; what each used.
+pub(super) async fn end_all(shared: &Rc<Shared>) -> Vec<Usage> {
+    let count = shared.hosts.borrow().len();
+    (0..count).for_each(|d| sample(shared, d));
+    for d in 0..count {
+        let child = shared.hosts.borrow_mut()[d].child.take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+    let mut hosts = shared.hosts.borrow_mut();
+    hosts.drain(..).map(|host| Usage { cpu_s: host.cpu_before + host.cpu_now, ..host.usage }).collect()
+}
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -446,6 +446,8 @@
         let (e, idle) = (at.endpoint, now - at.used);
         let fresh = std::mem::replace(&mut at.fresh, false);
         at.used = now;
+        // On sockets nothing says whose a connection is before its first call.
+        at.dispatcher = new.dispatcher;
         let condition = self.endpoints[e].condition.clone();
         let keep_alive = ms(self.plan.spec.dispatchers.keep_alive_ms);
         if !fresh && (idle >= keep_alive || condition.reaped && idle >= REAPED_AFTER) {
