--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -40,6 +40,7 @@
     pub fn see(&mut self, at: Nanos, seen: Seen) {
         // Two tasks may have looked at the clock in another order than they come here.
         self.at = self.at.max(at);
+        tracing::trace!(at = self.at, ?seen);
         self.audit.see(self.at, &seen);
         self.measure.see(self.at, &seen);
     }
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -31,30 +31,36 @@
     Wake(Nanos),
 }
 
-#[derive(Default)]
-struct Answers(Vec<Command>);
+struct Answers {
+    commands: Vec<Command>,
+    /// For the log.
+    host: usize,
+    now: Nanos,
+}
 
 impl Outlet for Answers {
     fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
-        self.0.push(Command::Connect(mail, endpoint, time_out));
+        self.commands.push(Command::Connect(mail, endpoint, time_out));
     }
     fn defer(&mut self, mail: MailId, come_back: Nanos) {
-        self.0.push(Command::Defer(mail, come_back));
+        self.commands.push(Command::Defer(mail, come_back));
     }
     fn bounce(&mut self, mail: MailId) {
-        self.0.push(Command::Bounce(mail));
+        self.commands.push(Command::Bounce(mail));
     }
     fn call_off(&mut self, mail: MailId, no: ConnectNo) {
-        self.0.push(Command::CallOff(mail, no));
+        self.commands.push(Command::CallOff(mail, no));
     }
     fn hang_up(&mut self, endpoint: EndpointId) {
-        self.0.push(Command::HangUp(endpoint));
+        self.commands.push(Command::HangUp(endpoint));
     }
     fn forget(&mut self, _: EndpointId) {}
     fn wake(&mut self, after: Nanos) {
-        self.0.push(Command::Wake(after));
+        self.commands.push(Command::Wake(after));
+    }
+    fn log(&mut self, line: &str) {
+        tracing::debug!(at = self.now, dispatcher = self.host, "{line}");
     }
-    fn log(&mut self, _: &str) {}
 }
 
 #[derive(Clone, Copy)]
@@ -205,9 +211,9 @@
     fn ask(&mut self, host: usize, call: impl FnOnce(&mut Dispatcher, Nanos, &mut Answers)) {
         let Some(d) = &mut self.hosts[host].d else { return };
         self.steps += 1;
-        let mut answers = Answers::default();
+        let mut answers = Answers { commands: vec![], host, now: self.now };
         call(d, self.now, &mut answers);
-        for command in answers.0 {
+        for command in answers.commands {
             match command {
                 Command::Connect(mail, endpoint, time_out) => self.connect(host, mail, endpoint, time_out),
                 Command::Defer(mail, come_back) => self.give_up(host, mail, Some(come_back)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,8 @@
 const GAP_SHARE: f64 = 0.15;
 /// Refused for so long, a route was shut or hung, and returns cold.
 const SHUT_AFTER: Nanos = 2_500 * MS;
+/// So many connections refused at once, and nothing relayed: it is down, and returns cold.
+const DOWN_AFTER: u32 = 3;
 /// A route is silent when its oldest connect is this many usual answer times old, and no less than the floor.
 const SILENT_TIMES: f64 = 5.0;
 /// The patience is cut, down to this part, by the share of connects not answered in usual time; one's weight.
@@ -129,6 +131,8 @@
     traffic: f64,
     traffic_at: Nanos,
     spoke_at: Nanos,
+    /// Connections that it refused at once since it last relayed.
+    unmet: u32,
     /// Stretches each space between sends to a cold or struck route, and untold waits; drawn with each send.
     stretch: f64,
     /// Something failed there, or was refused for long, since it was last sound: it will return cold.
@@ -245,7 +249,7 @@
             Stage::Out if end.outcome == Outcome::Relayed => self.shift(end.mail, Stage::Relayed, out),
             Stage::Out if end.over => self.shift(end.mail, Stage::Withdrawn, out),
             Stage::Out if self.may_go_again(mail, now) => self.shift(end.mail, Stage::Waiting, out),
-            Stage::Out => self.give_up(end.mail, now, out),
+            Stage::Out => self.give_up(end.mail, out),
             stage => self.shift(end.mail, stage, out),
         }
         self.go_on(now, out);
@@ -340,12 +344,12 @@
         }
     }
 
-    fn give_up(&mut self, id: MailId, now: Nanos, out: &mut impl Outlet) {
+    fn give_up(&mut self, id: MailId, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
         let harmless = self.count_out(|c| c.mail == id) == 0
             && match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
                 (None, _) | (_, Repeat::Redeliverable) => true,
-                (Some((at, _)), Repeat::Tagged { window, same_zone: false }) => now < at + window / 2,
+                (Some((at, _)), Repeat::Tagged { window, same_zone: false }) => mail.new.due <= at + window,
                 _ => false,
             };
         self.shift(id, if harmless { Stage::Deferred } else { Stage::Bounced }, out);
@@ -413,7 +417,10 @@
                 self.routes[gate].refused_since = None;
                 let gap = self.routes[gate].gap as f64 * (1.0 - GAP_SHARE);
                 self.routes[gate].gap = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
-                self.bound(route).into_iter().for_each(|r| self.routes[r].wait = FIRST_WAIT);
+                self.routes[route].unmet = 0;
+                // One that refuses connections is not opened by its siblings' answers.
+                let met = self.bound(route).into_iter().filter(|&r| self.routes[r].unmet == 0);
+                met.collect::<Vec<_>>().into_iter().for_each(|r| self.routes[r].wait = FIRST_WAIT);
                 self.routes[route].count(now, 1.0);
                 self.routes[route].fail *= 1.0 - FAIL_WEIGHT;
                 if !late {
@@ -435,7 +442,8 @@
             // No connection, said at once: its table is full, or it is down. It alone is refused, untold.
             Outcome::Unconnected if at_once => {
                 self.suspend(route, now, 0);
-                if self.routes[route].wait > 4 * FIRST_WAIT {
+                self.routes[route].unmet += 1;
+                if self.routes[route].unmet >= DOWN_AFTER {
                     self.routes[route].strike(now);
                 }
             }
@@ -646,7 +654,7 @@
         };
         let overdue: Vec<MailId> = self.mails.iter().filter(|(_, m)| over(m)).map(|(&id, _)| id).collect();
         for id in overdue {
-            self.give_up(id, now, out);
+            self.give_up(id, out);
         }
     }
 
@@ -671,7 +679,7 @@
             let longest = waiting.into_values().max_by_key(Vec::len).unwrap_or_default();
             let least = longest.iter().min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             let Some(&(_, _, id)) = least else { return };
-            self.give_up(id, now, out);
+            self.give_up(id, out);
         }
     }
 
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -405,3 +405,35 @@
     w.pass(3 * S);
     assert_eq!(open(&w), (1..12).collect::<Vec<_>>());
 }
+
+#[test]
+fn a_tagged_mail_that_may_have_run_is_deferred_only_where_its_window_covers_its_lifetime() {
+    for (lifetime, deferred) in [(12 * S, false), (5 * S, true)] {
+        let mut w = World::new(BootFacts { max_connects: 1, ..facts() });
+        w.o.ways.fill(Way::Errs);
+        let mail = w.mail(1, 0, None, lifetime);
+        w.pass(S);
+        let ends = (w.o.deferred.iter().any(|d| d.0 == mail), w.o.bounced.contains(&mail));
+        assert_eq!(ends, (deferred, !deferred), "with a lifetime of {lifetime} ns and a window of 6 s");
+    }
+}
+
+#[test]
+fn a_route_that_refuses_connections_is_not_opened_by_its_siblings() {
+    let mut w = World::new(facts());
+    let load = |w: &mut World, spans: u32| {
+        for _ in 0..spans {
+            w.mail(0, 0, None, 12 * S);
+            w.pass(100 * MS);
+        }
+    };
+    load(&mut w, 80);
+    w.o.ways[0] = Way::TableFull;
+    let before = sends(&w, 0);
+    load(&mut w, 80);
+    let tried = sends(&w, 0) - before;
+    assert!((3..=8).contains(&tried), "{tried} connects in 8 s, while its siblings answered");
+    w.o.ways[0] = Way::Answers(100 * MS);
+    load(&mut w, 20);
+    assert!(w.o.lines.iter().any(|l| l.starts_with("route 0 returns cold")), "{:?}", w.o.lines);
+}
