--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -348,6 +348,15 @@
     fn look(&mut self, at: Nanos, id: MailId) {
         let Some(mail) = self.mails.get(&id) else { return };
         if at >= mail.hand_in.due + KEPT {
+            if self.owed(id, at) {
+                self.broken(
+                    at,
+                    Rule::Lost,
+                    Some(id),
+                    "its dispatcher did not come back, and nobody ended it".into(),
+                );
+            }
+            let Some(mail) = self.mails.get(&id) else { return };
             let (arrival, key) =
                 (mail.hand_in.arrival, mail.hand_in.key.map(|k| (mail.hand_in.dispatcher, k)));
             self.mails.remove(&id);
--- /dev/null
+++ b/lab/tests/records.rs
@@ -0,0 +1,234 @@
+//! The auditor on records that are written down here one by one, for what must be told apart exactly.
+
+use bellsill::interface::*;
+use bellsill_lab::audit::*;
+use bellsill_lab::record::*;
+use bellsill_lab::world::Answer;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+
+fn class(repeat: Repeat, ordered: bool) -> ClassFacts {
+    ClassFacts { importance: 1.0, target_delay: S, lifetime: 10 * S, late_share: 0.4, repeat, ordered }
+}
+
+/// Redeliverable, tagged within a zone for 4 s, once-only, once-only in order; two zones with two endpoints each.
+fn auditor() -> Auditor {
+    Auditor::new(Facts {
+        classes: vec![
+            class(Repeat::Redeliverable, false),
+            class(Repeat::Tagged { window: 4 * S, same_zone: true }, false),
+            class(Repeat::OnceOnly, false),
+            class(Repeat::OnceOnly, true),
+        ],
+        endpoints: vec![(0, 0), (0, 1), (1, 2), (1, 3)],
+        drain_grace: 2 * S,
+        key_rest: 100 * MS,
+        max_connects: 4,
+        slack: Slack::VIRTUAL,
+    })
+}
+
+fn taken(a: &mut Auditor, at: Nanos, mail: u64, class: usize) {
+    let mail = MailId(mail);
+    let key = (class == 3).then_some(9);
+    let (destination, dispatcher) = (0, 0);
+    let due = at + 10 * S;
+    let arrival = mail.0;
+    let hand_in = HandIn { mail, arrival, class, destination, key, dispatcher, due, again: false };
+    a.see(at, &Seen::HandedIn(hand_in));
+    a.see(at, &Seen::Taken { mail });
+}
+
+fn call(a: &mut Auditor, at: Nanos, no: u64, mail: u64, endpoint: u32) {
+    let (mail, endpoint) = (MailId(mail), EndpointId(endpoint));
+    let seen = Seen::Call { call: CallNo(no), mail, endpoint, dispatcher: 0, begun: at, fresh: true };
+    a.see(at, &seen);
+}
+
+fn applied(a: &mut Auditor, at: Nanos, no: u64) {
+    a.see(at, &Seen::Applied { call: CallNo(no), fresh: true });
+}
+
+fn answered(a: &mut Auditor, at: Nanos, no: u64, answer: Answer) {
+    a.see(at, &Seen::Answered { call: CallNo(no), answer });
+}
+
+fn broken(a: &mut Auditor, at: Nanos, no: u64) {
+    a.see(at, &Seen::Broken { call: CallNo(no), by_endpoint: false });
+}
+
+fn notice(a: &mut Auditor, at: Nanos, mail: u64, deferred: Option<Nanos>) {
+    a.see(at, &Seen::Notice { mail: MailId(mail), deferred });
+}
+
+fn rules(a: Auditor) -> Vec<Rule> {
+    a.finish(60 * S).breaks.into_keys().collect()
+}
+
+#[test]
+fn a_call_that_applied_and_was_never_answered_is_applied_once_not_sent_twice() {
+    let mut a = auditor();
+    taken(&mut a, S, 1, 2);
+    call(&mut a, S, 1, 1, 0);
+    broken(&mut a, 3 * S, 1);
+    applied(&mut a, 4 * S, 1);
+    notice(&mut a, 3 * S + MS, 1, None);
+    let verdict = a.finish(60 * S);
+    assert!(verdict.kept(), "{verdict:?}");
+    assert_eq!((verdict.calls, verdict.applied, verdict.applied_unheard), (1, 1, 1));
+}
+
+#[test]
+fn killed_before_the_first_byte_a_once_only_mail_may_be_bounced_but_not_sent() {
+    for (sent, kept) in [(false, true), (true, false)] {
+        let mut a = auditor();
+        a.see(S, &Seen::Ready { dispatcher: 0 });
+        taken(&mut a, S, 1, 2);
+        call(&mut a, S, 1, 1, 0);
+        broken(&mut a, 2 * S, 1);
+        a.see(2 * S, &Seen::Ended { dispatcher: 0 });
+        a.see(3 * S, &Seen::Started { dispatcher: 0 });
+        a.see(3 * S, &Seen::Ready { dispatcher: 0 });
+        if sent {
+            call(&mut a, 3 * S + MS, 2, 1, 2);
+            answered(&mut a, 3 * S + 2 * MS, 2, Answer::Relayed);
+        } else {
+            notice(&mut a, 3 * S + MS, 1, None);
+        }
+        let rules = rules(a);
+        assert_eq!(rules.is_empty(), kept, "{rules:?}");
+        assert_eq!(rules.contains(&Rule::Repeated), sent);
+    }
+}
+
+#[test]
+fn an_effect_twice_in_two_zones_names_both() {
+    let mut a = auditor();
+    taken(&mut a, S, 1, 2);
+    call(&mut a, S, 1, 1, 0);
+    applied(&mut a, 2 * S, 1);
+    broken(&mut a, 2 * S, 1);
+    call(&mut a, 3 * S, 2, 1, 3);
+    applied(&mut a, 4 * S, 2);
+    answered(&mut a, 4 * S, 2, Answer::Relayed);
+    let verdict = a.finish(60 * S);
+    let words = verdict.words.iter().find(|w| w.rule == Rule::EffectTwice).expect("found");
+    assert_eq!((words.at, words.mail), (4 * S, Some(1)));
+    assert!(words.evidence.contains("zone 0") && words.evidence.contains("zone 1"), "{words}");
+}
+
+#[test]
+fn a_tagged_mail_stays_in_its_window_and_its_zone() {
+    for (at, endpoint, kept) in [(4 * S, 1, true), (4 * S, 2, false), (5 * S + 2 * MS, 1, false)] {
+        let mut a = auditor();
+        taken(&mut a, S, 1, 1);
+        call(&mut a, S, 1, 1, 0);
+        broken(&mut a, 2 * S, 1);
+        call(&mut a, at, 2, 1, endpoint);
+        answered(&mut a, at + S, 2, Answer::Relayed);
+        assert_eq!(rules(a).is_empty(), kept, "at {at} to {endpoint}");
+    }
+}
+
+#[test]
+fn a_told_wait_binds_its_gate_until_it_ends_or_the_process_does() {
+    let told = Answer::Full(Some(3 * S));
+    for (at, endpoint, restart, kept) in [
+        (3 * S, 0, false, false),
+        (3 * S, 1, false, true),
+        (4 * S + MS, 0, false, true),
+        (3 * S, 0, true, true),
+    ] {
+        let mut a = auditor();
+        taken(&mut a, S, 1, 0);
+        taken(&mut a, S, 2, 0);
+        call(&mut a, S, 1, 1, 0);
+        answered(&mut a, S + MS, 1, told);
+        if restart {
+            a.see(2 * S, &Seen::Ended { dispatcher: 0 });
+            a.see(2 * S, &Seen::Ready { dispatcher: 0 });
+        }
+        call(&mut a, at, 2, 2, endpoint);
+        answered(&mut a, at + S, 2, Answer::Relayed);
+        notice(&mut a, 5 * S, 1, Some(0));
+        let rules = rules(a);
+        assert_eq!(rules.is_empty(), kept, "at {at} to {endpoint}: {rules:?}");
+    }
+}
+
+#[test]
+fn order_holds_per_key_with_its_rest() {
+    for (ends, next, kept) in [
+        (Answer::Relayed, 2 * S + MS, true),
+        (Answer::Errored, 2 * S + 50 * MS, false),
+        (Answer::Full(None), 2 * S + 50 * MS, false),
+    ] {
+        let mut a = auditor();
+        taken(&mut a, S, 1, 3);
+        taken(&mut a, S + MS, 2, 3);
+        call(&mut a, S + MS, 1, 1, 0);
+        answered(&mut a, 2 * S, 1, ends);
+        // Not over: it is another's turn only once this has ended.
+        call(&mut a, next, 2, 2, 1);
+        answered(&mut a, next + S, 2, Answer::Relayed);
+        notice(&mut a, next + 2 * S, 1, None);
+        assert_eq!(!rules(a).contains(&Rule::Order), kept, "{ends:?}");
+    }
+    let mut a = auditor();
+    taken(&mut a, S, 1, 3);
+    taken(&mut a, S + MS, 2, 3);
+    call(&mut a, S + MS, 1, 1, 0);
+    broken(&mut a, 2 * S, 1);
+    notice(&mut a, 2 * S, 1, None);
+    call(&mut a, 2 * S + 60 * MS, 2, 2, 1);
+    answered(&mut a, 3 * S, 2, Answer::Relayed);
+    assert_eq!(rules(a), [Rule::Order], "within the key's rest");
+}
+
+#[test]
+fn ends_are_one_and_in_time() {
+    let mut a = auditor();
+    for mail in 1..=4 {
+        taken(&mut a, S, mail, 0);
+    }
+    notice(&mut a, 2 * S, 1, None);
+    // The same notice again is no second end.
+    notice(&mut a, 3 * S, 1, None);
+    notice(&mut a, 3 * S, 2, Some(S));
+    notice(&mut a, 4 * S, 2, None);
+    call(&mut a, 5 * S, 1, 3, 0);
+    answered(&mut a, 6 * S, 1, Answer::Relayed);
+    // A dispatcher may give up a mail whose 200 it never read.
+    notice(&mut a, 6 * S, 3, None);
+    let verdict = a.finish(60 * S);
+    let of = |rule| verdict.words.iter().filter(|w| w.rule == rule).map(|w| w.mail).collect::<Vec<_>>();
+    assert_eq!(of(Rule::EndedTwice), [Some(2)]);
+    assert_eq!(of(Rule::Lost), [Some(4)]);
+    assert_eq!(verdict.words.len(), 2, "{verdict:?}");
+}
+
+#[test]
+fn what_a_client_never_heard_of_counts_for_nothing() {
+    let mut a = auditor();
+    taken(&mut a, S, 1, 2);
+    a.see(S, &Seen::Unheard { mail: MailId(1) });
+    call(&mut a, S, 1, 1, 0);
+    applied(&mut a, 2 * S, 1);
+    let again = HandIn {
+        mail: MailId(2),
+        arrival: 1,
+        class: 2,
+        destination: 0,
+        key: None,
+        dispatcher: 1,
+        due: 9 * S,
+        again: true,
+    };
+    a.see(2 * S, &Seen::HandedIn(again));
+    a.see(2 * S, &Seen::Taken { mail: MailId(2) });
+    call(&mut a, 3 * S, 2, 2, 1);
+    applied(&mut a, 4 * S, 2);
+    answered(&mut a, 4 * S, 2, Answer::Relayed);
+    assert!(rules(a).is_empty());
+}
