--- a/lab/examples/scripted_peer.rs
+++ b/lab/examples/scripted_peer.rs
@@ -73,10 +73,10 @@
         let mut stream = TcpStream::connect(&self.platform)?;
         stream.write_all(b"GET /api/targets?follow=1&since=0 HTTP/1.1\r\n\r\n")?;
         for line in BufReader::new(stream).lines() {
-            if let Ok(json) = serde_json::from_str::<Value>(&line?) {
-                if json.get("servers").is_some() {
-                    self.list(&json);
-                }
+            if let Ok(json) = serde_json::from_str::<Value>(&line?)
+                && json.get("servers").is_some()
+            {
+                self.list(&json);
             }
         }
         Ok(())
