--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -7,7 +7,7 @@
 /// What is compared: a name, how it is read, and whether more is better.
 pub type Figure = (&'static str, fn(&RunLine) -> f64, bool);
 
-pub const FIGURES: [Figure; 8] = [
+pub const FIGURES: [Figure; 11] = [
     ("delivered importance, share", |r| r.results.share, true),
     ("of the worst 10 s", |r| r.results.worst_span, true),
     ("of the worst class", |r| r.results.worst_class, true),
@@ -15,6 +15,9 @@
     ("refused calls a mail", |r| r.results.refused as f64 / (r.results.arrivals as f64).max(1.0), false),
     ("connections opened a mail", |r| r.results.opened as f64 / (r.results.arrivals as f64).max(1.0), false),
     ("CPU of dispatchers, us a mail", cpu_us, false),
+    ("mails held", open, false),
+    ("hand-in answered, p50 ms", |r| r.results.hand_in.p50_us as f64 / 1e3, false),
+    ("hand-in answered, p99 ms", |r| r.results.hand_in.p99_us as f64 / 1e3, false),
     (
         "memory of the largest dispatcher, MB",
         |r| r.cost.usage.iter().map(|u| u.peak_mb).fold(0.0, f64::max),
@@ -22,10 +25,31 @@
     ),
 ];
 
-/// The processor time of all dispatchers, in microseconds a mail.
+/// The processor time of all dispatchers, in microseconds a mail: from where it counts to the end of the load.
 pub fn cpu_us(run: &RunLine) -> f64 {
-    let cpu: f64 = run.cost.usage.iter().map(|u| u.cpu_s).sum();
-    cpu * 1e6 / (run.results.arrivals as f64).max(1.0)
+    let within = |at: f64| at >= run.cost.cpu_from_s && at <= run.load_s;
+    let mut cpu = 0.0;
+    for usage in &run.cost.usage {
+        // Each sample speaks of the span since the one before.
+        let spans = usage.samples.windows(2).map(|p| (p[1].0 - p[0].0, &p[1]));
+        cpu += spans.filter(|(_, s)| within(s.0)).map(|(span, s)| span * s.1).sum::<f64>();
+    }
+    let bucket = crate::measure::BUCKET as f64 / 1e9;
+    let points = run.results.points.iter().enumerate().filter(|(i, _)| within((*i as f64 + 0.5) * bucket));
+    let mails: u64 = points.map(|(_, p)| p.arrivals).sum();
+    cpu * 1e6 / (mails as f64).max(1.0)
+}
+
+/// Mails owed their end, on average over the same span.
+pub fn open(run: &RunLine) -> f64 {
+    let open: Vec<f64> = run
+        .cost
+        .open
+        .iter()
+        .filter(|o| o.0 >= run.cost.cpu_from_s && o.0 <= run.load_s)
+        .map(|o| o.1 as f64)
+        .collect();
+    open.iter().sum::<f64>() / (open.len() as f64).max(1.0)
 }
 
 /// The differences of pairs.
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -40,6 +40,10 @@
     peak: f64,
     at: f64,
     burst: (usize, usize),
+    /// Drawn and not handed out yet: when, and its destination.
+    ahead: Option<(Nanos, usize)>,
+    /// What clumps bring, the next one last.
+    clumps: Vec<(Nanos, usize)>,
     next: u64,
 }
 
@@ -48,6 +52,13 @@
         let shares = plan.spec.classes.iter().map(|c| c.share);
         // The shares were checked: none is negative, not all are nought.
         let index = |w: Vec<f64>| WeightedIndex::new(w).expect("shares that are not all nought");
+        let clump = |c: &crate::spec::Clump| {
+            let (at, space, to) = (c.at_s, c.over_s / c.mails.max(1) as f64, c.destination);
+            (0..c.mails).map(move |i| (START + secs(at + space * i as f64), to)).collect::<Vec<_>>()
+        };
+        let mut clumps: Vec<(Nanos, usize)> = plan.spec.load.clumps.iter().flat_map(clump).collect();
+        clumps.retain(|c| c.0 < plan.load_until);
+        clumps.sort_by_key(|c| std::cmp::Reverse(*c));
         Arrivals {
             rng: Pcg64Mcg::seed_from_u64(plan.seed ^ 0x6c6f_6164),
             classes: index(shares.collect()),
@@ -55,6 +66,8 @@
             peak: plan.spec.load.steps.iter().map(|s| s.times).fold(1.0, f64::max),
             at: START as f64,
             burst: (0, 0),
+            ahead: None,
+            clumps,
             next: 0,
             plan: plan.clone(),
         }
@@ -69,9 +82,9 @@
         })
     }
 
-    fn arrival(&mut self, destination: usize) -> Arrival {
+    fn arrival(&mut self, at: Nanos, destination: usize) -> Arrival {
         let (plan, rng) = (&self.plan, &mut self.rng);
-        let (no, at, class) = (self.next, self.at as Nanos, self.classes.sample(rng));
+        let (no, class) = (self.next, self.classes.sample(rng));
         self.next += 1;
         let (keys, count) = (plan.spec.classes[class].ordered_keys, plan.spec.dispatchers.count);
         let key = (keys > 0).then(|| 1 + ((class as u64) << 40) + rng.random_range(0..keys as u64));
@@ -86,15 +99,12 @@
         };
         Arrival { no, at, class, destination, key, dispatcher }
     }
-}
 
-impl Iterator for Arrivals {
-    type Item = Arrival;
-
-    fn next(&mut self) -> Option<Arrival> {
+    /// The next moment of the Poisson stream, and the destination it is for.
+    fn draw(&mut self) -> Option<(Nanos, usize)> {
         if self.burst.0 > 0 {
             self.burst.0 -= 1;
-            return Some(self.arrival(self.burst.1));
+            return Some((self.at as Nanos, self.burst.1));
         }
         let (share, size) = (self.plan.spec.load.burst_share, self.plan.spec.load.burst_size);
         let bursts = share / size as f64;
@@ -113,7 +123,21 @@
         if self.rng.random::<f64>() < bursts / (1.0 - share + bursts) {
             self.burst = (size - 1, destination);
         }
-        Some(self.arrival(destination))
+        Some((self.at as Nanos, destination))
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        self.ahead = self.ahead.take().or_else(|| self.draw());
+        let first = match (self.ahead, self.clumps.last().copied()) {
+            (Some(ahead), Some(clump)) if clump.0 < ahead.0 => self.clumps.pop(),
+            (None, Some(_)) => self.clumps.pop(),
+            _ => self.ahead.take(),
+        };
+        first.map(|(at, destination)| self.arrival(at, destination))
     }
 }
 
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -77,6 +77,8 @@
 /// One point of the curves; counts of what happened in the span, importance by the moment of the intended hand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Point {
+    /// Mails that were meant to be handed in for the first time.
+    pub arrivals: u64,
     pub asked: f64,
     pub delivered: f64,
     pub calls: u64,
@@ -157,7 +159,9 @@
         self.arrivals.push(State { at: arrival.at, class: arrival.class as u16, relayed: false });
         self.results.arrivals += 1;
         self.results.classes[arrival.class].asked += importance;
-        self.point(arrival.at).asked += importance;
+        let point = self.point(arrival.at);
+        point.arrivals += 1;
+        point.asked += importance;
     }
 
     /// A connection to an endpoint was opened.
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -185,6 +185,7 @@
     if !compared.is_empty() {
         text += &format!("<h2>Variants, paired by seed</h2><pre>{}</pre>", escape(&compared));
     }
+    text += &sweeps(&valid)?;
     let spans: Vec<Span> = first
         .troubles
         .iter()
@@ -271,6 +272,44 @@
     text
 }
 
+/// Where one field varies over numbers: some figures against it.
+fn sweeps(runs: &[&RunLine]) -> Result<String> {
+    let value = |r: &RunLine| r.variant.split_once(" = ").and_then(|(_, v)| v.parse::<f64>().ok());
+    let mut values: Vec<f64> = runs.iter().filter_map(|r| value(r)).collect();
+    values.sort_by(f64::total_cmp);
+    values.dedup();
+    if values.len() < 3 || runs.iter().any(|r| value(r).is_none()) {
+        return Ok(String::new());
+    }
+    let field = runs[0].variant.split(" = ").next().unwrap_or("");
+    let mut text = format!("<h2>Over {}</h2>", escape(field));
+    for (what, figure, _) in compare::FIGURES {
+        let at = |v: f64| {
+            let of: Vec<f64> = runs.iter().filter(|r| value(r) == Some(v)).map(|r| figure(r)).collect();
+            (v, of.iter().sum::<f64>() / of.len() as f64)
+        };
+        let points: Vec<(f64, f64)> = values.iter().map(|v| at(*v)).collect();
+        if points.iter().all(|p| p.1 == 0.0) {
+            continue;
+        }
+        let lines = vec![Line { name: String::new(), colour: 0, thin: false, points }];
+        let chart = Chart {
+            title: what,
+            x: field,
+            y: "",
+            lines,
+            spans: &[],
+            levels: vec![],
+            y_log: false,
+            y_top: 0.0,
+            x_to: 0.0,
+            x_words: None,
+        };
+        text += &chart.svg()?;
+    }
+    Ok(text)
+}
+
 fn charts<'a>(runs: &[&RunLine], spans: &'a [Span]) -> Vec<Chart<'a>> {
     let x_to = runs.iter().map(|r| time(r.results.points.len())).fold(0.0, f64::max);
     let chart = |title, y, lines: Vec<Line>, y_top| Chart {
@@ -338,6 +377,10 @@
             )
         });
     }
+    if runs.iter().any(|r| !r.cost.open.is_empty()) {
+        let open = |r: &RunLine| r.cost.open.iter().map(|o| (o.0, o.1 as f64)).collect::<Vec<_>>();
+        charts.push(chart("Mails held", "mails", over_time(runs, open), 1.0));
+    }
     let mut lines = vec![];
     let first = runs[0];
     for (colour, class) in first.results.classes.iter().enumerate() {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -43,6 +43,10 @@
     pub late_p99_ms: f64,
     pub late_max_ms: f64,
     pub usage: Vec<Usage>,
+    /// Mails owed their end, at seconds of the run; sockets only.
+    pub open: Vec<(f64, usize)>,
+    /// From which second on processor time counts.
+    pub cpu_from_s: f64,
 }
 
 /// One run: one line of JSON.
@@ -162,6 +166,7 @@
             line.interrupted = played.interrupted;
         }
     }
+    line.cost.cpu_from_s = variant.spec.run.cpu_from_s;
     line.cost.wall_s = from.elapsed().as_secs_f64();
     line.cost.peak_mb = peak_mb();
     Ok(line)
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -115,6 +115,7 @@
     /// Mails that may be handed in again.
     pending: usize,
     late: Histogram<u64>,
+    open: Vec<(f64, usize)>,
     faults: Vec<String>,
 }
 
@@ -304,6 +305,7 @@
         errands: errand_to,
         pending: 0,
         late: Histogram::new_with_bounds(1, 3_600_000_000, 2).context("bounds")?,
+        open: vec![],
         faults: vec![],
         world,
     };
@@ -388,7 +390,8 @@
     if !interrupted && schedule.is_finished() {
         let _ = schedule.join();
     }
-    let cost = Cost { late_p99_ms: p99, late_max_ms: most, usage, ..Default::default() };
+    let open = std::mem::take(&mut state.open);
+    let cost = Cost { late_p99_ms: p99, late_max_ms: most, usage, open, ..Default::default() };
     let (returns, faults) = (std::mem::take(&mut state.world.returns), std::mem::take(&mut state.faults));
     Ok(Played { verdict, results, returns, not_valid, faults, cost, interrupted })
 }
--- a/lab/src/sockets/processes.rs
+++ b/lab/src/sockets/processes.rs
@@ -175,11 +175,9 @@
 
 /// Processor seconds, resident megabytes and descriptors of a process.
 fn used(pid: u32) -> Option<(f64, f64, u64)> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name may hold anything; what follows its last bracket is numbers.
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok());
-    let cpu = (ticks(11)? + ticks(12)?) / rustix::param::clock_ticks_per_second() as f64;
+    // In nanoseconds, where the ticks of `stat` are hundredths of a second. The daemon is one thread.
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
+    let cpu = stat.split_whitespace().next()?.parse::<f64>().ok()? / 1e9;
     let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
     let pages: f64 = statm.split_whitespace().nth(1)?.parse().ok()?;
     let fds = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count() as u64);
@@ -193,6 +191,12 @@
         for d in 0..count {
             sample(&shared, d);
         }
+        {
+            let mut s = shared.state.borrow_mut();
+            let at = (s.now() - START) as f64 / 1e9;
+            let open = s.ledger.audit.open();
+            s.open.push((at, open));
+        }
         tokio::time::sleep(SAMPLE).await;
     }
 }
--- a/lab/src/spec.rs
+++ b/lab/src/spec.rs
@@ -71,6 +71,9 @@
     pub drive: Drive,
     /// For how long mails are handed in; the run goes on until each has had its queue lifetime.
     pub seconds: f64,
+    /// The processor time of dispatchers is reckoned from this second on, to the end of the load.
+    #[serde(default)]
+    pub cpu_from_s: f64,
     /// A generator later than this at its 99th percentile, or late by ten times as much once, makes a run not valid.
     #[serde(default = "late_ms")]
     pub late_ms: f64,
@@ -237,6 +240,9 @@
     pub burst_share: f64,
     #[serde(default = "burst_size")]
     pub burst_size: usize,
+    /// Mails for one destination that come on top of all that.
+    #[serde(default)]
+    pub clumps: Vec<Clump>,
     /// How often a client hands a mail in again that was turned away or deferred.
     #[serde(default = "retries")]
     pub retries: u32,
@@ -275,6 +281,17 @@
     pub over_s: f64,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clump {
+    pub at_s: f64,
+    pub destination: usize,
+    pub mails: usize,
+    /// They come evenly in this span.
+    #[serde(default)]
+    pub over_s: f64,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Dispatchers {
@@ -428,6 +445,11 @@
         "run.seconds".into(),
         "seconds, over 0 and at most 3600",
     );
+    need(
+        (0.0..run.seconds).contains(&run.cpu_from_s),
+        "run.cpu_from_s".into(),
+        "seconds, 0 or more, under seconds",
+    );
     need(over(run.late_ms), "run.late_ms".into(), "milliseconds, over 0");
     need(!world.zones.is_empty(), "world.zones".into(), "at least one zone");
     need((1..=200_000).contains(&world.destinations), "world.destinations".into(), "1 to 200000");
@@ -500,6 +522,13 @@
         need(s.times >= 0.0 && s.times <= 1_000.0, f("times"), "a multiple, 0 to 1000");
         need(s.over_s >= 0.0 && s.over_s.is_finite(), f("over_s"), "seconds, 0 or more");
     }
+    for (i, c) in load.clumps.iter().enumerate() {
+        let f = |name: &str| format!("load.clumps[{i}].{name}");
+        need(c.at_s >= 0.0 && c.at_s.is_finite(), f("at_s"), "seconds, 0 or more");
+        need(c.over_s >= 0.0 && c.over_s.is_finite(), f("over_s"), "seconds, 0 or more");
+        need(c.destination < world.destinations, f("destination"), "a destination, counted from 0");
+        need(c.mails <= 1_000_000, f("mails"), "0 to 1000000");
+    }
     let d = &spec.dispatchers;
     let most = if run.drive == Drive::Sockets { 64 } else { 5_000 };
     need(
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -297,7 +297,10 @@
             Event::Wake { .. } => {}
             Event::TimeOut { host, mail, no, unconnected } => {
                 let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
-                if out.is_some_and(|out| out.no.0 == no) {
+                if let Some(out) = out.filter(|out| out.no.0 == no) {
+                    if unconnected {
+                        self.world.never_came_up(host, out.endpoint);
+                    }
                     self.close_call(host, mail);
                     let outcome =
                         if unconnected { ConnectOutcome::Unconnected } else { ConnectOutcome::TimedOut };
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -27,6 +27,8 @@
 const REAPED_AFTER: Nanos = 300 * MS;
 /// How often the load on what has returned is written down.
 const SAMPLE: Nanos = 500 * MS;
+/// A caller that breaks a call off sooner has not seen it fail: it had other reasons.
+const SEEN_AFTER: Nanos = 2 * S;
 /// Effects are remembered for so long over the longest queue lifetime.
 const EFFECTS_KEPT: Nanos = 30 * S;
 
@@ -397,10 +399,7 @@
                 self.saw(e, dispatcher);
                 Opening::Refused
             }
-            Reach::Silent => {
-                self.saw(e, dispatcher);
-                Opening::Never
-            }
+            Reach::Silent => Opening::Never,
             Reach::Open => {
                 if self.endpoints[e].conns.len()
                     >= self.plan.spec.kinds[self.plan.endpoints[e].kind].connections
@@ -420,13 +419,18 @@
         }
     }
 
+    /// A dispatcher has waited in vain for a connection to come up.
+    pub fn never_came_up(&mut self, dispatcher: usize, endpoint: EndpointId) {
+        self.saw(endpoint.0 as usize, dispatcher);
+    }
+
     /// A dispatcher has closed its side. A call that waits is dropped; one that is worked on runs on, unheard.
     pub fn close(&mut self, conn: ConnId) {
         let Some(gone) = self.conns.remove(conn) else { return };
         let e = gone.endpoint;
         self.endpoints[e].conns.remove(&conn);
         let Some(id) = gone.call else { return };
-        if self.endpoints[e].in_outage() {
+        if self.now >= gone.used + SEEN_AFTER {
             self.saw(e, gone.dispatcher);
         }
         match self.calls.get(id).map(|c| c.state) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -447,7 +447,7 @@
                     self.routes[route].strike(now);
                 }
             }
-            Outcome::Reset if !connect.fresh => {} // Perhaps an idle connection dropped unseen.
+            Outcome::Reset if !connect.fresh && early => {} // Perhaps an idle connection dropped unseen.
             Outcome::Unsent(true) => self.no_slot_until = now + 10 * self.facts.tick,
             Outcome::Unsent(false) | Outcome::CalledOff => {}
             _ => {
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -437,3 +437,15 @@
     load(&mut w, 20);
     assert!(w.o.lines.iter().any(|l| l.starts_with("route 0 returns cold")), "{:?}", w.o.lines);
 }
+
+#[test]
+fn resets_as_late_as_answers_are_failures_of_the_route() {
+    let mut w = World::new(facts());
+    w.o.ways[8] = Way::LosesLate;
+    for _ in 0..80 {
+        w.mail(0, 2, None, 12 * S);
+        w.pass(100 * MS);
+    }
+    assert!(sends(&w, 8) <= 14, "{} of 80 mails went to it first", sends(&w, 8));
+    assert_eq!(w.o.relayed.len(), 80);
+}
