The laboratory says each thing once; a restart waits for the process that still ends

Read over once more, the laboratory built a hand-in, a mail's lifetime, a deferral's wait, a class's share and the value of a header in two places each, ended processes in three, and read its own program of 30 MB into memory twice a run to name it. Each is one piece now, the checksum is read once in pieces, and fields, a parameter and processor sums that nothing read are gone. In control.rs a plain loop stands for a collected filter.

One fault mended: a dispatcher told to end had already been taken from its place, so the wait before its next start never waited, and a start within those 3.7 s would have put a second process on the same folder.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -217,11 +217,11 @@
     let key = said.split('`').nth(1).unwrap_or("");
     match texts.key_line(key).filter(|_| said.starts_with("unknown")) {
         Some((path, line)) => BadExperiment::Form(path, format!("line {line}, {said}")),
-        None => match toml::from_str::<File>(&texts.0[0].1) {
+        None => {
             // In a single text the reader knows the place.
-            Err(e) if texts.0.len() == 1 => BadExperiment::Form(path.into(), e.to_string()),
-            _ => BadExperiment::Form(path.into(), e.to_string()),
-        },
+            let placed = (texts.0.len() == 1).then(|| toml::from_str::<File>(&texts.0[0].1).err()).flatten();
+            BadExperiment::Form(path.into(), placed.as_ref().unwrap_or(e).to_string())
+        }
     }
 }
 
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -150,6 +150,18 @@
     NoAnswer,
 }
 
+impl Back {
+    /// After a deferral; nought tells no time.
+    pub fn deferred(come_back: Nanos) -> Back {
+        Back::Refused(Some(come_back).filter(|wait| *wait > 0))
+    }
+}
+
+/// When the queue lifetime of an arrival is up.
+pub fn due(plan: &Plan, arrival: &Arrival) -> Nanos {
+    arrival.at + ms(plan.spec.classes[arrival.class].lifetime_ms)
+}
+
 /// When a client hands a mail in again and at which dispatcher, if it still may.
 pub fn again(plan: &Plan, arrival: &Arrival, tries: u32, back: Back, now: Nanos) -> Option<(Nanos, usize)> {
     let load = &plan.spec.load;
@@ -159,8 +171,7 @@
         Back::Refused(told) => (told.unwrap_or(pause).max(MS), arrival.dispatcher),
         Back::NoAnswer => (pause, (arrival.dispatcher + tries as usize + 1) % plan.spec.dispatchers.count),
     };
-    let due = arrival.at + ms(plan.spec.classes[arrival.class].lifetime_ms);
-    (tries < load.retries && now + wait + 50 * MS < due).then_some((now + wait, dispatcher))
+    (tries < load.retries && now + wait + 50 * MS < due(plan, arrival)).then_some((now + wait, dispatcher))
 }
 
 /// What a mail that is relayed so long after its intended hand-in is worth; 1 is in time.
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -74,6 +74,17 @@
     pub deferred: u64,
 }
 
+/// The part of the importance asked for that was delivered; all of it where nothing was asked for.
+fn part(delivered: f64, asked: f64) -> f64 {
+    if asked > 0.0 { delivered / asked } else { 1.0 }
+}
+
+impl ClassResult {
+    pub fn share(&self) -> f64 {
+        part(self.delivered, self.asked)
+    }
+}
+
 /// One point of the curves; counts of what happened in the span, importance by the moment of the intended hand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Point {
@@ -242,21 +253,20 @@
 
     pub fn finish(mut self) -> Results {
         let r = &mut self.results;
-        let share = |delivered: f64, asked: f64| if asked > 0.0 { delivered / asked } else { 1.0 };
         for (row, h) in r.classes.iter_mut().zip(&self.latency) {
             row.latency = Spread::of(h);
         }
         r.hand_in = Spread::of(&self.hand_in);
         (r.asked, r.delivered) = r.points.iter().fold((0.0, 0.0), |s, p| (s.0 + p.asked, s.1 + p.delivered));
-        r.share = share(r.delivered, r.asked);
+        r.share = part(r.delivered, r.asked);
         let span = (10 * S / BUCKET) as usize;
         let loaded = r.points.iter().rposition(|p| p.asked > 0.0).map_or(0, |i| i + 1);
         let of = |points: &[Point]| {
             let sums = points.iter().fold((0.0, 0.0), |s, p| (s.0 + p.asked, s.1 + p.delivered));
-            share(sums.1, sums.0)
+            part(sums.1, sums.0)
         };
         r.worst_span = r.points[..loaded].windows(span.min(loaded.max(1))).map(of).fold(1.0, f64::min);
-        r.worst_class = r.classes.iter().map(|c| share(c.delivered, c.asked)).fold(1.0, f64::min);
+        r.worst_class = r.classes.iter().map(ClassResult::share).fold(1.0, f64::min);
         r.points.truncate(r.points.iter().rposition(|p| *p != Point::default()).map_or(0, |i| i + 1));
         self.results
     }
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -1,6 +1,7 @@
 //! What really passed between clients, dispatchers, endpoints and the platform, as it was seen from outside: the auditor
 //! and the measurements know nothing else.
 
+use crate::load::{Arrival, mail_id};
 use crate::world::Answer;
 use bellsill::interface::{EndpointId, MailId, Nanos};
 
@@ -90,3 +91,19 @@
     /// It never took effect as far as its client was told: what it was under other ids counts.
     pub again: bool,
 }
+
+impl HandIn {
+    /// An arrival as it is handed in, after so many tries before.
+    pub fn of(arrival: &Arrival, tries: u32, dispatcher: usize, due: Nanos) -> HandIn {
+        HandIn {
+            mail: mail_id(arrival.no, tries),
+            arrival: arrival.no,
+            class: arrival.class,
+            destination: arrival.destination,
+            key: arrival.key,
+            dispatcher,
+            due,
+            again: tries > 0,
+        }
+    }
+}
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -44,14 +44,20 @@
         .collect()
 }
 
-/// For each variant the mean over its seeds, and each seed thinly.
-fn over_time(runs: &[&RunLine], of: impl Fn(&RunLine) -> Vec<(f64, f64)>) -> Vec<Line> {
-    let mut names: Vec<&str> = vec![];
-    runs.iter().for_each(|r| {
-        if !names.contains(&r.variant.as_str()) {
-            names.push(&r.variant)
+/// Each name once, in the order in which they come.
+fn distinct<'a>(all: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut names = vec![];
+    all.for_each(|name| {
+        if !names.contains(&name) {
+            names.push(name)
         }
     });
+    names
+}
+
+/// For each variant the mean over its seeds, and each seed thinly.
+fn over_time(runs: &[&RunLine], of: impl Fn(&RunLine) -> Vec<(f64, f64)>) -> Vec<Line> {
+    let names = distinct(runs.iter().map(|r| r.variant.as_str()));
     let mut lines = vec![];
     for (colour, name) in names.iter().enumerate() {
         let curves: Vec<_> = runs.iter().filter(|r| r.variant == *name).map(|r| of(r)).collect();
@@ -127,12 +133,7 @@
 .bad{background:#fbe3e0;padding:8px 12px;border-left:4px solid #b22}.good{color:#2a6b2a}.note{color:#555;font-size:13px}";
 
 pub fn html(runs: &[RunLine]) -> Result<String> {
-    let mut names: Vec<&str> = vec![];
-    runs.iter().for_each(|r| {
-        if !names.contains(&r.experiment.as_str()) {
-            names.push(&r.experiment)
-        }
-    });
+    let names = distinct(runs.iter().map(|r| r.experiment.as_str()));
     let mut body = String::new();
     for name in &names {
         let of: Vec<RunLine> = runs.iter().filter(|r| r.experiment == *name).cloned().collect();
@@ -258,10 +259,9 @@
         for c in &run.results.classes {
             let l = &c.latency;
             let ms = |us: u64| format!("{:.1}", us as f64 / 1e3);
-            let share = if c.asked > 0.0 { c.delivered / c.asked } else { 1.0 };
             let whose = format!("{}, seed {}: {}", run.variant, run.seed, c.name);
             let counts = [c.late, c.bounced, c.deferred].map(|n| n.to_string());
-            let mut row = vec![whose, format!("{share:.4}")];
+            let mut row = vec![whose, format!("{:.4}", c.share())];
             row.extend([l.p50_us, l.p90_us, l.p99_us, l.p999_us, l.max_us].map(ms));
             row.extend(counts);
             rows.push(row);
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -10,7 +10,7 @@
 use anyhow::{Context, Result};
 use indicatif::{ProgressBar, ProgressStyle};
 use serde::{Deserialize, Serialize};
-use std::io::{BufRead, Write};
+use std::io::{BufRead, Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
@@ -29,7 +29,6 @@
     pub dispatcher: usize,
     /// Second, share of a core since the sample before, resident megabytes, descriptors.
     pub samples: Vec<(f64, f64, f64, u64)>,
-    pub cpu_s: f64,
     pub peak_mb: f64,
 }
 
@@ -121,11 +120,12 @@
 }
 
 /// One run, from its plan to its line.
-pub fn one(
+fn one(
     experiment: &Experiment,
     variant: &Variant,
     seed: u64,
     how: &How,
+    print: String,
     tick: &mut dyn FnMut(f64),
 ) -> Result<RunLine> {
     let drive = how.drive.unwrap_or(variant.spec.run.drive);
@@ -136,7 +136,7 @@
         variant: variant.name.clone(),
         seed,
         drive,
-        print: print(variant, drive, how),
+        print,
         not_valid: vec![],
         faults: vec![],
         interrupted: false,
@@ -172,19 +172,28 @@
     Ok(line)
 }
 
-/// Names all that a run is made of but its seed.
-fn print(variant: &Variant, drive: Drive, how: &How) -> String {
+/// The checksum of a program's file, read in pieces; nought where there is none.
+fn checksum(path: std::io::Result<PathBuf>) -> u32 {
     let mut hash = crc32fast::Hasher::new();
-    // Another build of the laboratory may see other things.
-    let own = std::env::current_exe().and_then(std::fs::read);
-    hash.update(&own.unwrap_or_default());
-    hash.update(format!("{:?} {drive:?}", variant.spec).as_bytes());
-    if drive == Drive::Sockets {
-        // Another build is another run.
-        let program = variant.program.as_ref().unwrap_or(&how.program);
-        hash.update(&std::fs::read(program).unwrap_or_default());
+    let mut piece = vec![0; 1 << 16];
+    if let Ok(mut file) = path.and_then(std::fs::File::open) {
+        while let Ok(n @ 1..) = file.read(&mut piece) {
+            hash.update(&piece[..n]);
+        }
     }
-    format!("{:08x}", hash.finalize())
+    hash.finalize()
+}
+
+/// Names all that the runs of a variant are made of but their seeds. Another build, of the dispatcher or of the laboratory
+/// (`own` is its checksum), makes another run.
+fn print(variant: &Variant, how: &How, own: u32) -> String {
+    let drive = how.drive.unwrap_or(variant.spec.run.drive);
+    let program = match drive {
+        Drive::Virtual => 0,
+        Drive::Sockets => checksum(Ok(variant.program.as_ref().unwrap_or(&how.program).clone())),
+    };
+    let all = format!("{own:08x} {program:08x} {drive:?} {:?}", variant.spec);
+    format!("{:08x}", crc32fast::hash(all.as_bytes()))
 }
 
 /// Reads the lines of a file of runs.
@@ -225,10 +234,10 @@
         out.write_all(b"\n")?;
     }
     let mut runs = vec![];
+    let own = checksum(std::env::current_exe());
     for variant in &experiment.variants {
+        let print = print(variant, how, own);
         for &seed in how.seeds.as_ref().unwrap_or(&experiment.seeds) {
-            let drive = how.drive.unwrap_or(variant.spec.run.drive);
-            let print = print(variant, drive, how);
             let same =
                 |r: &&RunLine| r.print == print && r.seed == seed && r.variant == variant.name && r.valid();
             if let Some(run) = old.iter().find(same) {
@@ -236,8 +245,8 @@
                 continue;
             }
             let bar = bar(&format!("{}, {}, seed {seed}", experiment.name, variant.name), how.quiet);
-            let run =
-                one(experiment, variant, seed, how, &mut |part| bar.set_position((part * 1_000.0) as u64))?;
+            let mut tick = |part: f64| bar.set_position((part * 1_000.0) as u64);
+            let run = one(experiment, variant, seed, how, print.clone(), &mut tick)?;
             bar.finish_and_clear();
             // In one write, so that a line is whole or the last.
             let mut line = serde_json::to_vec(&run)?;
@@ -278,7 +287,7 @@
         text += &format!(
             "\n  {}: {:.4}, p50 {:.0} ms, p99 {:.0} ms, {} late, {} bounced, {} deferred",
             c.name,
-            if c.asked > 0.0 { c.delivered / c.asked } else { 1.0 },
+            c.share(),
             c.latency.p50_us as f64 / 1e3,
             c.latency.p99_us as f64 / 1e3,
             c.late,
--- a/lab/src/sockets/clients.rs
+++ b/lab/src/sockets/clients.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for clients: RESP2, open loop. A hand-in starts when it was meant to; it waits for nobody else's answer.
 
 use super::{Handed, Shared};
-use crate::load::{Arrival, Back, again, mail_id};
+use crate::load::{Arrival, Back, again, due, mail_id};
 use crate::record::*;
 use crate::spec::RepeatWord;
 use crate::world::plan::*;
@@ -85,25 +85,16 @@
     let (command, wait) = {
         let mut s = shared.state.borrow_mut();
         let now = s.now();
-        let class = s.world.plan.spec.classes[arrival.class].clone();
-        let left = (arrival.at + ms(class.lifetime_ms)).saturating_sub(now) / MS;
+        let left = due(&s.world.plan, arrival).saturating_sub(now) / MS;
         if left == 0 {
             return None;
         }
         let (tag, body) = content(&s.world.plan, arrival);
-        let hand_in = HandIn {
-            mail,
-            arrival: arrival.no,
-            class: arrival.class,
-            destination: arrival.destination,
-            key: arrival.key,
-            dispatcher,
-            due: now + left * MS,
-            again: tries > 0,
-        };
-        s.mails.insert(mail, Handed { hand_in, arrival: Rc::clone(arrival), tries });
+        let hand_in = HandIn::of(arrival, tries, dispatcher, now + left * MS);
+        s.mails.insert(mail, Handed { dispatcher, arrival: Rc::clone(arrival) });
         s.see(Seen::HandedIn(hand_in));
-        let mut fields = format!("c={},d={left},dest={}", class.name, arrival.destination);
+        let class = &s.world.plan.spec.classes[arrival.class].name;
+        let mut fields = format!("c={class},d={left},dest={}", arrival.destination);
         if !tag.is_empty() {
             fields += &format!(",k={tag}");
         }
--- a/lab/src/sockets/endpoints.rs
+++ b/lab/src/sockets/endpoints.rs
@@ -41,7 +41,7 @@
     Ok(socket)
 }
 
-fn listener(at: SocketAddr) -> Result<TcpListener> {
+fn bound(at: SocketAddr) -> Result<TcpListener> {
     let socket = socket()?;
     socket.set_reuse_address(true)?;
     socket.bind(&at.into())?;
@@ -60,24 +60,20 @@
         }
         (reach, at, s.listeners[endpoint.0 as usize].take())
     };
+    let listener = || match &old {
+        Some(old) => Ok(Rc::clone(&old.socket)),
+        None => bound(at).map(Rc::new),
+    };
     let new = match reach {
         Reach::Refusing => None,
         Reach::Open => {
-            let socket = match old {
-                Some(old) => {
-                    SockRef::from(&*old.socket).listen(BACKLOG)?;
-                    Rc::clone(&old.socket)
-                }
-                None => Rc::new(listener(at)?),
-            };
+            let socket = listener()?;
+            SockRef::from(&*socket).listen(BACKLOG)?;
             let accepts = tokio::task::spawn_local(accept(Rc::clone(shared), endpoint, Rc::clone(&socket)));
             Some(Listening { reach, accepts: Some(accepts), socket, _fill: vec![] })
         }
         Reach::Silent => {
-            let socket = match &old {
-                Some(old) => Rc::clone(&old.socket),
-                None => Rc::new(listener(at)?),
-            };
+            let socket = listener()?;
             drop(old);
             // One connection fills a queue of nought; the kernel then leaves all others unanswered.
             SockRef::from(&*socket).listen(0)?;
@@ -130,9 +126,8 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(format!("a head that is no HTTP: {e}")),
     };
-    let value = |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
-    let number = |v: &[u8]| std::str::from_utf8(v).ok().and_then(|v| v.trim().parse::<usize>().ok());
-    let size = value("content-length").and_then(number).ok_or("a call without its length")?;
+    let value = |name: &str| super::header(&head, name);
+    let size = super::content_length(&head).ok_or("a call without its length")?;
     if size > CALL_MOST {
         return Err(format!("a call of {size} bytes"));
     }
@@ -265,7 +260,7 @@
         if s.world.endpoint(endpoint).destination != known.arrival.destination {
             s.fault(format!("endpoint {}: mail {:016x} is for another destination", endpoint.0, mail.0));
         }
-        let (no, dispatcher) = (s.ledger.call_no(), known.hand_in.dispatcher);
+        let (no, dispatcher) = (s.ledger.call_no(), known.dispatcher);
         let new = NewCall { mail, class: known.arrival.class, dispatcher, tag: known.arrival.no };
         let id = s.world.call(conn, new);
         s.see(Seen::Call { call: no, mail, endpoint, dispatcher, begun, fresh: id.is_some() });
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -92,9 +92,8 @@
 /// What is known of a mail that was handed in.
 #[derive(Clone)]
 struct Handed {
-    hand_in: HandIn,
+    dispatcher: usize,
     arrival: Rc<Arrival>,
-    tries: u32,
 }
 
 struct State {
@@ -396,6 +395,15 @@
     Ok(Played { verdict, results, returns, not_valid, faults, cost, interrupted })
 }
 
+/// The value of a header of this name.
+fn header<'b>(head: &httparse::Request<'_, 'b>, name: &str) -> Option<&'b [u8]> {
+    head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+}
+
+fn content_length(head: &httparse::Request) -> Option<usize> {
+    std::str::from_utf8(header(head, "content-length")?).ok()?.trim().parse().ok()
+}
+
 /// What a dispatcher is told at its start: the platform's file.
 fn config(state: &State, dispatcher: usize, start: u32) -> serde_json::Value {
     use serde_json::json;
--- a/lab/src/sockets/platform.rs
+++ b/lab/src/sockets/platform.rs
@@ -73,9 +73,7 @@
             match head.parse(&input)? {
                 httparse::Status::Partial => None,
                 httparse::Status::Complete(length) => {
-                    let size = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"));
-                    let size = size.and_then(|h| std::str::from_utf8(h.value).ok()?.trim().parse().ok());
-                    let size: usize = size.unwrap_or(0);
+                    let size = super::content_length(&head).unwrap_or(0);
                     let path = head.path.unwrap_or("").to_string();
                     (input.len() >= length + size)
                         .then(|| (path, input[length..length + size].to_vec(), length + size))
@@ -168,14 +166,12 @@
         let back = shared.with(|s| {
             s.see(Seen::Notice { mail, deferred });
             let known = s.mails.get(&mail).cloned()?;
-            let told = deferred?;
-            let back = Back::Refused(Some(told).filter(|w| *w > 0));
-            let now = s.now();
-            let next = again(&s.world.plan, &known.arrival, arrival_of(mail).1, back, now)?;
-            Some((known, next))
+            let (back, tries, now) = (Back::deferred(deferred?), arrival_of(mail).1, s.now());
+            let next = again(&s.world.plan, &known.arrival, tries, back, now)?;
+            Some((known.arrival, tries + 1, next))
         });
-        if let Some((known, (at, to))) = back {
-            super::clients::later(shared, known.arrival, known.tries + 1, at, to);
+        if let Some((arrival, tries, (at, to))) = back {
+            super::clients::later(shared, arrival, tries, at, to);
         }
     }
     true
--- a/lab/src/sockets/processes.rs
+++ b/lab/src/sockets/processes.rs
@@ -22,13 +22,11 @@
     program: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
-    /// Its end was asked for.
+    /// Its process has been told to end, and has not.
     ends: bool,
     starts: u32,
     usage: Usage,
-    /// Processor seconds of processes that have ended, and of the present one.
-    cpu_before: f64,
-    cpu_now: f64,
+    /// When the present process was looked at last, and its processor seconds then.
     sampled: Option<(Instant, f64)>,
 }
 
@@ -52,8 +50,6 @@
             ends: false,
             starts: 0,
             usage: Usage { dispatcher: d, ..Default::default() },
-            cpu_before: 0.0,
-            cpu_now: 0.0,
             sampled: None,
         };
         shared.hosts.borrow_mut().push(host);
@@ -75,7 +71,6 @@
     let mut hosts = shared.hosts.borrow_mut();
     let host = &mut hosts[d];
     host.starts += 1;
-    host.ends = false;
     let mut state = shared.state.borrow_mut();
     let json = config(&state, d, host.starts);
     let upto = state.told[d];
@@ -110,59 +105,47 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         match news {
-            DispatcherNews::Kill => kill(&shared, d).await,
-            DispatcherNews::Term => term(&shared, d).await,
+            DispatcherNews::Kill => end(&shared, d, false).await,
+            DispatcherNews::Term => end(&shared, d, true).await,
             DispatcherNews::Start => start(&shared, d).await,
         }
     });
 }
 
-async fn kill(shared: &Rc<Shared>, d: usize) {
+/// Ends a dispatcher's process: killed at once, or `asked` first and killed when its time is up.
+async fn end(shared: &Rc<Shared>, d: usize, asked: bool) {
     let child = {
         let mut hosts = shared.hosts.borrow_mut();
-        hosts[d].ends = true;
-        hosts[d].child.take()
+        if let Some(pid) = pid(&hosts[d]).filter(|_| asked) {
+            // It may just have ended by itself.
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        let child = hosts[d].child.take();
+        hosts[d].ends |= child.is_some();
+        child
     };
     let Some(mut child) = child else { return };
-    let _ = child.kill().await;
+    let in_time = asked && tokio::time::timeout(TERM_TO_KILL, child.wait()).await.is_ok();
+    if !in_time {
+        let _ = child.kill().await;
+    }
     ended(shared, d);
 }
 
 fn ended(shared: &Rc<Shared>, d: usize) {
     let mut hosts = shared.hosts.borrow_mut();
     let host = &mut hosts[d];
-    host.cpu_before += std::mem::take(&mut host.cpu_now);
-    host.sampled = None;
+    (host.ends, host.sampled) = (false, None);
     shared.clients.borrow_mut()[d] = clients::Pool::default();
     shared.with(|s| s.see(Seen::Ended { dispatcher: d }));
 }
 
-async fn term(shared: &Rc<Shared>, d: usize) {
-    let child = {
-        let mut hosts = shared.hosts.borrow_mut();
-        hosts[d].ends = true;
-        if let Some(pid) = pid(&hosts[d]) {
-            // It may just have ended by itself.
-            let _ = kill_process(pid, Signal::TERM);
-        }
-        hosts[d].child.take()
-    };
-    let Some(mut child) = child else { return };
-    if tokio::time::timeout(TERM_TO_KILL, child.wait()).await.is_err() {
-        let _ = child.kill().await;
-    }
-    ended(shared, d);
-}
-
 async fn start(shared: &Rc<Shared>, d: usize) {
     // One that was told to end has until it is killed.
-    while shared.hosts.borrow()[d].child.is_some() {
-        if *shared.over.borrow() || !shared.hosts.borrow()[d].ends {
-            return;
-        }
+    while shared.hosts.borrow()[d].ends && !*shared.over.borrow() {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    if *shared.over.borrow() {
+    if *shared.over.borrow() || shared.hosts.borrow()[d].child.is_some() {
         return;
     }
     if let Err(e) = spawn(shared, d) {
@@ -208,9 +191,8 @@
         let mut hosts = shared.hosts.borrow_mut();
         let host = &mut hosts[d];
         let Some(child) = &mut host.child else { return };
-        if let Ok(Some(status)) = child.try_wait()
-            && !host.ends
-        {
+        // One that was told to end is no longer here.
+        if let Ok(Some(status)) = child.try_wait() {
             crashed = Some(status);
             host.child = None;
         } else if let Some((cpu, mb, fds)) = child.id().and_then(used) {
@@ -220,7 +202,6 @@
                 host.usage.samples.push((at, share, mb, fds));
             }
             host.sampled = Some((now, cpu));
-            host.cpu_now = cpu;
             host.usage.peak_mb = host.usage.peak_mb.max(mb);
         }
     }
@@ -241,5 +222,5 @@
         }
     }
     let mut hosts = shared.hosts.borrow_mut();
-    hosts.drain(..).map(|host| Usage { cpu_s: host.cpu_before + host.cpu_now, ..host.usage }).collect()
+    hosts.drain(..).map(|host| host.usage).collect()
 }
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -222,7 +222,7 @@
                     let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
                     if out.is_some_and(|out| out.no == no) {
                         self.close_call(host, mail);
-                        self.end_call(host, mail, ConnectOutcome::CalledOff, false);
+                        self.end_call(host, mail, ConnectOutcome::CalledOff);
                     }
                 }
                 Command::HangUp(endpoint) => self.hang_up(host, endpoint),
@@ -239,7 +239,7 @@
 
     fn hand_in(&mut self, arrival: Arrival, tries: u32, dispatcher: usize) {
         let (now, mail) = (self.now, mail_id(arrival.no, tries));
-        let due = arrival.at + ms(self.world.plan.spec.classes[arrival.class].lifetime_ms);
+        let due = due(&self.world.plan, &arrival);
         self.open.entry(arrival.no).or_insert_with(|| arrival.clone());
         let room = self.world.plan.hold();
         let host = &mut self.hosts[dispatcher];
@@ -247,19 +247,10 @@
         if !listens {
             return self.back(arrival, tries, Back::NoAnswer);
         }
-        let hand_in = HandIn {
-            mail,
-            arrival: arrival.no,
-            class: arrival.class,
-            destination: arrival.destination,
-            key: arrival.key,
-            dispatcher,
-            due,
-            again: tries > 0,
-        };
         let full = host.held >= room;
-        self.see(Seen::HandedIn(hand_in));
-        self.ledger.measure.hand_in_answered(now - arrival.at.max(if tries > 0 { now } else { 0 }));
+        self.see(Seen::HandedIn(HandIn::of(&arrival, tries, dispatcher, due)));
+        // No time passes on the way.
+        self.ledger.measure.hand_in_answered(0);
         if full {
             self.see(Seen::TurnedAway { mail, come_back: None });
             return self.back(arrival, tries, Back::Refused(None));
@@ -304,7 +295,7 @@
                     self.close_call(host, mail);
                     let outcome =
                         if unconnected { ConnectOutcome::Unconnected } else { ConnectOutcome::TimedOut };
-                    self.end_call(host, mail, outcome, false);
+                    self.end_call(host, mail, outcome);
                 }
             }
             Event::Leaves { host, starts } => {
@@ -331,7 +322,7 @@
                     self.ledger.measure.opened(now);
                     conn
                 }
-                Opening::Refused => return self.end_call(host, mail, ConnectOutcome::Unconnected, false),
+                Opening::Refused => return self.end_call(host, mail, ConnectOutcome::Unconnected),
                 Opening::Never => {
                     let at = now + time_out.min(connect_timeout);
                     return self.later(at, Event::TimeOut { host, mail, no: no.0, unconnected: true });
@@ -355,7 +346,7 @@
             }
             None => {
                 self.see(Seen::Broken { call, by_endpoint: true });
-                self.end_call(host, mail, ConnectOutcome::Reset, false);
+                self.end_call(host, mail, ConnectOutcome::Reset);
             }
         }
     }
@@ -412,7 +403,7 @@
         }
     }
 
-    fn end_call(&mut self, host: usize, mail: MailId, outcome: ConnectOutcome, over: bool) {
+    fn end_call(&mut self, host: usize, mail: MailId, outcome: ConnectOutcome) {
         let now = self.now;
         let h = &mut self.hosts[host];
         let Some(held) = h.mails.get_mut(&mail) else { return };
@@ -421,7 +412,7 @@
             let zone = ZoneId(self.world.endpoint(out.endpoint).zone);
             held.ran.get_or_insert((out.at, zone));
         }
-        let over = over || held.ended || outcome == ConnectOutcome::Relayed;
+        let over = held.ended || outcome == ConnectOutcome::Relayed;
         if over {
             if !held.ended {
                 h.held -= 1;
@@ -450,7 +441,7 @@
         self.see(Seen::Notice { mail, deferred });
         let tries = arrival_of(mail).1;
         match deferred {
-            Some(wait) => self.back(arrival, tries, Back::Refused(Some(wait).filter(|w| *w > 0))),
+            Some(wait) => self.back(arrival, tries, Back::deferred(wait)),
             None => drop(self.open.remove(&arrival.no)),
         }
     }
@@ -475,7 +466,7 @@
                     (Answer::Spoilt, _) | (_, None) => self.world.close(conn),
                     (_, Some(out)) => self.pool(host, out.endpoint, conn),
                 }
-                self.end_call(host, mail, outcome, false);
+                self.end_call(host, mail, outcome);
             }
             Effect::Break { conn } => {
                 let Some((host, mail)) = self.on.remove(&conn) else { return };
@@ -483,7 +474,7 @@
                 if let Some(call) = call {
                     self.see(Seen::Broken { call, by_endpoint: true });
                 }
-                self.end_call(host, mail, ConnectOutcome::Reset, false);
+                self.end_call(host, mail, ConnectOutcome::Reset);
             }
             Effect::Applied { call, fresh, .. } => {
                 if let Some(call) = self.call_nos.get(&call).copied() {
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -1,7 +1,7 @@
 //! The model of the world: endpoints, their troubles over time, and what is listed of them. No sockets, no clock, no
 //! threads: it is told what comes and when, and says what it answers. Both drives use it.
 //!
-//! Call [`World::advance`] up to a moment before telling it what comes then, and take [`World::effects`] after each call.
+//! Call [`World::advance`] up to a moment before telling it what comes then, and take each [`World::effect`] after a call.
 
 pub mod gate;
 pub mod plan;
@@ -122,7 +122,6 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Change {
-    pub at: Nanos,
     pub endpoint: EndpointId,
     pub listed: Listed,
 }
@@ -163,7 +162,7 @@
     fresh: bool,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct Condition {
     down: bool,
     reset: bool,
@@ -275,7 +274,7 @@
 impl World {
     pub fn new(plan: Plan) -> World {
         let changes: Vec<Change> = (0..plan.endpoints.len())
-            .map(|e| Change { at: START, endpoint: EndpointId(e as u32), listed: Listed::Up })
+            .map(|e| Change { endpoint: EndpointId(e as u32), listed: Listed::Up })
             .collect();
         let mut world = World {
             now: START,
@@ -374,7 +373,7 @@
     }
 
     fn list(&mut self, endpoint: usize, listed: Listed) {
-        self.changes.push(Change { at: self.now, endpoint: EndpointId(endpoint as u32), listed });
+        self.changes.push(Change { endpoint: EndpointId(endpoint as u32), listed });
     }
 
     /// Tells all dispatchers what has been listed, each after its own lag.
@@ -453,7 +452,7 @@
         at.used = now;
         // On sockets nothing says whose a connection is before its first call.
         at.dispatcher = new.dispatcher;
-        let condition = self.endpoints[e].condition.clone();
+        let condition = self.endpoints[e].condition;
         let keep_alive = ms(self.plan.spec.dispatchers.keep_alive_ms);
         if !fresh && (idle >= keep_alive || condition.reaped && idle >= REAPED_AFTER) {
             self.break_conn(conn);
@@ -621,7 +620,7 @@
             return self.endpoints[e].frozen.push(id);
         }
         self.endpoints[e].working -= 1;
-        let condition = self.endpoints[e].condition.clone();
+        let condition = self.endpoints[e].condition;
         let seed = self.plan.seed;
         let drawn = |salt| draw(seed, mail.0, count, salt);
         if drawn(4) < condition.failing {
@@ -779,7 +778,7 @@
             }
             _ => {
                 for &e in endpoints {
-                    let had = self.endpoints[e].condition.clone();
+                    let had = self.endpoints[e].condition;
                     self.endpoints[e].troubles.retain(|x| *x != t);
                     if strikes {
                         self.endpoints[e].troubles.push(t);
@@ -824,7 +823,7 @@
     }
 
     fn changed(&mut self, e: usize, had: Condition, chills: bool) {
-        let is = self.endpoints[e].condition.clone();
+        let is = self.endpoints[e].condition;
         let was_out = had.down || had.silent || had.hung || had.shut_until.is_some();
         if is.down && !had.down || had.silent && !is.silent {
             self.collapse(e);
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -44,7 +44,6 @@
 
 #[derive(Clone, Debug)]
 pub struct GatePlan {
-    pub kind: usize,
     /// Calls a second, if there is a limit.
     pub limit: Option<f64>,
     /// What it takes where a trouble limits what has none.
@@ -85,7 +84,6 @@
     /// The part of the load of each destination.
     pub parts: Vec<f64>,
     pub paces: Vec<f64>,
-    pub kind_of: Vec<usize>,
     /// In order of time, from [`START`].
     pub script: Vec<(Nanos, Moment)>,
     /// Spans in which these dispatchers together get a part of all mails.
@@ -148,7 +146,7 @@
                     let shared = if kind.apart { 1.0 } else { routes };
                     let limit = kind.limit_headroom * load / routes * shared;
                     let limit = (kind.limit != LimitForm::None).then_some(limit.max(1.0));
-                    gates.push(GatePlan { kind: kind_of[d], limit, capacity: capacity * shared });
+                    gates.push(GatePlan { limit, capacity: capacity * shared });
                 }
                 endpoints.push(EndpointPlan {
                     destination: d,
@@ -207,19 +205,7 @@
         let load_until = START + secs(spec.run.seconds);
         let longest = spec.classes.iter().map(|c| c.lifetime_ms).fold(0.0, f64::max);
         let over_at = load_until + ms(longest) + S;
-        Plan {
-            seed,
-            spec: spec.clone(),
-            endpoints,
-            gates,
-            parts,
-            paces,
-            kind_of,
-            script,
-            hot,
-            load_until,
-            over_at,
-        }
+        Plan { seed, spec: spec.clone(), endpoints, gates, parts, paces, script, hot, load_until, over_at }
     }
 
     /// Slots of one dispatcher: what its part of the load keeps busy, times what the experiment says.
--- a/src/control.rs
+++ b/src/control.rs
@@ -419,8 +419,11 @@
                 self.routes[gate].gap = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
                 self.routes[route].unmet = 0;
                 // One that refuses connections is not opened by its siblings' answers.
-                let met = self.bound(route).into_iter().filter(|&r| self.routes[r].unmet == 0);
-                met.collect::<Vec<_>>().into_iter().for_each(|r| self.routes[r].wait = FIRST_WAIT);
+                for r in self.bound(route) {
+                    if self.routes[r].unmet == 0 {
+                        self.routes[r].wait = FIRST_WAIT;
+                    }
+                }
                 self.routes[route].count(now, 1.0);
                 self.routes[route].fail *= 1.0 - FAIL_WEIGHT;
                 if !late {
