Operators' calls on a listener of their own: ready, show-stat, drain, resume, hold-out

Change: daemon/src/mgmt.rs reads one call a line in the one loop (16 callers at most, 2 s for a line), figures are counted where mails end and calls are written; drain answers PING with -ERR and parts with clients between requests; the module holds endpoints out by hand (Dispatcher::hold_out) whatever the list says, and they return cold.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -122,6 +122,7 @@
     /// Answers the commands that have come whole. False: the connection is done.
     fn answer_commands(&mut self, id: ConnId) -> bool {
         let now = self.hands.now;
+        let serves = self.serves();
         let mut left = TURN_MOST;
         loop {
             let Some(conn) = self.hands.conns.get_mut(id) else { return true };
@@ -153,6 +154,7 @@
             let mut new = None;
             let answer = match (name.as_slice(), words.len()) {
                 (b"", _) => String::new(),
+                (b"PING", _) if !serves => "-ERR draining\r\n".into(),
                 (b"PING", 1) => "+PONG\r\n".into(),
                 (b"PING", 2) if words[1].len() > PING_MOST => "-ERR the text is too long\r\n".into(),
                 (b"PING", 2) => {
@@ -214,6 +216,7 @@
         // would go out twice. It covers a dispatcher that stood still; the harm is a needless -BUSY to one that ends its
         // side early and yet listens.
         let listens = self.hands.conns.get(conn).is_some_and(|c| !c.ended);
+        let class = put.class.clone();
         let mail = KeptMail {
             id: MailId(put.id),
             class: put.class,
@@ -234,7 +237,12 @@
             Err(Refusal::UnknownDestination) => say(&mut self.hands, "-ERR dest: unknown destination\r\n"),
             Err(Refusal::TooLong) => say(&mut self.hands, "-ERR d: longer than the class allows\r\n"),
             Err(Refusal::Untagged) => say(&mut self.hands, "-ERR k: expected in this class\r\n"),
-            Err(Refusal::NoRoom) => say(&mut self.hands, "-BUSY\r\n"),
+            Err(Refusal::NoRoom) => {
+                if let Some(class) = self.hands.class_names.iter().position(|c| *c == class) {
+                    self.hands.figures.count(class, crate::mgmt::REJECTED);
+                }
+                say(&mut self.hands, "-BUSY\r\n")
+            }
         }
     }
 }
--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -25,6 +25,7 @@
 /// The poller's keys of what is no connection; connections' numbers stay far below.
 const LISTENER: usize = usize::MAX - 1;
 const SIGNALS: usize = usize::MAX - 2;
+const MGMT: usize = usize::MAX - 3;
 /// Descriptors of the process that are no connections: standard streams, listener, poller, signals, journal.
 const OTHERS: usize = 16;
 /// The most that a client's rings hold in use.
@@ -39,6 +40,8 @@
     Endpoint(EndpointId),
     Watch,
     Notices,
+    /// An operator's caller on the management listener.
+    Caller,
 }
 
 pub struct Conn {
@@ -84,6 +87,7 @@
 /// What the poller saw.
 pub enum Seen {
     Listener,
+    Mgmt,
     Signals,
     Conn(ConnId),
 }
@@ -93,6 +97,7 @@
     events: Events,
     slots: Slots<ConnId, Conn>,
     listener: Option<TcpListener>,
+    mgmt: Option<TcpListener>,
     signals: UnixStream,
     /// The most connections that may be open, and of these the most that clients may hold.
     pub most: usize,
@@ -128,6 +133,7 @@
             events: Events::new(),
             slots: Slots::default(),
             listener: Some(listener),
+            mgmt: None,
             signals,
             most,
             most_clients: most.saturating_sub(reserve).max(most / 4).min(client_bytes / CLIENT_BYTES).max(1),
@@ -146,6 +152,7 @@
         for event in self.events.iter() {
             seen.push(match event.key {
                 LISTENER => Seen::Listener,
+                MGMT => Seen::Mgmt,
                 SIGNALS => Seen::Signals,
                 key => {
                     let id = ConnId(key as u64);
@@ -208,6 +215,29 @@
         }
     }
 
+    /// Listens for operators' calls too.
+    pub fn listen_mgmt(&mut self, listener: TcpListener) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        add(&self.poller, &listener, Event::readable(MGMT))?;
+        self.mgmt = Some(listener);
+        Ok(())
+    }
+
+    /// The next caller that waits on the management listener; the listener is armed again.
+    pub fn accept_caller(&mut self, bound: usize) -> io::Result<Option<ConnId>> {
+        let Some(listener) = &self.mgmt else { return Ok(None) };
+        let accepted = listener.accept();
+        self.poller.modify(listener, Event::readable(MGMT))?;
+        match accepted {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                self.admit(stream, Role::Caller, (bound, bound), false).map(Some)
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
     pub fn arm_listener(&self) -> io::Result<()> {
         self.listener.as_ref().map_or(Ok(()), |l| self.poller.modify(l, Event::readable(LISTENER)))
     }
@@ -345,6 +375,9 @@
         let open: Vec<ConnId> = self.iter().map(|(id, _)| id).collect();
         open.into_iter().for_each(|id| self.close(id));
         self.close_listener();
+        if let Some(mgmt) = self.mgmt.take() {
+            let _ = self.poller.delete(&mgmt);
+        }
         let _ = self.poller.delete(&self.signals);
     }
 }
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -106,6 +106,8 @@
     fixed: Vec<(&'static str, Value)>,
     leaving: Leaving,
     told_to_leave: Nanos,
+    /// Drained by an operator: `PING` says no, clients are parted with between requests; all else goes on.
+    draining: bool,
 }
 
 impl Daemon {
@@ -145,6 +147,7 @@
                 class_names: names.classes,
                 connect_timeout: facts.connect_timeout,
                 keep_alive: boot.keep_alive,
+                figures: Default::default(),
             },
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
@@ -155,7 +158,13 @@
             fixed: start.fixed,
             leaving: Leaving::No,
             told_to_leave: 0,
+            draining: false,
         };
+        if let Some(mgmt) = start.mgmt {
+            let bind = TcpListener::bind(mgmt).and_then(|l| daemon.hands.conns.listen_mgmt(l));
+            bind.map_err(|e| io::Error::new(e.kind(), format!("mgmt: {mgmt}: {e}")))?;
+            log::info!("operators' calls on {mgmt}");
+        }
         daemon.list(&known);
         daemon.recover(kept);
         daemon.hands.watch();
@@ -200,6 +209,7 @@
             self.hands.now = self.clock.now();
             match what {
                 Seen::Listener => self.let_in(),
+                Seen::Mgmt => self.let_callers_in(),
                 Seen::Signals => self.told()?,
                 Seen::Conn(id) => self.ready(id),
             }
@@ -249,6 +259,7 @@
             Some(Role::Endpoint(_)) => self.endpoint_ready(id),
             Some(Role::Watch) => self.watch_ready(id),
             Some(Role::Notices) => self.hands.notices_ready(id),
+            Some(Role::Caller) => self.caller_ready(id),
             None => {}
         }
     }
@@ -270,6 +281,7 @@
                 },
                 Some(Role::Watch) => hands.watch_broke(id),
                 Some(Role::Notices) => hands.notices_broke(),
+                Some(Role::Caller) => hands.hang_up_caller(id),
                 Some(Role::Client) => self.client_overdue(id),
                 None => {}
             },
@@ -352,11 +364,31 @@
     /// On the way out, parts with a client whose last request is answered; it sends its next one elsewhere.
     fn part(&mut self, id: ConnId) {
         let between = |c: &crate::conns::Conn| c.input.is_empty() && c.output.is_empty();
-        if self.leaving >= Leaving::Parting && self.hands.conns.get(id).is_some_and(between) {
+        let parts = self.leaving >= Leaving::Parting || self.draining;
+        if parts && self.hands.conns.get(id).is_some_and(between) {
             self.hands.part_with(id);
         }
     }
 
+    /// Whether clients are told yes: neither drained nor leaving.
+    pub fn serves(&self) -> bool {
+        !self.draining && self.leaving < Leaving::Shut
+    }
+
+    /// Drains, or takes clients again. Those between requests go at once; the others once they are answered.
+    pub fn drain(&mut self, on: bool) {
+        if std::mem::replace(&mut self.draining, on) == on {
+            return;
+        }
+        log::info!("{}", if on { "drained by a call" } else { "takes clients again" });
+        if on {
+            let clients = self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id);
+            for id in clients.collect::<Vec<_>>() {
+                self.part(id);
+            }
+        }
+    }
+
     /// Whether new mails are still taken.
     pub fn takes_mails(&self) -> bool {
         self.leaving < Leaving::Ending
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod discovery;
 pub mod endpoints;
 pub mod mails;
+pub mod mgmt;
 pub mod notices;
 
 pub mod conns;
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -85,6 +85,8 @@
 
 pub struct Held {
     pub id: MailId,
+    /// Its row of the classes; one past them for one of no known class.
+    pub class: usize,
     pub tag: String,
     pub body: Vec<u8>,
     pub stage: Stage,
@@ -108,6 +110,8 @@
     pub class_names: Vec<String>,
     pub connect_timeout: Nanos,
     pub keep_alive: Nanos,
+    /// What operators are shown.
+    pub figures: crate::mgmt::Figures,
 }
 
 impl Hands {
@@ -123,8 +127,10 @@
     /// Holds a mail that the journal knows.
     pub fn hold(&mut self, mail: KeptMail) {
         let connects = mail.connects.len() as u32;
+        let class = self.class_names.iter().position(|c| *c == mail.class).unwrap_or(self.class_names.len());
         let slot = self.mails.add(|_| Held {
             id: mail.id,
+            class,
             tag: mail.tag,
             body: mail.body,
             stage: Stage::Waiting,
@@ -144,6 +150,15 @@
                 Stage::Bounced => Some(Ending::Bounced),
                 _ => None,
             };
+            let counted = match to {
+                Stage::Relayed => Some(crate::mgmt::COMPLETED),
+                Stage::Deferred(_) => Some(crate::mgmt::REJECTED),
+                Stage::Bounced => Some(crate::mgmt::FAILED),
+                _ => None,
+            };
+            if let Some(end) = counted.filter(|_| mail.class < self.class_names.len()) {
+                self.figures.count(mail.class, end);
+            }
             mail.body = Vec::new();
             if self.journal.ended(id, ending).is_err() {
                 log::error!("mail {:016x}: its end could not be written", id.0);
@@ -222,6 +237,7 @@
             return;
         }
         call.begun = true;
+        self.figures.upstream += 1;
         if let Some(to) = self.conns.get_mut(conn) {
             // The ring is made for the longest call and was empty.
             to.output.push(head.as_bytes());
--- /dev/null
+++ b/daemon/src/mgmt.rs
@@ -0,0 +1,284 @@
+//! Operators' calls: one line in, one line out (`show-stat`: lines up to `EOT`), on a listener of their own in the one
+//! loop. The parser and the figures are plain; the daemon hands what is asked to the decisions and the drain.
+
+use crate::conns::ConnId;
+use crate::event_loop::Daemon;
+use crate::mails::{Due, Hands};
+use bellsill::interface::Nanos;
+use std::fmt::Write;
+
+/// The longest call line, its end included; what is longer is answered `FAILURE` and the caller closed.
+pub const LINE_MOST: usize = 512;
+/// Room for the answer to `show-stat`: a few lines a class.
+const ANSWER_MOST: usize = 64 * 1024;
+/// Callers at once; a new one beyond that closes the one that came first. Callers that say nothing would else hold all
+/// places; the harm is a slow caller of many, cut off.
+const CALLERS_MOST: usize = 16;
+/// How long a caller may take to send a whole line, and to read its answer.
+const CALL_WITHIN: Nanos = 2_000_000_000;
+/// The longest endpoint id taken.
+const ID_MOST: usize = 256;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+    ShowStat,
+    Disable(String),
+    Enable(String),
+    Drain,
+    Resume,
+}
+
+/// Reads one call, without its line end. What is wrong is said in words for the `FAILURE` line.
+pub fn parse(line: &[u8]) -> Result<Call, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "the call is not UTF-8".to_string())?;
+    let mut words = text.split_ascii_whitespace();
+    let Some(name) = words.next() else { return Err("an empty call".into()) };
+    let id = words.next();
+    if let Some(extra) = words.next() {
+        return Err(format!("`{name}` takes no word `{}`", extra.escape_debug()));
+    }
+    let needs_id = |id: Option<&str>| match id {
+        None => Err(format!("`{name}` needs an endpoint id")),
+        Some(id) if id.len() > ID_MOST => Err(format!("an endpoint id is {ID_MOST} bytes at most")),
+        Some(id) => Ok(id.to_string()),
+    };
+    let plain = |call: Call| match id {
+        Some(extra) => Err(format!("`{name}` takes no word `{}`", extra.escape_debug())),
+        None => Ok(call),
+    };
+    match name {
+        "ready" => plain(Call::Ready),
+        "show-stat" => plain(Call::ShowStat),
+        "drain" => plain(Call::Drain),
+        "resume" => plain(Call::Resume),
+        "disable-server" => needs_id(id).map(Call::Disable),
+        "enable-server" => needs_id(id).map(Call::Enable),
+        _ => Err(format!("unknown call `{}`", name.escape_debug())),
+    }
+}
+
+/// What has happened since the process began, counted where it happens.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// For each class: relayed, turned back (deferred or told `-BUSY`), bounced.
+    pub ends: Vec<[u64; 3]>,
+    /// Connects whose call was written.
+    pub upstream: u64,
+    pub reloads: u64,
+    pub reload_errors: u64,
+}
+
+pub const COMPLETED: usize = 0;
+pub const REJECTED: usize = 1;
+pub const FAILED: usize = 2;
+
+impl Figures {
+    pub fn count(&mut self, class: usize, end: usize) {
+        if self.ends.len() <= class {
+            self.ends.resize(class + 1, [0; 3]);
+        }
+        self.ends[class][end] += 1;
+    }
+}
+
+/// What `show-stat` says beside the counts.
+pub struct Gauges {
+    pub pending: usize,
+    pub members: usize,
+    pub unavailable: usize,
+}
+
+/// The answer to `show-stat`, `EOT` its last line.
+pub fn render(figures: &Figures, classes: &[String], gauges: &Gauges) -> String {
+    let mut text = String::from("SUCCESS\n");
+    for (c, name) in classes.iter().enumerate() {
+        let ends = figures.ends.get(c).copied().unwrap_or_default();
+        for (end, word) in [(COMPLETED, "completed"), (REJECTED, "rejected"), (FAILED, "failed")] {
+            let _ = writeln!(text, "dispatcher.downstream_requests.{name}.{word}={}", ends[end]);
+        }
+    }
+    let lines = [
+        ("upstream_requests", figures.upstream as usize),
+        ("pending", gauges.pending),
+        ("members", gauges.members),
+        ("members_unavailable", gauges.unavailable),
+        ("config_reloads", figures.reloads as usize),
+        ("config_reload_errors", figures.reload_errors as usize),
+    ];
+    for (name, value) in lines {
+        let _ = writeln!(text, "dispatcher.{name}={value}");
+    }
+    text.push_str("EOT\n");
+    text
+}
+
+impl Hands {
+    /// Closes a caller.
+    pub fn hang_up_caller(&mut self, id: ConnId) {
+        self.deadlines.clear(Due::Conn(id));
+        self.conns.close(id);
+    }
+}
+
+impl Daemon {
+    /// Lets callers in; with all places taken, the caller that came first gives way.
+    pub fn let_callers_in(&mut self) {
+        for _ in 0..CALLERS_MOST {
+            let callers = self.hands.conns.iter().filter(|(_, c)| c.role == crate::conns::Role::Caller);
+            let (count, first) = callers.fold((0, None), |(n, first), (id, c)| {
+                (n + 1, first.filter(|&(used, _)| used <= c.used).or(Some((c.used, id))))
+            });
+            if count >= CALLERS_MOST || (self.hands.conns.full() && count > 0) {
+                first.into_iter().for_each(|(_, id)| self.hands.hang_up_caller(id));
+            } else if self.hands.conns.full() && !self.hands.shed_idle() {
+                // No descriptor for it now; it waits in the kernel's queue. Said by the caller's own time-out.
+                return;
+            }
+            match self.hands.conns.accept_caller(LINE_MOST.max(ANSWER_MOST)) {
+                Ok(Some(id)) => {
+                    let now = self.hands.now;
+                    self.hands.conns.get_mut(id).into_iter().for_each(|c| c.used = now);
+                    self.hands.deadlines.set(Due::Conn(id), now + CALL_WITHIN);
+                }
+                Ok(None) => return,
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
+                Err(e) => return log::warn!("a caller could not be let in: {e}"),
+            }
+        }
+    }
+
+    /// Answers the calls of a caller that have come whole.
+    pub fn caller_ready(&mut self, id: ConnId) {
+        let broken = self.hands.conns.fill(id).is_err();
+        loop {
+            let Some(conn) = self.hands.conns.get_mut(id) else { return };
+            let bytes = conn.input.bytes();
+            let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
+                if conn.input.len() >= LINE_MOST {
+                    conn.output.push(format!("FAILURE a call is {LINE_MOST} bytes at most\n").as_bytes());
+                    conn.last = true;
+                    conn.input.consume(conn.input.len());
+                }
+                break;
+            };
+            let line = bytes[..end].strip_suffix(b"\r").unwrap_or(&bytes[..end]).to_vec();
+            conn.input.consume(end + 1);
+            let answer = match parse(&line) {
+                Ok(call) => self.call(call),
+                Err(why) => format!("FAILURE {why}\n"),
+            };
+            let now = self.hands.now;
+            if let Some(conn) = self.hands.conns.get_mut(id) {
+                if !conn.output.push(answer.as_bytes()) {
+                    conn.last = true;
+                }
+                conn.used = now;
+            }
+        }
+        let hands = &mut self.hands;
+        let Some(conn) = hands.conns.get(id) else { return };
+        let done = (conn.last || conn.ended) && conn.output.is_empty();
+        if broken || hands.conns.flush(id).is_err() || done {
+            return hands.hang_up_caller(id);
+        }
+        let used = hands.conns.get(id).map_or(hands.now, |c| c.used);
+        hands.deadlines.set(Due::Conn(id), used + CALL_WITHIN);
+    }
+
+    /// Does what is asked and says how it went.
+    fn call(&mut self, call: Call) -> String {
+        let now = self.hands.now;
+        match call {
+            Call::Ready if self.serves() => "SUCCESS ready\n".into(),
+            Call::Ready => "FAILURE not ready: draining or leaving\n".into(),
+            Call::ShowStat => {
+                let gauges = Gauges {
+                    pending: self.hands.mails.len(),
+                    members: self.hands.endpoints.ids().filter(|&e| self.hands.endpoints[e].serving).count(),
+                    unavailable: self.dispatcher.avoided(),
+                };
+                render(&self.hands.figures, &self.hands.class_names, &gauges)
+            }
+            Call::Drain => {
+                self.drain(true);
+                "SUCCESS draining\n".into()
+            }
+            Call::Resume => {
+                self.drain(false);
+                "SUCCESS serving\n".into()
+            }
+            Call::Disable(name) | Call::Enable(name) if self.hands.endpoints.find(&name).is_none() => {
+                format!("FAILURE unknown endpoint `{}`\n", name.escape_debug())
+            }
+            Call::Disable(name) => {
+                let id = self.hands.endpoints.find(&name).expect("found above");
+                self.dispatcher.hold_out(now, id, true, &mut self.hands);
+                format!("SUCCESS {name} is out\n")
+            }
+            Call::Enable(name) => {
+                let id = self.hands.endpoints.find(&name).expect("found above");
+                self.dispatcher.hold_out(now, id, false, &mut self.hands);
+                format!("SUCCESS {name} is back\n")
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_call_is_read() {
+        assert_eq!(parse(b"ready"), Ok(Call::Ready));
+        assert_eq!(parse(b"show-stat"), Ok(Call::ShowStat));
+        assert_eq!(parse(b"drain"), Ok(Call::Drain));
+        assert_eq!(parse(b"  resume "), Ok(Call::Resume));
+        assert_eq!(parse(b"disable-server s-5be2a07c"), Ok(Call::Disable("s-5be2a07c".into())));
+        assert_eq!(parse(b"enable-server s-5be2a07c"), Ok(Call::Enable("s-5be2a07c".into())));
+    }
+
+    #[test]
+    fn bad_forms_are_named() {
+        for (line, says) in [
+            (&b""[..], "empty"),
+            (b"reboot", "unknown call"),
+            (b"READY", "unknown call"),
+            (b"ready now", "takes no word"),
+            (b"disable-server", "needs an endpoint id"),
+            (b"enable-server a b", "takes no word"),
+            (b"\xff", "UTF-8"),
+        ] {
+            let why = parse(line).expect_err("a bad call");
+            assert!(why.contains(says), "{line:?}: {why}");
+        }
+        let long = format!("disable-server {}", "x".repeat(ID_MOST + 1));
+        assert!(parse(long.as_bytes()).is_err());
+    }
+
+    #[test]
+    fn figures_are_written_for_each_class() {
+        let mut figures = Figures::default();
+        figures.count(1, FAILED);
+        figures.count(0, COMPLETED);
+        figures.count(0, COMPLETED);
+        figures.upstream = 3;
+        let gauges = Gauges { pending: 4, members: 5, unavailable: 1 };
+        let text = render(&figures, &["notice".into(), "payment".into()], &gauges);
+        let lines: Vec<&str> = text.lines().collect();
+        assert_eq!(lines.first(), Some(&"SUCCESS"));
+        assert_eq!(lines.last(), Some(&"EOT"));
+        for line in [
+            "dispatcher.downstream_requests.notice.completed=2",
+            "dispatcher.downstream_requests.payment.failed=1",
+            "dispatcher.downstream_requests.payment.completed=0",
+            "dispatcher.upstream_requests=3",
+            "dispatcher.pending=4",
+            "dispatcher.members=5",
+            "dispatcher.members_unavailable=1",
+        ] {
+            assert!(lines.contains(&line), "{line} in {text}");
+        }
+    }
+}
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -9,6 +9,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     pub memory_bytes: u64,
     pub sockets: usize,
     pub disk_bytes: u64,
@@ -61,7 +63,13 @@
     let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
     let json: Value = serde_json::from_str(&text).map_err(|e| file(format!("not JSON: {e}")))?;
     let source = Source { file: path.to_path_buf(), state: state.clone() };
-    Ok(Start { source: Some(source), ..parse(&json, state)? })
+    let mut start = Start { source: Some(source), ..parse(&json, state)? };
+    if let (None, Some(mgmt)) = (start.mgmt, std::env::var_os("RELAY_MGMT")) {
+        let mgmt = mgmt.to_string_lossy();
+        let bad = || file(format!("RELAY_MGMT: `{mgmt}` is no address such as 127.0.0.1:9100"));
+        start.mgmt = Some(mgmt.parse().map_err(|_| bad())?);
+    }
+    Ok(start)
 }
 
 pub fn parse(json: &Value, state: Option<PathBuf>) -> Result<Start, BadField> {
@@ -81,6 +89,10 @@
         name: r.word("name")?.to_string(),
         listen: address("listen")?,
         discovery: address("discovery")?,
+        mgmt: match json.get("mgmt") {
+            None | Some(Value::Null) => None,
+            Some(_) => Some(address("mgmt")?),
+        },
         memory_bytes: (r.num("limits.memory_mb")? * 1e6) as u64,
         sockets: r.from(32, "limits.sockets")? as usize,
         disk_bytes: (r.num("limits.disk_mb")? * 1e6) as u64,
--- a/src/control.rs
+++ b/src/control.rs
@@ -115,7 +115,9 @@
 
 #[derive(Default)]
 struct Route {
+    /// `serving` there is what the list says, unless the route is held out by hand.
     entry: ListEntry,
+    listed: bool,
     /// What a limit binds, by its first route: the route where routes are apart, else all of a destination's.
     gate: usize,
     /// Held for silence or failing: one trial at a time.
@@ -162,6 +164,8 @@
     index: BTreeMap<EndpointId, usize>,
     decks: BTreeMap<DestinationId, Deck>,
     mails: BTreeMap<MailId, Mail>,
+    /// Taken out by hand: nothing new goes there, whatever the list says, until it is put back.
+    held_out: BTreeSet<EndpointId>,
     keys: BTreeMap<KeyId, KeyLine>,
     out: Vec<Connect>,
     no_slot_until: Nanos,
@@ -183,6 +187,7 @@
             index: BTreeMap::new(),
             decks: BTreeMap::new(),
             mails: BTreeMap::new(),
+            held_out: BTreeSet::new(),
             keys: BTreeMap::new(),
             out: Vec::new(),
             no_slot_until: 0,
@@ -200,6 +205,7 @@
         if scope == ListScope::Whole {
             let serving = self.routes.iter_mut().filter(|r| r.entry.serving);
             serving.for_each(|r| (r.entry.serving, r.sent_at) = (false, now));
+            self.routes.iter_mut().for_each(|r| r.listed = false);
         }
         for entry in entries {
             let route = match self.index.get(&entry.endpoint) {
@@ -207,8 +213,10 @@
                 None if entry.serving => self.add_route(entry, now, out),
                 None => continue,
             };
+            let serving = entry.serving && !self.held_out.contains(&entry.endpoint);
             let r = &mut self.routes[route];
-            if std::mem::replace(&mut r.entry.serving, entry.serving) != entry.serving {
+            r.listed = entry.serving;
+            if std::mem::replace(&mut r.entry.serving, serving) != serving {
                 r.sent_at = now; // All dispatchers hear of its return at once.
             }
         }
@@ -274,6 +282,21 @@
         self.go_on(now, out);
     }
 
+    /// An endpoint is taken out by hand, or put back. It is restarted while it is out, so it returns cold.
+    pub fn hold_out(&mut self, now: Nanos, endpoint: EndpointId, out: bool, outlet: &mut impl Outlet) {
+        let changed = if out { self.held_out.insert(endpoint) } else { self.held_out.remove(&endpoint) };
+        if let Some(r) = self.index.get(&endpoint).map(|&r| &mut self.routes[r]).filter(|_| changed) {
+            (r.entry.serving, r.sent_at, r.struck) = (r.listed && !out, now, r.struck || !out);
+            outlet.hang_up(endpoint);
+        }
+        self.go_on(now, outlet);
+    }
+
+    /// The listed endpoints that are avoided now: held out by hand, or held for silence or failing.
+    pub fn avoided(&self) -> usize {
+        self.routes.iter().filter(|r| r.listed && (!r.entry.serving || r.suspect)).count()
+    }
+
     /// Whether a connect whose connection came up just now may be written: no drain or wait began since.
     pub fn still_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
         let open = |&r: &usize| self.routes[r].entry.serving && self.routes[r].closed_until <= now;
@@ -286,17 +309,20 @@
         // The place of one long gone is taken: nothing grows with ids. One back still later is taken for new.
         let long_gone = |&c: &usize| {
             let r: &Route = &self.routes[c];
-            let over = !r.entry.serving && now >= r.closed_until.max(r.sent_at + FORGET_AFTER);
+            let over = !r.listed && now >= r.closed_until.max(r.sent_at + FORGET_AFTER);
             over && deck.shared_gate != Some(c) && !self.out.iter().any(|o| o.route == c)
         };
         let old = deck.cards.iter().copied().find(long_gone);
         let route = old.unwrap_or(self.routes.len());
         let gate = deck.shared_gate.filter(|_| !apart).unwrap_or(route);
         deck.shared_gate = Some(gate).filter(|_| !apart);
-        let new = Route { entry: *entry, gate, wait: FIRST_WAIT, sent_at: now, ..Route::default() };
+        let serving = !self.held_out.contains(&entry.endpoint);
+        let entry = ListEntry { serving, ..*entry };
+        let new = Route { entry, listed: true, gate, wait: FIRST_WAIT, sent_at: now, ..Route::default() };
         if let Some(old) = old {
             let old = std::mem::replace(&mut self.routes[old], new).entry.endpoint;
             self.index.remove(&old);
+            self.held_out.remove(&old);
             out.forget(old);
         } else {
             self.routes.push(new);
