--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -28,6 +28,8 @@
 const ANSWER_FOR: Nanos = 2_300 * MS;
 const DECIDE_FOR: Nanos = 2_900 * MS;
 const GONE_AFTER: Nanos = 3_500 * MS;
+/// Between looks at a journal that an old process beside this one still holds.
+const ADOPT_EVERY: Nanos = 100 * MS;
 /// Between lines on how things stand.
 const STANDING: Nanos = 10_000 * MS;
 
@@ -47,6 +49,16 @@
     }
 }
 
+/// The clients' listener, which a new version of the dispatcher shares while the old one ends.
+fn shared_listener(at: std::net::SocketAddr) -> io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
 /// How long this process has been on a processor, as far as the system tells.
 fn busy() -> Nanos {
     let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
@@ -120,7 +132,7 @@
         let open = MailJournal::open(&start.state, start.disk_bytes);
         let (journal, kept) =
             open.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.state.display())))?;
-        let bind = TcpListener::bind(start.listen);
+        let bind = shared_listener(start.listen);
         let listener = bind.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.listen)))?;
         // Kept for calls, the watch and notices.
         let reserve = facts.slots + 8;
@@ -169,6 +181,7 @@
         daemon.recover(kept);
         daemon.hands.watch();
         daemon.hands.deadlines.set(Due::Standing, now + STANDING);
+        daemon.hands.deadlines.set(Due::Adopt, now + ADOPT_EVERY);
         daemon.settle();
         daemon.hands.send_notices();
         log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.hands.mails.len());
@@ -180,6 +193,9 @@
         for (id, ending) in kept.owed {
             self.hands.notices.owe(id, ending);
         }
+        // One met twice, in two journals, is taken once.
+        let mut kept = Kept { owed: Vec::new(), ..kept };
+        kept.mails.retain(|m| !self.hands.slots.contains_key(&m.id));
         for mail in &kept.mails {
             self.hands.hold(mail.clone());
         }
@@ -290,6 +306,18 @@
             Due::Notices => hands.notices_rested(),
             Due::Accept => self.let_in(),
             Due::Leave => self.leave_on(),
+            Due::Adopt => match hands.journal.adopt() {
+                Ok((kept, held)) => {
+                    if held {
+                        hands.deadlines.set(Due::Adopt, now + ADOPT_EVERY);
+                    }
+                    self.recover(kept);
+                }
+                Err(e) => {
+                    log::error!("mail journal: another's cannot be taken over: {e}");
+                    hands.deadlines.set(Due::Adopt, now + 10 * ADOPT_EVERY);
+                }
+            },
             Due::Standing => {
                 let out = hands.mails.iter().filter(|(_, m)| m.call.is_some()).count();
                 let (held, owed, open) = (hands.mails.len(), hands.notices.owed(), hands.conns.len());
--- a/daemon/src/mail_journal.rs
+++ b/daemon/src/mail_journal.rs
@@ -13,7 +13,12 @@
 use std::path::{Path, PathBuf};
 
 const FILE: &str = "mails";
-const NEXT: &str = "mails.next";
+/// Journals that one folder may hold: a process beside an old one, while that one ends, writes one of its own.
+const JOURNALS_MOST: usize = 8;
+
+fn name(n: usize) -> String {
+    if n == 0 { FILE.to_string() } else { format!("{FILE}.{n}") }
+}
 /// Files count in whole blocks.
 const BLOCK: u64 = 512;
 /// The file is not written anew before it is so long, and so many times as long as what still counts.
@@ -236,6 +241,8 @@
 
 pub struct MailJournal {
     folder: PathBuf,
+    /// Its place among the journals of the folder.
+    own: usize,
     file: File,
     length: u64,
     /// By mail: what of the file still counts.
@@ -258,13 +265,23 @@
 }
 
 impl MailJournal {
-    /// Opens the journal of this folder and tells what it holds; `room` is the disk limit in bytes.
+    /// Opens the first journal of this folder that no other process holds, adopts all others that none holds, and
+    /// tells what they hold; `room` is the disk limit in bytes.
     pub fn open(folder: &Path, room: u64) -> io::Result<(MailJournal, Kept)> {
         std::fs::create_dir_all(folder)?;
-        let mut file = OpenOptions::new().read(true).append(true).create(true).open(folder.join(FILE))?;
-        own(&file)?;
+        let mut taken = None;
+        for n in 0..JOURNALS_MOST {
+            let file = OpenOptions::new().read(true).append(true).create(true).open(folder.join(name(n)))?;
+            if own(&file).is_ok() {
+                taken = Some((n, file));
+                break;
+            }
+        }
+        let Some((n, mut file)) = taken else {
+            return Err(io::Error::other("other dispatchers use this folder"));
+        };
         // Left by a process that was killed while it wrote the file anew: the old one still counts.
-        match std::fs::remove_file(folder.join(NEXT)) {
+        match std::fs::remove_file(folder.join(format!("{}.next", name(n)))) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
@@ -276,12 +293,61 @@
             file.set_len(good as u64)?;
         }
         let folder = folder.to_path_buf();
-        let mut journal =
-            MailJournal { folder, file, length: good as u64, live: BTreeMap::new(), live_total: 0, room };
+        let mut journal = MailJournal {
+            folder,
+            own: n,
+            file,
+            length: good as u64,
+            live: BTreeMap::new(),
+            live_total: 0,
+            room,
+        };
         journal.count(&kept);
+        let (mut kept, adopted) = (kept, journal.adopt()?.0);
+        kept.mails.extend(adopted.mails);
+        kept.owed.extend(adopted.owed);
         Ok((journal, kept))
     }
 
+    /// Takes in the journals of the folder that no process holds any more: their mails and owed notices are written
+    /// into this one, and only then are they removed. True beside: another one is still held. What is known already
+    /// (met twice after a stop between writing and removing) is not taken again.
+    pub fn adopt(&mut self) -> io::Result<(Kept, bool)> {
+        let (mut all, mut held) = (Kept::default(), false);
+        let mine = self.own;
+        for n in (0..JOURNALS_MOST).filter(|&n| n != mine) {
+            let path = self.folder.join(name(n));
+            let mut file = match OpenOptions::new().read(true).append(true).open(&path) {
+                Ok(file) => file,
+                Err(e) if e.kind() == io::ErrorKind::NotFound => continue,
+                Err(e) => return Err(e),
+            };
+            if own(&file).is_err() {
+                held = true;
+                continue;
+            }
+            let mut bytes = Vec::new();
+            file.read_to_end(&mut bytes)?;
+            let (mut kept, _) = replay(&bytes);
+            kept.mails.retain(|m| !self.live.contains_key(&m.id));
+            kept.owed.retain(|(id, _)| !self.live.contains_key(id));
+            for (id, record) in kept.records().collect::<Vec<_>>() {
+                self.append(&record)
+                    .map_err(|NoRoom| io::Error::other("no room for the mails of another"))?;
+                *self.live.entry(id).or_default() += record.len() as u64;
+                self.live_total += record.len() as u64;
+            }
+            if !kept.mails.is_empty() || !kept.owed.is_empty() {
+                log::info!("mail journal: {} mails of {} taken over", kept.mails.len(), name(n));
+            }
+            all.mails.extend(kept.mails);
+            all.owed.extend(kept.owed);
+            std::fs::remove_file(&path)?;
+            let _ = std::fs::remove_file(self.folder.join(format!("{}.next", name(n))));
+        }
+        Ok((all, held))
+    }
+
     fn count(&mut self, kept: &Kept) {
         self.live = kept.records().map(|(id, bytes)| (id, bytes.len() as u64)).collect();
         self.live_total = self.live.values().sum();
@@ -367,14 +433,14 @@
     }
 
     fn write_anew(&mut self) -> io::Result<()> {
-        let path = self.folder.join(FILE);
+        let path = self.folder.join(name(self.own));
         let (kept, _) = replay(&std::fs::read(&path)?);
         let bytes: Vec<u8> = kept.records().flat_map(|(_, bytes)| bytes).collect();
         let length = bytes.len() as u64;
         if blocks(self.length) + blocks(length) > self.room {
             return Err(io::Error::other("both files together would pass the disk limit"));
         }
-        let next = self.folder.join(NEXT);
+        let next = self.folder.join(format!("{}.next", name(self.own)));
         let mut file = OpenOptions::new().append(true).create_new(true).open(&next)?;
         if let Err(e) =
             file.write_all(&bytes).and_then(|()| own(&file)).and_then(|()| std::fs::rename(&next, &path))
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -48,6 +48,8 @@
     Leave,
     /// A line on how things stand.
     Standing,
+    /// The journal of a process that still ends beside this one is looked for.
+    Adopt,
 }
 
 /// Where a mail stands.
