Endpoints held out by hand outlast the process: a list in the folder that lasts

Ruled out: discovery (the list kept the endpoint up), the module's hold (the old process sent nothing there after the call). Change: the ids held out are written to held-out in the state folder on each change (beside, then renamed), read at start (bad lines said and skipped, 1024 at most) and handed to the module before each list it hears.

--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -174,6 +174,12 @@
                 hands.hang_up(id);
             }
         }
+        // Held out by hand, whatever the list says: the decisions know before they hear of it.
+        let held: Vec<EndpointId> =
+            hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
+        for id in held {
+            self.dispatcher.hold_out(hands.now, id, true, hands);
+        }
         let scope = if whole { ListScope::Whole } else { ListScope::Update };
         self.dispatcher.list_news(hands.now, scope, &entries, hands);
     }
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -49,6 +49,25 @@
     }
 }
 
+/// The endpoints held out by hand when the last process ended. What cannot be read is said, and the rest is used.
+fn held_out(folder: &std::path::Path) -> std::collections::BTreeSet<String> {
+    let path = folder.join(crate::mgmt::HELD_FILE);
+    let text = match std::fs::read(&path) {
+        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
+        Err(e) => {
+            log::error!("{}: cannot be read, no endpoint is held out: {e}", path.display());
+            String::new()
+        }
+    };
+    let (held, bad) = crate::mgmt::read_held(&text);
+    bad.iter().for_each(|why| log::error!("{}: {why}, skipped", path.display()));
+    if !held.is_empty() {
+        log::info!("{} endpoints are held out by hand", held.len());
+    }
+    held
+}
+
 /// The clients' listener, which a new version of the dispatcher shares while the old one ends.
 fn shared_listener(at: std::net::SocketAddr) -> io::Result<TcpListener> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
@@ -120,6 +139,8 @@
     told_to_leave: Nanos,
     /// Drained by an operator: `PING` says no, clients are parted with between requests; all else goes on.
     draining: bool,
+    /// The folder that lasts.
+    pub state: std::path::PathBuf,
 }
 
 impl Daemon {
@@ -160,6 +181,7 @@
                 connect_timeout: facts.connect_timeout,
                 keep_alive: boot.keep_alive,
                 figures: Default::default(),
+                held_out: held_out(&start.state),
             },
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
@@ -171,6 +193,7 @@
             leaving: Leaving::No,
             told_to_leave: 0,
             draining: false,
+            state: start.state.clone(),
         };
         if let Some(mgmt) = start.mgmt {
             let bind = TcpListener::bind(mgmt).and_then(|l| daemon.hands.conns.listen_mgmt(l));
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -114,6 +114,8 @@
     pub keep_alive: Nanos,
     /// What operators are shown.
     pub figures: crate::mgmt::Figures,
+    /// The endpoints taken out by hand, by their ids in the list; kept in the folder that lasts.
+    pub held_out: std::collections::BTreeSet<String>,
 }
 
 impl Hands {
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -18,6 +18,33 @@
 const CALL_WITHIN: Nanos = 2_000_000_000;
 /// The longest endpoint id taken.
 const ID_MOST: usize = 256;
+/// Endpoints that may be held out by hand at once: the list of them outlasts the process and must stay small.
+pub const HELD_MOST: usize = 1024;
+/// The file of the folder that lasts that names them, one a line.
+pub const HELD_FILE: &str = "held-out";
+
+/// Reads the endpoints held out by hand. A line that is no id is skipped and said, and so are those beyond the bound.
+pub fn read_held(text: &str) -> (std::collections::BTreeSet<String>, Vec<String>) {
+    let (mut held, mut bad) = (std::collections::BTreeSet::new(), Vec::new());
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+        match parse(format!("disable-server {line}").as_bytes()) {
+            Ok(Call::Disable(id)) if held.len() < HELD_MOST => drop(held.insert(id)),
+            Ok(_) => bad.push(format!("line {}: more than {HELD_MOST} endpoints", n + 1)),
+            Err(_) => bad.push(format!("line {}: no endpoint id", n + 1)),
+        }
+    }
+    (held, bad)
+}
+
+/// Writes the endpoints held out beside the file, then puts it in its place: a reader finds the old list or the new.
+pub fn write_held(
+    folder: &std::path::Path,
+    held: &std::collections::BTreeSet<String>,
+) -> std::io::Result<()> {
+    let next = folder.join(format!("{HELD_FILE}.{}", std::process::id()));
+    let text: String = held.iter().map(|id| format!("{id}\n")).collect();
+    std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, folder.join(HELD_FILE)))
+}
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -188,7 +215,7 @@
 
     /// Does what is asked and says how it went.
     fn call(&mut self, call: Call) -> String {
-        let now = self.hands.now;
+        let (now, out) = (self.hands.now, matches!(call, Call::Disable(_)));
         match call {
             Call::Ready if self.serves() => "SUCCESS ready\n".into(),
             Call::Ready => "FAILURE not ready: draining or leaving\n".into(),
@@ -211,15 +238,22 @@
             Call::Disable(name) | Call::Enable(name) if self.hands.endpoints.find(&name).is_none() => {
                 format!("FAILURE unknown endpoint `{}`\n", name.escape_debug())
             }
-            Call::Disable(name) => {
-                let id = self.hands.endpoints.find(&name).expect("found above");
-                self.dispatcher.hold_out(now, id, true, &mut self.hands);
-                format!("SUCCESS {name} is out\n")
+            Call::Disable(_) if self.hands.held_out.len() >= HELD_MOST => {
+                format!("FAILURE {HELD_MOST} endpoints are out already\n")
             }
-            Call::Enable(name) => {
+            Call::Disable(name) | Call::Enable(name) => {
                 let id = self.hands.endpoints.find(&name).expect("found above");
-                self.dispatcher.hold_out(now, id, false, &mut self.hands);
-                format!("SUCCESS {name} is back\n")
+                let changed = if out {
+                    self.hands.held_out.insert(name.clone())
+                } else {
+                    self.hands.held_out.remove(&name)
+                };
+                if changed && let Err(e) = write_held(&self.state, &self.hands.held_out) {
+                    log::error!("{HELD_FILE}: cannot be written: {e}");
+                }
+                log::info!("endpoint {name} {} by a call", if out { "taken out" } else { "put back" });
+                self.dispatcher.hold_out(now, id, out, &mut self.hands);
+                format!("SUCCESS {name} is {}\n", if out { "out" } else { "back" })
             }
         }
     }
@@ -257,6 +291,16 @@
         assert!(parse(long.as_bytes()).is_err());
     }
 
+    #[test]
+    fn held_out_lists_are_read_with_bad_lines_said() {
+        let (held, bad) = read_held("s-1\n\ns-2\ns-1\na b\n");
+        assert_eq!(held.into_iter().collect::<Vec<_>>(), ["s-1", "s-2"]);
+        assert_eq!(bad, ["line 5: no endpoint id"]);
+        let many: String = (0..HELD_MOST + 2).map(|n| format!("s-{n}\n")).collect();
+        let (held, bad) = read_held(&many);
+        assert_eq!((held.len(), bad.len()), (HELD_MOST, 2));
+    }
+
     #[test]
     fn figures_are_written_for_each_class() {
         let mut figures = Figures::default();
