--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -372,8 +372,12 @@
         let Some(Source { file, state }) = self.source.clone() else { return };
         let new = match start::read(&file, state) {
             Ok(new) => new,
-            Err(e) => return log::error!("the new configuration is not taken: {e}"),
+            Err(e) => {
+                self.hands.figures.reload_errors += 1;
+                return log::error!("the new configuration is not taken: {e}");
+            }
         };
+        self.hands.figures.reloads += 1;
         for ((field, old), (_, new)) in self.fixed.iter().zip(&new.fixed) {
             if old != new {
                 log::warn!("the new configuration: another `{field}` needs a restart, the old one stays");
