Review: journals adopted once at start, one class lookup, holds that change nothing idle

- Hands::class_of() for the row of a class, which four places wrote out; Held.class is an Option instead of one past the rows.
- The held-out list's loader sits in mgmt.rs beside its reader and writer.
- Dispatcher::hold_out makes its pass over the mails only when the hold changed: the daemon hands every hold to the module before each list, which makes that pass right after.
- A plain test of adoption: nothing while the other is held, all once it is free, once.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -238,7 +238,7 @@
             Err(Refusal::TooLong) => say(&mut self.hands, "-ERR d: longer than the class allows\r\n"),
             Err(Refusal::Untagged) => say(&mut self.hands, "-ERR k: expected in this class\r\n"),
             Err(Refusal::NoRoom) => {
-                if let Some(class) = self.hands.class_names.iter().position(|c| *c == class) {
+                if let Some(class) = self.hands.class_of(&class) {
                     self.hands.figures.count(class, crate::mgmt::REJECTED);
                 }
                 say(&mut self.hands, "-BUSY\r\n")
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -49,25 +49,6 @@
     }
 }
 
-/// The endpoints held out by hand when the last process ended. What cannot be read is said, and the rest is used.
-fn held_out(folder: &std::path::Path) -> std::collections::BTreeSet<String> {
-    let path = folder.join(crate::mgmt::HELD_FILE);
-    let text = match std::fs::read(&path) {
-        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-        Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
-        Err(e) => {
-            log::error!("{}: cannot be read, no endpoint is held out: {e}", path.display());
-            String::new()
-        }
-    };
-    let (held, bad) = crate::mgmt::read_held(&text);
-    bad.iter().for_each(|why| log::error!("{}: {why}, skipped", path.display()));
-    if !held.is_empty() {
-        log::info!("{} endpoints are held out by hand", held.len());
-    }
-    held
-}
-
 /// The clients' listener, which a new version of the dispatcher shares while the old one ends.
 fn shared_listener(at: std::net::SocketAddr) -> io::Result<TcpListener> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
@@ -150,9 +131,12 @@
         let now = clock.now();
         let Start { boot, known, .. } = start;
         let (facts, names) = (boot.facts, boot.names);
-        let open = MailJournal::open(&start.state, start.disk_bytes);
-        let (journal, kept) =
-            open.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.state.display())))?;
+        let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
+        let (mut journal, mut kept) = MailJournal::open(&start.state, start.disk_bytes).map_err(in_folder)?;
+        // What an old process left is taken before clients are answered; one that still runs is looked for again.
+        let (adopted, others_held) = journal.adopt().map_err(in_folder)?;
+        kept.mails.extend(adopted.mails);
+        kept.owed.extend(adopted.owed);
         let bind = shared_listener(start.listen);
         let listener = bind.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.listen)))?;
         // Kept for calls, the watch and notices.
@@ -181,7 +165,7 @@
                 connect_timeout: facts.connect_timeout,
                 keep_alive: boot.keep_alive,
                 figures: Default::default(),
-                held_out: held_out(&start.state),
+                held_out: crate::mgmt::load_held(&start.state),
             },
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
@@ -204,7 +188,9 @@
         daemon.recover(kept);
         daemon.hands.watch();
         daemon.hands.deadlines.set(Due::Standing, now + STANDING);
-        daemon.hands.deadlines.set(Due::Adopt, now + ADOPT_EVERY);
+        if others_held {
+            daemon.hands.deadlines.set(Due::Adopt, now + ADOPT_EVERY);
+        }
         daemon.settle();
         daemon.hands.send_notices();
         log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.hands.mails.len());
--- a/daemon/src/mail_journal.rs
+++ b/daemon/src/mail_journal.rs
@@ -19,6 +19,11 @@
 fn name(n: usize) -> String {
     if n == 0 { FILE.to_string() } else { format!("{FILE}.{n}") }
 }
+
+/// Where a journal is written anew, beside itself.
+fn next_name(n: usize) -> String {
+    format!("{}.next", name(n))
+}
 /// Files count in whole blocks.
 const BLOCK: u64 = 512;
 /// The file is not written anew before it is so long, and so many times as long as what still counts.
@@ -251,7 +256,7 @@
     room: u64,
 }
 
-/// Two dispatchers in one folder would each take the other's mails for their own. Where files cannot be locked, nothing
+/// Two processes writing one journal would each take the other's mails for their own. Where files cannot be locked, nothing
 /// stops that.
 fn own(file: &File) -> io::Result<()> {
     match file.try_lock() {
@@ -265,8 +270,8 @@
 }
 
 impl MailJournal {
-    /// Opens the first journal of this folder that no other process holds, adopts all others that none holds, and
-    /// tells what they hold; `room` is the disk limit in bytes.
+    /// Opens the first journal of this folder that no other process holds and tells what it holds; `room` is the disk
+    /// limit in bytes. The others are taken in by [`MailJournal::adopt`].
     pub fn open(folder: &Path, room: u64) -> io::Result<(MailJournal, Kept)> {
         std::fs::create_dir_all(folder)?;
         let mut taken = None;
@@ -281,7 +286,7 @@
             return Err(io::Error::other("other dispatchers use this folder"));
         };
         // Left by a process that was killed while it wrote the file anew: the old one still counts.
-        match std::fs::remove_file(folder.join(format!("{}.next", name(n)))) {
+        match std::fs::remove_file(folder.join(next_name(n))) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
@@ -303,9 +308,6 @@
             room,
         };
         journal.count(&kept);
-        let (mut kept, adopted) = (kept, journal.adopt()?.0);
-        kept.mails.extend(adopted.mails);
-        kept.owed.extend(adopted.owed);
         Ok((journal, kept))
     }
 
@@ -343,7 +345,7 @@
             all.mails.extend(kept.mails);
             all.owed.extend(kept.owed);
             std::fs::remove_file(&path)?;
-            let _ = std::fs::remove_file(self.folder.join(format!("{}.next", name(n))));
+            let _ = std::fs::remove_file(self.folder.join(next_name(n)));
         }
         Ok((all, held))
     }
@@ -440,7 +442,7 @@
         if blocks(self.length) + blocks(length) > self.room {
             return Err(io::Error::other("both files together would pass the disk limit"));
         }
-        let next = self.folder.join(format!("{}.next", name(self.own)));
+        let next = self.folder.join(next_name(self.own));
         let mut file = OpenOptions::new().append(true).create_new(true).open(&next)?;
         if let Err(e) =
             file.write_all(&bytes).and_then(|()| own(&file)).and_then(|()| std::fs::rename(&next, &path))
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -87,8 +87,8 @@
 
 pub struct Held {
     pub id: MailId,
-    /// Its row of the classes; one past them for one of no known class.
-    pub class: usize,
+    /// Its row of the classes; none for one of no class known now.
+    pub class: Option<usize>,
     pub tag: String,
     pub body: Vec<u8>,
     pub stage: Stage,
@@ -128,10 +128,15 @@
         true
     }
 
+    /// The row of a class by its name.
+    pub fn class_of(&self, name: &str) -> Option<usize> {
+        self.class_names.iter().position(|c| c == name)
+    }
+
     /// Holds a mail that the journal knows.
     pub fn hold(&mut self, mail: KeptMail) {
         let connects = mail.connects.len() as u32;
-        let class = self.class_names.iter().position(|c| *c == mail.class).unwrap_or(self.class_names.len());
+        let class = self.class_of(&mail.class);
         let slot = self.mails.add(|_| Held {
             id: mail.id,
             class,
@@ -160,8 +165,8 @@
                 Stage::Bounced => Some(crate::mgmt::FAILED),
                 _ => None,
             };
-            if let Some(end) = counted.filter(|_| mail.class < self.class_names.len()) {
-                self.figures.count(mail.class, end);
+            if let (Some(class), Some(end)) = (mail.class, counted) {
+                self.figures.count(class, end);
             }
             mail.body = Vec::new();
             if self.journal.ended(id, ending).is_err() {
@@ -341,7 +346,7 @@
     pub fn take_on(&mut self, mail: KeptMail, answer: impl FnOnce(&mut Hands)) -> Result<(), Refusal> {
         let takes = self.takes_mails();
         let hands = &mut self.hands;
-        let class = hands.class_names.iter().position(|c| *c == mail.class).ok_or(Refusal::UnknownClass)?;
+        let class = hands.class_of(&mail.class).ok_or(Refusal::UnknownClass)?;
         let facts = &self.classes[class];
         if mail.tag.is_empty() && matches!(facts.repeat, Repeat::Tagged { .. }) {
             return Err(Refusal::Untagged);
@@ -367,7 +372,7 @@
     /// Takes a mail that is held to the decisions, with what a former process did for it.
     pub fn decide_on(&mut self, mail: &KeptMail) {
         let hands = &mut self.hands;
-        let class = hands.class_names.iter().position(|c| *c == mail.class);
+        let class = hands.class_of(&mail.class);
         let new = NewMail {
             id: mail.id,
             class: ClassId(class.unwrap_or(0)),
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -36,6 +36,25 @@
     (held, bad)
 }
 
+/// The endpoints held out by hand when the last process ended. What cannot be read is said, and the rest is used.
+pub fn load_held(folder: &std::path::Path) -> std::collections::BTreeSet<String> {
+    let path = folder.join(HELD_FILE);
+    let text = match std::fs::read(&path) {
+        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
+        Err(e) => {
+            log::error!("{}: cannot be read, no endpoint is held out: {e}", path.display());
+            String::new()
+        }
+    };
+    let (held, bad) = read_held(&text);
+    bad.iter().for_each(|why| log::error!("{}: {why}, skipped", path.display()));
+    if !held.is_empty() {
+        log::info!("{} endpoints are held out by hand", held.len());
+    }
+    held
+}
+
 /// Writes the endpoints held out beside the file, then puts it in its place: a reader finds the old list or the new.
 pub fn write_held(
     folder: &std::path::Path,
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -289,6 +289,28 @@
     assert!(kept == model && !folder.0.join("mails.next").exists());
 }
 
+#[test]
+fn a_journal_beside_one_that_is_held_takes_its_mails_once_it_is_free() {
+    let folder = Folder::new("adopt");
+    let (mut old, mut model) = MailJournal::open(&folder.0, 60_000).unwrap();
+    for one in [(0, 1, 100), (0, 2, 50), (2, 1, 7), (3, 1, 1), (0, 3, 9), (4, 3, 1)] {
+        step(&mut old, &mut model, one).unwrap();
+    }
+    let (mut new, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
+    assert_eq!(kept, Kept::default());
+    // While the old one is held, nothing of it is taken.
+    let (adopted, held) = new.adopt().unwrap();
+    assert!(held && adopted == Kept::default());
+    drop(old);
+    let (adopted, held) = new.adopt().unwrap();
+    assert!(!held && adopted == model && !folder.0.join("mails").exists());
+    // What was taken over is the new one's own from now on: opened again, it is there once.
+    drop(new);
+    let (mut again, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (adopted, held) = again.adopt().unwrap();
+    assert!(!held && kept == Kept::default() && adopted == model);
+}
+
 #[test]
 fn an_endpoint_s_row_is_the_next_one_s_once_it_is_forgotten() {
     let mut endpoints = Endpoints::default();
--- a/src/control.rs
+++ b/src/control.rs
@@ -289,7 +289,9 @@
             (r.entry.serving, r.sent_at, r.struck) = (r.listed && !out, now, r.struck || !out);
             outlet.hang_up(endpoint);
         }
-        self.go_on(now, outlet);
+        if changed {
+            self.go_on(now, outlet);
+        }
     }
 
     /// The listed endpoints that are avoided now: held out by hand, or held for silence or failing.
