Call off overdue connects also where their route has answered since

Lines: the call-off in free_slot asked for a suspect route, and watch_silence rightly suspects none of these. Ruled out: processor, descriptors, client connections, refusals. Change: free_slot also takes an overdue connect on a route that spoke since it was sent. A plain case fails without it (60 mails sent more than 1 s late, routes suspected).

--- a/src/control.rs
+++ b/src/control.rs
@@ -740,15 +740,17 @@
         }
     }
 
-    /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a suspect
-    /// route: hung ones starve all others. Could bounce a once-only mail yet to be answered: one at a time.
+    /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a route that is
+    /// suspect, or has answered since (one connection fell silent, the answer is lost): they starve all others.
+    /// Not on one that may yet prove silent. Could bounce a once-only mail yet to be answered: one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.out.len() < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
         }
         let late = |o: &Connect| {
             let more = if self.facts.classes[o.class].repeat == Repeat::OnceOnly { 2 } else { 1 };
-            self.routes[o.route].suspect && now >= o.at + more * (self.silent_at(o) - o.at)
+            let r = &self.routes[o.route];
+            (r.suspect || r.spoke_at > o.at) && now >= o.at + more * (self.silent_at(o) - o.at)
         };
         let Some(i) = self.out.iter().position(late) else { return };
         let kept = |(&id, m): (&MailId, &Mail)| {
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -143,6 +143,22 @@
     assert!(relayed >= 95, "only {relayed} of 100 relayed");
 }
 
+/// Found on pieces+silent+leave: single connections fell silent on routes that answered on all others, so nothing was
+/// suspected, and each held its slot for the whole time-out while mails waited for slots.
+#[test]
+fn lost_answers_on_sound_routes_hold_no_slot_that_mails_wait_for() {
+    let mut w = World::sized(BootFacts { holding_room: 600, ..facts() }, 24);
+    for n in 0..3_000 {
+        w.o.ways.fill(if n % 101 == 0 { Way::Hangs } else { Way::Answers(30 * MS) });
+        w.mail(3, n % 6, None, 12 * S);
+        w.o.ways.fill(Way::Answers(30 * MS));
+        w.pass(10 * MS);
+    }
+    let late = w.o.sent.iter().filter(|s| s.at > w.o.taken_at(s.mail) + S).count();
+    let lines = &w.o.lines;
+    assert!(late == 0 && !lines.iter().any(|l| l.contains("suspect")), "{late} sent late, {lines:?}");
+}
+
 /// Found on incident ibd5a5f: a route that was slow for a moment was sent through the whole cold ramp.
 #[test]
 fn a_slow_spell_leaves_no_cold_ramp() {
