Read before a client gives way; callers have descriptors of their own

Change: what has come is read first (hears) and met; a request under way gives way last and only after half a second of silence; idle ones after half a second, longest first; 2.6 s for a request; eight descriptors for callers; a drain reads before it parts and leaves new clients their time. A loopback test stops the dispatcher while a crowd and two requests come: without the change one of the two is closed unanswered (fails), with it both are taken on.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -15,12 +15,13 @@
 /// The longest text that PING gives back.
 const PING_MOST: usize = 1024;
 /// How long a client may take to its first command, and from a command's first byte to its last, or to read an answer.
-const REQUEST_WITHIN: Nanos = 2_000_000_000;
+const REQUEST_WITHIN: Nanos = 2_600_000_000;
 /// How long a client may stay that asks no more.
 const IDLE_MOST: Nanos = 8_000_000_000;
-/// With no place left, clients that have not asked for so long, or have asked no more for so long, give way.
+/// With no place left, clients that have said nothing for so long give way; and after those, the ones that have asked no
+/// more, or sent no more of what they ask, for so long.
 const SILENT_GIVES_WAY: Nanos = 250_000_000;
-const IDLE_GIVES_WAY: Nanos = 2_000_000_000;
+const IDLE_GIVES_WAY: Nanos = 500_000_000;
 /// How long a client that was told something last may take to end its side.
 const LINGER: Nanos = 2_000_000_000;
 /// After so many errors a client is parted with.
@@ -30,19 +31,40 @@
     /// Sees to it that one more client can be let in. Idle connections to endpoints give way first, then a client that
     /// will not be missed: hundreds that say nothing, or ask once and stay, would otherwise lock out all others. It also
     /// covers clients told their last answer that do not go. One that gives way just before its next request sends it
-    /// once more, as whenever a connection is closed between requests.
+    /// once more, as whenever a connection is closed between requests; one whose request has come is served, for closed
+    /// then, its mail would be lost.
     fn make_way(&mut self) -> bool {
-        if self.conns.clients_full() {
+        while self.conns.clients_full() {
             let now = self.now;
             let least = self
                 .conns
                 .least_client(now.saturating_sub(SILENT_GIVES_WAY), now.saturating_sub(IDLE_GIVES_WAY));
             let Some(id) = least else { return false };
-            self.part_with(id);
+            if !self.hears(id) {
+                self.part_with(id);
+            }
         }
         !self.conns.full() || self.shed_idle()
     }
 
+    /// Reads what has come from a client. True: something had, and it has its turn.
+    fn hears(&mut self, id: ConnId) -> bool {
+        let now = self.now;
+        let Some(conn) = self.conns.get_mut(id).filter(|c| !c.lingers) else { return false };
+        let had = conn.input.len();
+        if conn.asked && had == 0 {
+            // Its next command begins, if anything has come.
+            conn.used = now;
+        }
+        let read = self.conns.fill(id).is_ok();
+        match self.conns.get_mut(id).filter(|c| read && c.input.len() != had) {
+            Some(conn) => conn.heard = now,
+            None => return false,
+        }
+        self.deadlines.set(Due::Read(id), now);
+        true
+    }
+
     /// Closes a client's connection.
     pub fn part_with(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Conn(id));
@@ -69,7 +91,7 @@
                 Ok(Some(id)) => {
                     self.turned_away = false;
                     let now = hands.now;
-                    hands.conns.get_mut(id).into_iter().for_each(|c| c.used = now);
+                    hands.conns.get_mut(id).into_iter().for_each(|c| (c.used, c.heard) = (now, now));
                     hands.deadlines.set(Due::Conn(id), now + REQUEST_WITHIN);
                 }
                 Ok(None) => break,
@@ -93,8 +115,13 @@
             // Its next command begins.
             conn.used = hands.now;
         }
+        let had = hands.conns.get(id).map_or(0, |c| c.input.len());
         let broken = hands.conns.fill(id).is_err();
+        let now = hands.now;
         let Some(conn) = hands.conns.get_mut(id) else { return };
+        if conn.input.len() != had {
+            conn.heard = now;
+        }
         if conn.lingers {
             conn.input.consume(conn.input.len());
             if broken || conn.ended || hands.conns.arm(id).is_err() {
--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -28,6 +28,8 @@
 const MGMT: usize = usize::MAX - 3;
 /// Descriptors of the process that are no connections: standard streams, listener, poller, signals, journal.
 const OTHERS: usize = 16;
+/// Operators' callers have so many descriptors of their own: in a crowd of clients they are still answered.
+pub const CALLERS_MOST: usize = 8;
 /// The most that a client's rings hold in use.
 const CLIENT_BYTES: usize = crate::resp::COMMAND_MOST + 8 * 1024;
 /// A connection's number goes through the poller as a key.
@@ -59,6 +61,8 @@
     pub lingers: bool,
     /// When it came up, or was used last.
     pub used: Nanos,
+    /// When something came from a client last.
+    pub heard: Nanos,
     /// A client that was answered at least once.
     pub asked: bool,
     /// What it was told that was wrong with what it sent.
@@ -103,6 +107,7 @@
     pub most: usize,
     pub most_clients: usize,
     clients: usize,
+    callers: usize,
 }
 
 /// The one place where the poller is handed a source.
@@ -138,6 +143,7 @@
             most,
             most_clients: most.saturating_sub(reserve).max(most / 4).min(client_bytes / CLIENT_BYTES).max(1),
             clients: 0,
+            callers: 0,
         })
     }
 
@@ -181,23 +187,30 @@
         self.clients >= self.most_clients
     }
 
-    /// Whether all descriptors are taken.
+    /// Whether all descriptors are taken but those of callers.
     pub fn full(&self) -> bool {
-        self.len() >= self.most
+        self.len() - self.callers >= self.most
+    }
+
+    /// Whether callers hold all descriptors that they have.
+    pub fn callers_full(&self) -> bool {
+        self.callers >= CALLERS_MOST
     }
 
     /// The client that is missed least, of those that may be parted with: one told its last answer, else one that never
-    /// asked, else one between requests; of these the one used longest ago. `silent` and `idle` are the times before
-    /// which the latter two must have been used last.
+    /// said anything, else one between requests, else one in the middle of a request; of these the one heard of longest
+    /// ago. `silent` and `idle` are the times before which something must have come last from the second, and from the
+    /// latter two.
     pub fn least_client(&self, silent: Nanos, idle: Nanos) -> Option<ConnId> {
         let rank = |c: &Conn| match c {
             _ if c.role != Role::Client => None,
             _ if c.lingers => Some(0),
-            _ if !c.asked && c.used <= silent => Some(1),
-            _ if c.between() && c.used <= idle => Some(2),
+            _ if !c.asked && c.between() && c.heard <= silent => Some(1),
+            _ if c.between() && c.heard <= idle => Some(2),
+            _ if c.output.is_empty() && c.heard <= idle => Some(3),
             _ => None,
         };
-        let clients = self.iter().filter_map(|(id, c)| Some((rank(c)?, c.used, id)));
+        let clients = self.iter().filter_map(|(id, c)| Some((rank(c)?, c.heard, id)));
         clients.min().map(|(_, _, id)| id)
     }
 
@@ -220,6 +233,8 @@
         listener.set_nonblocking(true)?;
         add(&self.poller, &listener, Event::readable(MGMT))?;
         self.mgmt = Some(listener);
+        self.most = self.most.saturating_sub(CALLERS_MOST).max(8);
+        self.most_clients = self.most_clients.saturating_sub(CALLERS_MOST).max(self.most / 4).max(1);
         Ok(())
     }
 
@@ -281,6 +296,7 @@
             ended: false,
             lingers: false,
             used: 0,
+            heard: 0,
             asked: false,
             errors: 0,
             armed: Some(armed),
@@ -288,6 +304,7 @@
         let conn = self.slots.get(id).expect("just added");
         let added = add(&self.poller, &conn.stream, event(id, armed));
         self.clients += usize::from(role == Role::Client);
+        self.callers += usize::from(role == Role::Caller);
         if let Err(e) = added {
             self.close(id);
             return Err(e);
@@ -299,6 +316,7 @@
     pub fn close(&mut self, id: ConnId) {
         if let Some(conn) = self.slots.remove(id) {
             self.clients -= usize::from(conn.role == Role::Client);
+            self.callers -= usize::from(conn.role == Role::Caller);
             let _ = self.poller.delete(&conn.stream);
         }
     }
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -425,7 +425,11 @@
         if on {
             let clients = self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id);
             for id in clients.collect::<Vec<_>>() {
-                self.part(id);
+                // What has come is met first; and one that came just now has its time to ask.
+                self.client_ready(id);
+                if self.hands.conns.get(id).is_some_and(|c| c.asked) {
+                    self.part(id);
+                }
             }
         }
     }
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -1,7 +1,7 @@
 //! Operators' calls: one line in, one line out (`show-stat`: lines up to `EOT`), on a listener of their own in the one
 //! loop. The parser and the figures are plain; the daemon hands what is asked to the decisions and the drain.
 
-use crate::conns::ConnId;
+use crate::conns::{CALLERS_MOST, ConnId, Role};
 use crate::event_loop::Daemon;
 use crate::mails::{Due, Hands};
 use bellsill::interface::Nanos;
@@ -11,9 +11,6 @@
 pub const LINE_MOST: usize = 512;
 /// Room for the answer to `show-stat`: a few lines a class.
 const ANSWER_MOST: usize = 64 * 1024;
-/// Callers at once; a new one beyond that closes the one that came first. Callers that say nothing would else hold all
-/// places; the harm is a slow caller of many, cut off.
-const CALLERS_MOST: usize = 16;
 /// How long a caller may take to send a whole line, and to read its answer.
 const CALL_WITHIN: Nanos = 2_000_000_000;
 /// The longest endpoint id taken.
@@ -168,18 +165,14 @@
 }
 
 impl Daemon {
-    /// Lets callers in; with all places taken, the caller that came first gives way.
+    /// Lets callers in; with all their places taken, the caller used longest ago gives way. Callers that say nothing would
+    /// else hold all places; the harm is a slow caller of many, cut off.
     pub fn let_callers_in(&mut self) {
         for _ in 0..CALLERS_MOST {
-            let callers = self.hands.conns.iter().filter(|(_, c)| c.role == crate::conns::Role::Caller);
-            let (count, first) = callers.fold((0, None), |(n, first), (id, c)| {
-                (n + 1, first.filter(|&(used, _)| used <= c.used).or(Some((c.used, id))))
-            });
-            if count >= CALLERS_MOST || (self.hands.conns.full() && count > 0) {
+            if self.hands.conns.callers_full() {
+                let callers = self.hands.conns.iter().filter(|(_, c)| c.role == Role::Caller);
+                let first = callers.map(|(id, c)| (c.used, id)).min();
                 first.into_iter().for_each(|(_, id)| self.hands.hang_up_caller(id));
-            } else if self.hands.conns.full() && !self.hands.shed_idle() {
-                // No descriptor for it now; it waits in the kernel's queue. Said by the caller's own time-out.
-                return;
             }
             match self.hands.conns.accept_caller(LINE_MOST.max(ANSWER_MOST)) {
                 Ok(Some(id)) => {
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -826,6 +826,35 @@
     assert_eq!(e.calls().len(), 3);
 }
 
+/// Found on crowd+term+scrape: with no place left a client was parted with whose request had come and was not read yet.
+#[test]
+fn a_client_whose_request_has_come_gives_way_to_nobody() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["sockets"] = json!(64);
+    rig.start();
+    let silent = rig.client();
+    let mut inside: Vec<Client> = (0..10).map(|_| rig.client()).collect();
+    assert!(inside.iter_mut().all(|c| c.says(b"PING\r\n") == "+PONG"), "they and the one before are inside");
+    // While the dispatcher stands still a crowd comes first, then the requests; all of them find it at once.
+    rig.signal(Signal::STOP);
+    let crowd: Vec<Client> = (0..150).map(|_| rig.client()).collect();
+    let ids = [fresh(), fresh()];
+    let mut askers = [silent, inside.remove(0)];
+    for (asker, id) in askers.iter_mut().zip(&ids) {
+        asker.to.write_all(&put(id, "c=payment,d=20000,dest=7", "x")).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(600));
+    rig.signal(Signal::CONT);
+    for asker in &mut askers {
+        assert_eq!(asker.line(), "+OK");
+    }
+    for id in &ids {
+        wait_for("the mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+    }
+    drop(crowd);
+}
+
 #[test]
 fn a_client_that_keeps_erring_is_parted_with_and_hundreds_of_commands_are_all_answered() {
     let mut rig = Rig::new(&[]);
