--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -28,8 +28,9 @@
 const ANSWER_FOR: Nanos = 2_300 * MS;
 const DECIDE_FOR: Nanos = 2_900 * MS;
 const GONE_AFTER: Nanos = 3_500 * MS;
-/// Between looks at a journal that an old process beside this one still holds.
-const ADOPT_EVERY: Nanos = 100 * MS;
+/// Between looks at what a process beside this one does in the folder: the journal that it still holds, and the endpoints
+/// that it was told to hold out.
+const BESIDE_EVERY: Nanos = 100 * MS;
 /// Between lines on how things stand.
 const STANDING: Nanos = 10_000 * MS;
 
@@ -59,6 +60,14 @@
     Ok(socket.into())
 }
 
+/// Takes over the journals of the folder that nobody holds any more. True beside: there is one yet to be taken over.
+fn take_over(journal: &mut MailJournal) -> (Kept, bool) {
+    journal.adopt().unwrap_or_else(|e| {
+        log::error!("mail journal: another's cannot be taken over yet: {e}");
+        (Kept::default(), true)
+    })
+}
+
 /// How long this process has been on a processor, as far as the system tells.
 fn busy() -> Nanos {
     let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
@@ -122,6 +131,8 @@
     draining: bool,
     /// The folder that lasts.
     pub state: std::path::PathBuf,
+    /// Of the list of endpoints held out there, as it was read or written last.
+    pub held_stamp: Option<(u64, SystemTime)>,
 }
 
 impl Daemon {
@@ -134,9 +145,10 @@
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
         let (mut journal, mut kept) = MailJournal::open(&start.state, start.disk_bytes).map_err(in_folder)?;
         // What an old process left is taken before clients are answered; one that still runs is looked for again.
-        let (adopted, others_held) = journal.adopt().map_err(in_folder)?;
+        let (adopted, others_held) = take_over(&mut journal);
         kept.mails.extend(adopted.mails);
         kept.owed.extend(adopted.owed);
+        let held_stamp = crate::mgmt::held_stamp(&start.state);
         let bind = shared_listener(start.listen);
         let listener = bind.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.listen)))?;
         // Kept for calls, the watch and notices.
@@ -165,7 +177,7 @@
                 connect_timeout: facts.connect_timeout,
                 keep_alive: boot.keep_alive,
                 figures: Default::default(),
-                held_out: crate::mgmt::load_held(&start.state),
+                held_out: crate::mgmt::load_held(&start.state).unwrap_or_default(),
             },
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
@@ -177,19 +189,21 @@
             leaving: Leaving::No,
             told_to_leave: 0,
             draining: false,
+            held_stamp,
             state: start.state.clone(),
         };
         if let Some(mgmt) = start.mgmt {
             let bind = TcpListener::bind(mgmt).and_then(|l| daemon.hands.conns.listen_mgmt(l));
             bind.map_err(|e| io::Error::new(e.kind(), format!("mgmt: {mgmt}: {e}")))?;
             log::info!("operators' calls on {mgmt}");
+            daemon.hands.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
         }
         daemon.list(&known);
         daemon.recover(kept);
         daemon.hands.watch();
         daemon.hands.deadlines.set(Due::Standing, now + STANDING);
         if others_held {
-            daemon.hands.deadlines.set(Due::Adopt, now + ADOPT_EVERY);
+            daemon.hands.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
         }
         daemon.settle();
         daemon.hands.send_notices();
@@ -315,18 +329,17 @@
             Due::Notices => hands.notices_rested(),
             Due::Accept => self.let_in(),
             Due::Leave => self.leave_on(),
-            Due::Adopt => match hands.journal.adopt() {
-                Ok((kept, held)) => {
-                    if held {
-                        hands.deadlines.set(Due::Adopt, now + ADOPT_EVERY);
-                    }
-                    self.recover(kept);
-                }
-                Err(e) => {
-                    log::error!("mail journal: another's cannot be taken over: {e}");
-                    hands.deadlines.set(Due::Adopt, now + 10 * ADOPT_EVERY);
+            Due::Adopt => {
+                let (kept, again) = take_over(&mut hands.journal);
+                if again {
+                    hands.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
                 }
-            },
+                self.recover(kept);
+            }
+            Due::HeldOut => {
+                hands.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
+                self.heed_held_out();
+            }
             Due::Standing => {
                 let out = hands.mails.iter().filter(|(_, m)| m.call.is_some()).count();
                 let (held, owed, open) = (hands.mails.len(), hands.notices.owed(), hands.conns.len());
--- a/daemon/src/mail_journal.rs
+++ b/daemon/src/mail_journal.rs
@@ -312,8 +312,9 @@
     }
 
     /// Takes in the journals of the folder that no process holds any more: their mails and owed notices are written
-    /// into this one, and only then are they removed. True beside: another one is still held. What is known already
-    /// (met twice after a stop between writing and removing) is not taken again.
+    /// into this one, and only then are they removed. True beside: another one is still held, or finds no room yet. One
+    /// is taken in whole or not at all: of one half taken, mails that have ended here since would be taken for new. What
+    /// is known already (met twice after a stop between writing and removing) is not taken again.
     pub fn adopt(&mut self) -> io::Result<(Kept, bool)> {
         let (mut all, mut held) = (Kept::default(), false);
         let mine = self.own;
@@ -333,9 +334,15 @@
             let (mut kept, _) = replay(&bytes);
             kept.mails.retain(|m| !self.live.contains_key(&m.id));
             kept.owed.retain(|(id, _)| !self.live.contains_key(id));
-            for (id, record) in kept.records().collect::<Vec<_>>() {
-                self.append(&record)
-                    .map_err(|NoRoom| io::Error::other("no room for the mails of another"))?;
+            let records: Vec<(MailId, Vec<u8>)> = kept.records().collect();
+            let bytes: Vec<u8> = records.iter().flat_map(|(_, record)| record).copied().collect();
+            if self.append(&bytes).is_err() {
+                held = true;
+                continue;
+            }
+            // From here on it counts no more, whatever becomes of the file.
+            file.set_len(0)?;
+            for (id, record) in records {
                 *self.live.entry(id).or_default() += record.len() as u64;
                 self.live_total += record.len() as u64;
             }
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -50,6 +50,8 @@
     Standing,
     /// The journal of a process that still ends beside this one is looked for.
     Adopt,
+    /// The list of endpoints held out may have been written by a process beside this one.
+    HeldOut,
 }
 
 /// Where a mail stands.
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -9,6 +9,7 @@
 
 /// The longest call line, its end included; what is longer is answered `FAILURE` and the caller closed.
 pub const LINE_MOST: usize = 512;
+const TOO_LONG: &str = "a call is 512 bytes at most";
 /// Room for the answer to `show-stat`: a few lines a class.
 const ANSWER_MOST: usize = 64 * 1024;
 /// How long a caller may take to send a whole line, and to read its answer.
@@ -33,23 +34,29 @@
     (held, bad)
 }
 
-/// The endpoints held out by hand when the last process ended. What cannot be read is said, and the rest is used.
-pub fn load_held(folder: &std::path::Path) -> std::collections::BTreeSet<String> {
+/// The endpoints held out by hand, as the folder that lasts has them. What is no id is said, and the rest is used. None:
+/// the list cannot be read, which is said too.
+pub fn load_held(folder: &std::path::Path) -> Option<std::collections::BTreeSet<String>> {
     let path = folder.join(HELD_FILE);
     let text = match std::fs::read(&path) {
         Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
         Err(e) => {
-            log::error!("{}: cannot be read, no endpoint is held out: {e}", path.display());
-            String::new()
+            log::error!("{}: cannot be read: {e}", path.display());
+            return None;
         }
     };
     let (held, bad) = read_held(&text);
     bad.iter().for_each(|why| log::error!("{}: {why}, skipped", path.display()));
-    if !held.is_empty() {
-        log::info!("{} endpoints are held out by hand", held.len());
-    }
-    held
+    log::info!("{} endpoints are held out by hand", held.len());
+    Some(held)
+}
+
+/// What changes with the list of endpoints held out each time that it is written: none while there is none.
+pub fn held_stamp(folder: &std::path::Path) -> Option<(u64, std::time::SystemTime)> {
+    use std::os::unix::fs::MetadataExt;
+    let file = std::fs::metadata(folder.join(HELD_FILE)).ok()?;
+    Some((file.ino(), file.modified().ok()?))
 }
 
 /// Writes the endpoints held out beside the file, then puts it in its place: a reader finds the old list or the new.
@@ -195,7 +202,7 @@
             let bytes = conn.input.bytes();
             let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
                 if conn.input.len() >= LINE_MOST {
-                    conn.output.push(format!("FAILURE a call is {LINE_MOST} bytes at most\n").as_bytes());
+                    conn.output.push(format!("FAILURE {TOO_LONG}\n").as_bytes());
                     conn.last = true;
                     conn.input.consume(conn.input.len());
                 }
@@ -204,6 +211,7 @@
             let line = bytes[..end].strip_suffix(b"\r").unwrap_or(&bytes[..end]).to_vec();
             conn.input.consume(end + 1);
             let answer = match parse(&line) {
+                _ if end >= LINE_MOST => format!("FAILURE {TOO_LONG}\n"),
                 Ok(call) => self.call(call),
                 Err(why) => format!("FAILURE {why}\n"),
             };
@@ -227,7 +235,7 @@
 
     /// Does what is asked and says how it went.
     fn call(&mut self, call: Call) -> String {
-        let (now, out) = (self.hands.now, matches!(call, Call::Disable(_)));
+        let out = matches!(call, Call::Disable(_));
         match call {
             Call::Ready if self.serves() => "SUCCESS ready\n".into(),
             Call::Ready => "FAILURE not ready: draining or leaving\n".into(),
@@ -250,25 +258,50 @@
             Call::Disable(name) | Call::Enable(name) if self.hands.endpoints.find(&name).is_none() => {
                 format!("FAILURE unknown endpoint `{}`\n", name.escape_debug())
             }
-            Call::Disable(_) if self.hands.held_out.len() >= HELD_MOST => {
-                format!("FAILURE {HELD_MOST} endpoints are out already\n")
-            }
             Call::Disable(name) | Call::Enable(name) => {
-                let id = self.hands.endpoints.find(&name).expect("found above");
-                let changed = if out {
-                    self.hands.held_out.insert(name.clone())
-                } else {
-                    self.hands.held_out.remove(&name)
-                };
-                if changed && let Err(e) = write_held(&self.state, &self.hands.held_out) {
+                // What another process of this folder has written meanwhile stays.
+                self.heed_held_out();
+                let mut held = self.hands.held_out.clone();
+                let changed = if out { held.insert(name.clone()) } else { held.remove(&name) };
+                if held.len() > HELD_MOST {
+                    return format!("FAILURE {HELD_MOST} endpoints are out already\n");
+                }
+                if changed && let Err(e) = write_held(&self.state, &held) {
                     log::error!("{HELD_FILE}: cannot be written: {e}");
+                    return format!("FAILURE nothing changed, {HELD_FILE} cannot be written: {e}\n");
                 }
                 log::info!("endpoint {name} {} by a call", if out { "taken out" } else { "put back" });
-                self.dispatcher.hold_out(now, id, out, &mut self.hands);
+                self.held_stamp = held_stamp(&self.state);
+                self.hold_out(held);
                 format!("SUCCESS {name} is {}\n", if out { "out" } else { "back" })
             }
         }
     }
+
+    /// Takes up the list of endpoints held out where another process of this folder has written it: a call reaches the old
+    /// or the new version while both run, and binds both.
+    pub fn heed_held_out(&mut self) {
+        let stamp = held_stamp(&self.state);
+        if stamp != self.held_stamp
+            && let Some(held) = load_held(&self.state)
+        {
+            self.held_stamp = stamp;
+            self.hold_out(held);
+        }
+    }
+
+    /// From now on these are held out by hand and no others.
+    fn hold_out(&mut self, held: std::collections::BTreeSet<String>) {
+        let (now, hands) = (self.hands.now, &mut self.hands);
+        let before = std::mem::replace(&mut hands.held_out, held);
+        let changed: Vec<String> = before.symmetric_difference(&hands.held_out).cloned().collect();
+        for name in changed {
+            let out = hands.held_out.contains(&name);
+            if let Some(id) = hands.endpoints.find(&name) {
+                self.dispatcher.hold_out(now, id, out, hands);
+            }
+        }
+    }
 }
 
 #[cfg(test)]
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -311,6 +311,27 @@
     assert!(!held && kept == Kept::default() && adopted == model);
 }
 
+/// Half taken over, the rest of it would have been forgotten, and mails ended since taken for new.
+#[test]
+fn a_journal_that_finds_no_room_is_taken_over_whole_later() {
+    let folder = Folder::new("adopt-later");
+    let (mut old, mut model) = MailJournal::open(&folder.0, 60_000).unwrap();
+    for n in 0..5 {
+        step(&mut old, &mut model, (0, n, 4_000)).unwrap();
+    }
+    let (mut new, _) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let mut own = Kept::default();
+    for n in 8..13 {
+        step(&mut new, &mut own, (0, n, 4_000)).unwrap();
+    }
+    drop(old);
+    assert_eq!(new.adopt().unwrap(), (Kept::default(), true));
+    for n in 8..13 {
+        step(&mut new, &mut own, (4, n, 0)).unwrap();
+    }
+    assert_eq!(new.adopt().unwrap(), (model, false));
+}
+
 #[test]
 fn an_endpoint_s_row_is_the_next_one_s_once_it_is_forgotten() {
     let mut endpoints = Endpoints::default();
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -233,6 +233,16 @@
         });
     }
 
+    /// Starts a process beside one that runs, at the `mgmt` address that the configuration names now.
+    fn start_beside(&mut self) {
+        let child = self.command("serve").spawn().unwrap();
+        self.child = Some(child);
+        wait_for("a new version that is ready", || {
+            TcpStream::connect(self.json["mgmt"].as_str().unwrap()).is_ok()
+        });
+        assert!(self.call("ready")[0].starts_with("SUCCESS"));
+    }
+
     /// What the journal holds at this moment.
     fn kept(&self) -> Kept {
         self.kept_in("mails")
@@ -264,14 +274,43 @@
         rustix::process::kill_process(pid, signal).unwrap();
     }
 
+    /// Where operators call this rig's dispatcher: the n-th process beside others has an address of its own.
+    fn mgmt_at(&self, n: u16) -> String {
+        let ip: std::net::SocketAddr = self.listen.parse().unwrap();
+        format!("{}:{}", ip.ip(), 9100 + n)
+    }
+
+    fn call(&self, line: &str) -> Vec<String> {
+        call_at(self.json["mgmt"].as_str().unwrap(), line)
+    }
+
+    fn figure(&self, name: &str) -> u64 {
+        figure_at(self.json["mgmt"].as_str().unwrap(), name)
+    }
+
     fn client(&self) -> Client {
-        let stream = TcpStream::connect(&self.listen).unwrap();
-        // What never comes fails, as in `wait_for`.
-        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
-        Client { from: BufReader::new(stream.try_clone().unwrap()), to: stream }
+        connect(&self.listen).unwrap()
     }
 }
 
+/// One call as an operator makes it: a line out, the lines of the answer.
+fn call_at(addr: &str, line: &str) -> Vec<String> {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut lines = BufReader::new(stream).lines().map(|l| l.unwrap());
+    let first = lines.next().unwrap();
+    let more = line == "show-stat" && first.starts_with("SUCCESS");
+    let rest = lines.take_while(|l| l != "EOT").take(if more { usize::MAX } else { 0 });
+    std::iter::once(first).chain(rest).collect()
+}
+
+fn figure_at(addr: &str, name: &str) -> u64 {
+    let lines = call_at(addr, "show-stat");
+    let value = lines.iter().find_map(|l| l.strip_prefix(&format!("dispatcher.{name}=")));
+    value.unwrap_or_else(|| panic!("{name} in {lines:?}")).parse().unwrap()
+}
+
 impl Drop for Rig {
     fn drop(&mut self) {
         if self.child.is_some() {
@@ -286,6 +325,13 @@
     from: BufReader<TcpStream>,
 }
 
+fn connect(to: &str) -> std::io::Result<Client> {
+    let stream = TcpStream::connect(to)?;
+    // What never comes fails, as in `wait_for`.
+    stream.set_read_timeout(Some(Duration::from_secs(60)))?;
+    Ok(Client { from: BufReader::new(stream.try_clone()?), to: stream })
+}
+
 fn put(id: &str, fields: &str, body: &str) -> Vec<u8> {
     let words = ["MSG.PUT", "0000000000000000", id, fields, body];
     let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
@@ -902,6 +948,227 @@
     assert_eq!((hung.calls().len(), rig.platform.notices().len()), (4, 1));
 }
 
+#[test]
+fn calls_are_answered_whatever_other_callers_do_and_figures_are_those_of_a_counted_run() {
+    let (sound, failing, shut) = (
+        Endpoint::start(OK),
+        Endpoint::start(Does::Says("500 No")),
+        Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1000")),
+    );
+    let mut rig = Rig::new(&[(&sound, 7), (&failing, 8), (&shut, 9)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    rig.start();
+    // Callers that say nothing, half a line, or too much hold nobody up.
+    let addr = rig.mgmt_at(0);
+    let mut idle: Vec<TcpStream> = (0..30).map(|_| TcpStream::connect(&addr).unwrap()).collect();
+    idle.iter_mut().skip(15).for_each(|c| drop(c.write_all(b"show-st")));
+    for (line, says) in [
+        ("ready", "SUCCESS"),
+        ("reboot", "FAILURE unknown call"),
+        ("ready now", "FAILURE `ready` takes no word"),
+        ("", "FAILURE an empty call"),
+        ("disable-server", "FAILURE `disable-server` needs"),
+        ("disable-server e9", "FAILURE unknown endpoint"),
+        ("enable-server e9", "FAILURE unknown endpoint"),
+        ("enable-server e0", "SUCCESS"),
+        (&"x".repeat(600), "FAILURE a call is 512 bytes at most"),
+    ] {
+        let answer = rig.call(line);
+        assert!(answer[0].starts_with(says), "{line}: {answer:?}");
+    }
+    let mut client = rig.client();
+    for _ in 0..5 {
+        client.mail("notice", 7, 8000, "relayed");
+    }
+    let once = client.mail("payment", 8, 8000, "bounced");
+    let late = client.mail("notice", 9, 700, "deferred");
+    client.mail("notice", 9, 19_000, "waits");
+    wait_for("the ends", || {
+        sound.calls().len() == 5 && [&once, &late].iter().all(|id| rig.platform.notice(id).is_some())
+    });
+    let figures = [
+        ("downstream_requests.notice.completed", 5),
+        ("downstream_requests.notice.rejected", 1),
+        ("downstream_requests.notice.failed", 0),
+        ("downstream_requests.payment.completed", 0),
+        ("downstream_requests.payment.failed", 1),
+        ("pending", 1),
+        ("members", 3),
+        ("members_unavailable", 0),
+    ];
+    for (name, value) in figures {
+        wait_for(name, || rig.figure(name) == value);
+    }
+    let calls = sound.calls().len() + failing.calls().len() + shut.calls().len();
+    assert_eq!(rig.figure("upstream_requests"), calls as u64);
+    assert!(rig.call("disable-server e0")[0].starts_with("SUCCESS"));
+    assert_eq!((rig.figure("members"), rig.figure("members_unavailable")), (3, 1));
+    drop(idle);
+}
+
+#[test]
+fn a_drained_dispatcher_says_no_keeps_what_it_holds_and_takes_clients_again() {
+    let (sound, hung) = (Endpoint::start(OK), Endpoint::start(Does::Hangs));
+    let mut rig = Rig::new(&[(&sound, 7), (&hung, 8)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    rig.start();
+    let (mut idle, mut within, mut asks) = (rig.client(), rig.client(), rig.client());
+    idle.mail("notice", 7, 8000, "before");
+    let held = asks.mail("notice", 8, 19_000, "held over the drain");
+    wait_for("the call that hangs", || !hung.calls().is_empty());
+    let (first, second) = (put(&fresh(), "c=notice,d=8000,k=a,dest=7", "half"), fresh());
+    within.to.write_all(&first[..30]).unwrap();
+    // Written before the drain, and perhaps not read: it is answered all the same.
+    asks.to.write_all(&put(&second, "c=notice,d=8000,k=b,dest=7", "crossing")).unwrap();
+    assert!(rig.call("drain")[0].starts_with("SUCCESS"));
+    assert!(rig.call("drain")[0].starts_with("SUCCESS"), "twice is once");
+    assert_eq!((asks.line().as_str(), asks.line().as_str()), ("+OK", ""));
+    assert_eq!(idle.line(), "", "parted with");
+    assert_eq!(within.says(&first[30..]), "+OK");
+    assert_eq!(within.line(), "", "parted with once it is answered");
+    assert!(rig.client().says(b"PING\r\n").starts_with("-ERR draining"));
+    assert!(rig.call("ready")[0].starts_with("FAILURE"));
+    // One that comes nonetheless is served, and what was held goes on.
+    let mut late = rig.client();
+    late.mail("notice", 7, 8000, "late");
+    assert_eq!(late.line(), "");
+    hung.does(OK);
+    wait_for("the mail held", || hung.calls().iter().filter(|c| c.header("X-Trace-Id") == held).count() == 2);
+    wait_for("all of them", || rig.figure("downstream_requests.notice.completed") == 5);
+    assert!(rig.child.as_mut().unwrap().try_wait().unwrap().is_none(), "it stays");
+    assert!(rig.call("resume")[0].starts_with("SUCCESS"));
+    let mut after = rig.client();
+    assert_eq!(after.says(b"PING\r\n"), "+PONG");
+    after.mail("notice", 7, 8000, "after");
+    assert_eq!(after.says(b"PING\r\n"), "+PONG", "stays inside");
+    assert!(rig.platform.notices().is_empty());
+}
+
+#[test]
+fn an_endpoint_out_by_hand_stays_out_over_lists_restarts_and_upgrades() {
+    let (a, b) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&a, 7), (&b, 7)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    // Left by a process that was stopped in the middle of things: what is no id is passed over.
+    std::fs::write(rig.folder.join("state/held-out"), "two words\ne0\n\n").unwrap();
+    rig.start();
+    let mut client = rig.client();
+    let mails = |client: &mut Client, many: usize| {
+        let before = a.calls().len() + b.calls().len();
+        (0..many).for_each(|_| drop(client.mail("notice", 7, 20_000, "x")));
+        wait_for("the mails", || a.calls().len() + b.calls().len() == before + many);
+    };
+    mails(&mut client, 10);
+    assert_eq!((a.calls().len(), b.calls().len()), (0, 10), "held out by the list left");
+    assert!(rig.call("enable-server e0")[0].starts_with("SUCCESS"));
+    for _ in 0..2 {
+        assert!(rig.call("disable-server e1")[0].starts_with("SUCCESS"));
+    }
+    // What discovery says meanwhile changes nothing.
+    let up = json!({"version": 2, "full": true, "servers": [a.entry("e0", 7, "up"), b.entry("e1", 7, "up"),
+        a.entry("e2", 8, "up")]});
+    rig.platform.tell(&format!("{up}\n"));
+    wait_for("the list", || rig.figure("members") == 3);
+    mails(&mut client, 10);
+    assert_eq!((a.calls().len(), b.calls().len()), (10, 10));
+    rig.kill();
+    rig.start();
+    client = rig.client();
+    mails(&mut client, 10);
+    assert_eq!((a.calls().len(), b.calls().len()), (20, 10), "over a restart");
+    // A new version beside it, then a call to the old one: the new one heeds it too.
+    let mut old = rig.child.take().unwrap();
+    rig.json["mgmt"] = rig.mgmt_at(1).into();
+    rig.start_beside();
+    assert!(call_at(&rig.mgmt_at(0), "enable-server e1")[0].starts_with("SUCCESS"));
+    wait_for("the call back at the new one", || rig.figure("members_unavailable") == 0);
+    assert!(call_at(&rig.mgmt_at(0), "disable-server e0")[0].starts_with("SUCCESS"));
+    let out = || std::fs::read_to_string(rig.folder.join("state/held-out")).unwrap();
+    assert_eq!(out(), "e0\n");
+    wait_for("the call out at the new one", || rig.figure("members_unavailable") == 1);
+    old.kill().unwrap();
+    old.wait().unwrap();
+    client = rig.client();
+    mails(&mut client, 10);
+    assert_eq!((a.calls().len(), b.calls().len()), (20, 20), "over an upgrade");
+    assert!(rig.call("enable-server e0")[0].starts_with("SUCCESS"), "one call undoes two");
+    assert_eq!(rig.figure("members_unavailable"), 0);
+}
+
+#[test]
+fn a_mgmt_address_that_cannot_be_had_is_named() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut rig = Rig::new(&[]);
+    rig.json["mgmt"] = taken.local_addr().unwrap().to_string().into();
+    let end = rig.command("serve").output().unwrap();
+    let text = String::from_utf8(end.stderr).unwrap();
+    assert!(
+        !end.status.success() && text.contains(&format!("mgmt: {}", taken.local_addr().unwrap())),
+        "{text}"
+    );
+}
+
+#[test]
+fn a_new_version_takes_over_under_load_and_each_mail_is_relayed_once() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    rig.json["settings"]["limits"]["max-open"] = json!(1000);
+    rig.start();
+    let (stop, taken) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let clients: Vec<_> = (0..4)
+        .map(|_| {
+            let (listen, stop, taken) = (rig.listen.clone(), Arc::clone(&stop), Arc::clone(&taken));
+            std::thread::spawn(move || {
+                let mut kept: Option<Client> = None;
+                while !stop.load(Ordering::SeqCst) {
+                    // Parted with between requests, a client asks once more on a new connection, under the same id.
+                    let id = fresh();
+                    let request = put(&id, "c=payment,d=20000,dest=7", "x");
+                    for _ in 0..100 {
+                        let Ok(mut client) = kept.take().map_or_else(|| connect(&listen), Ok) else {
+                            continue;
+                        };
+                        let mut line = String::new();
+                        let sent = client.to.write_all(&request);
+                        if sent.and_then(|()| client.from.read_line(&mut line)).is_ok_and(|n| n > 0) {
+                            assert_eq!(line, "+OK\r\n");
+                            taken.lock().unwrap().push(id);
+                            kept = Some(client);
+                            break;
+                        }
+                    }
+                    std::thread::sleep(Duration::from_millis(60));
+                }
+            })
+        })
+        .collect();
+    let count = || taken.lock().unwrap().len();
+    let more = |many: usize| {
+        let from = count();
+        wait_for("mails", || count() >= from + many);
+    };
+    more(40);
+    let old = rig.child.take().unwrap();
+    rig.json["mgmt"] = rig.mgmt_at(1).into();
+    rig.start_beside();
+    more(40);
+    rustix::process::kill_process(rustix::process::Pid::from_child(&old), Signal::TERM).unwrap();
+    let mut old = old;
+    assert_eq!(old.wait().unwrap().code(), Some(0));
+    more(40);
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    let taken = taken.lock().unwrap().clone();
+    wait_for("all of them", || e.calls().len() >= taken.len() && rig.figure("pending") == 0);
+    let mut calls: Vec<String> = e.calls().iter().map(|c| c.header("X-Trace-Id").to_string()).collect();
+    let all = calls.len();
+    calls.sort();
+    calls.dedup();
+    assert_eq!((calls.len(), rig.platform.notices()), (all, vec![]), "none twice, none given up");
+    assert!(taken.iter().all(|id| calls.binary_search(id).is_ok()), "none lost");
+}
+
 #[test]
 fn the_disk_limit_is_kept_and_told_as_busy() {
     let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
