Mails that wait are kept by those alike: passes go over groups, not over each mail

Change: Dispatcher::waiting holds the mails that wait by destination, class and zone that they may have run in, in the order in which they are due; shift is the one place that keeps it. A closed group costs one question, the earliest due stands for the ends and wakes of its group.

--- a/src/control.rs
+++ b/src/control.rs
@@ -105,6 +105,15 @@
     ran: Option<(Nanos, ZoneId)>,
 }
 
+/// What mails have in common that go by the same routes: destination, class, the zone they may have run in.
+type Like = (DestinationId, usize, Option<usize>);
+
+impl Mail {
+    fn like(&self) -> Like {
+        (self.new.destination, self.new.class.0, self.ran.map(|(_, zone)| zone.0))
+    }
+}
+
 #[derive(Default)]
 struct KeyLine {
     mails: VecDeque<MailId>,
@@ -164,6 +173,8 @@
     index: BTreeMap<EndpointId, usize>,
     decks: BTreeMap<DestinationId, Deck>,
     mails: BTreeMap<MailId, Mail>,
+    /// The mails that wait, those alike together, by when they are due: each asked, a backlog took all time.
+    waiting: BTreeMap<Like, BTreeSet<(Nanos, MailId)>>,
     /// Taken out by hand: nothing new goes there, whatever the list says, until it is put back.
     held_out: BTreeSet<EndpointId>,
     keys: BTreeMap<KeyId, KeyLine>,
@@ -187,6 +198,7 @@
             index: BTreeMap::new(),
             decks: BTreeMap::new(),
             mails: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             held_out: BTreeSet::new(),
             keys: BTreeMap::new(),
             out: Vec::new(),
@@ -229,6 +241,7 @@
 
     /// Mails that come together, as after a restart: decided on each alone, hundreds took seconds.
     pub fn mails_taken(&mut self, now: Nanos, all: impl IntoIterator<Item = NewMail>, out: &mut impl Outlet) {
+        self.now = now;
         for new in all {
             let key = new.key.filter(|_| self.facts.classes[new.class.0].ordered);
             if let Some(key) = key {
@@ -236,7 +249,12 @@
             }
             let Past { connects, ran } = new.past;
             let mail = Mail { new: NewMail { key, ..new }, stage: Stage::Waiting, connects, ran };
+            let over = !self.may_go_again(&mail, now);
+            self.waiting.entry(mail.like()).or_default().insert((new.due, new.id));
             self.mails.insert(new.id, mail);
+            if over {
+                self.give_up(new.id, out); // By its past.
+            }
         }
         self.go_on(now, out);
     }
@@ -352,9 +370,19 @@
     fn shift(&mut self, id: MailId, to: Stage, out: &mut impl Outlet) {
         let Some(mail) = self.mails.get_mut(&id) else { return };
         let from = std::mem::replace(&mut mail.stage, to);
-        let key = mail.new.key;
+        let (key, like, place) = (mail.new.key, mail.like(), (mail.new.due, id));
+        if to == Stage::Waiting {
+            self.waiting.entry(like).or_default().insert(place);
+        } else if from == Stage::Waiting
+            && let Some(line) = self.waiting.get_mut(&like)
+        {
+            line.remove(&place);
+            if line.is_empty() {
+                self.waiting.remove(&like);
+            }
+        }
         match to {
-            Stage::Out if from != to => mail.connects += 1,
+            Stage::Out if from != to => self.mails.get_mut(&id).into_iter().for_each(|m| m.connects += 1),
             Stage::Deferred if from != to => {
                 let come_back = self.come_back(id);
                 out.defer(id, come_back);
@@ -628,10 +656,10 @@
         o.at + self.silent_after(o.route, o.class)
     }
 
-    fn worth_at(&self, mail: &Mail, at: Nanos) -> f64 {
-        let row = &self.facts.classes[mail.new.class.0];
-        let age = at.saturating_sub(mail.new.due.saturating_sub(row.lifetime));
-        if at >= mail.new.due {
+    fn worth_at(&self, class: usize, due: Nanos, at: Nanos) -> f64 {
+        let row = &self.facts.classes[class];
+        let age = at.saturating_sub(due.saturating_sub(row.lifetime));
+        if at >= due {
             return 0.0;
         }
         let late = age.saturating_sub(row.target_delay) as f64;
@@ -644,13 +672,17 @@
     }
 
     /// What waiting for the horizon would lose of the mail's worth, for its slot time; else it goes by worth.
-    fn loss_rate(&self, mail: &Mail, now: Nanos, horizon: Nanos) -> f64 {
-        let slot = self.usual(mail.new.destination, mail.new.class.0);
+    fn loss_rate(&self, slot: f64, class: usize, due: Nanos, now: Nanos, horizon: Nanos) -> f64 {
         let at = now + slot as Nanos;
-        ((1.0 + WORTH_ITSELF) * self.worth_at(mail, at) - self.worth_at(mail, at + horizon)) / slot
+        let (then, later) = (self.worth_at(class, due, at), self.worth_at(class, due, at + horizon));
+        ((1.0 + WORTH_ITSELF) * then - later) / slot
     }
 
-    fn turn_at(&self, id: MailId, mail: &Mail) -> Nanos {
+    fn turn_at(&self, id: MailId) -> Nanos {
+        if self.keys.is_empty() {
+            return 0;
+        }
+        let mail = &self.mails[&id];
         let Some(line) = mail.new.key.and_then(|key| self.keys.get(&key)) else { return 0 };
         if line.mails.front() != Some(&id) || line.loose > 0 {
             return NEVER;
@@ -685,12 +717,22 @@
     }
 
     fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
-        let over = |m: &Mail| match m.stage {
-            Stage::Waiting => !self.may_go_again(m, now) || self.blocks_key(m),
-            Stage::Out => now >= m.new.due,
-            _ => false,
-        };
-        let overdue: Vec<MailId> = self.mails.iter().filter(|(_, m)| over(m)).map(|(&id, _)| id).collect();
+        let late =
+            |o: &&Connect| self.mails[&o.mail].stage == Stage::Out && now >= self.mails[&o.mail].new.due;
+        let mut overdue: Vec<MailId> = self.out.iter().filter(late).map(|o| o.mail).collect();
+        for (like, line) in &self.waiting {
+            // Those alike end by when they are due, unless windows or keys tell of each.
+            let each = like.2.is_some() || self.facts.classes[like.1].ordered;
+            for &(_, id) in line {
+                let mail = &self.mails[&id];
+                if !self.may_go_again(mail, now) || self.blocks_key(mail) {
+                    overdue.push(id);
+                } else if !each {
+                    break;
+                }
+            }
+        }
+        overdue.sort();
         for id in overdue {
             self.give_up(id, out);
         }
@@ -710,13 +752,16 @@
     /// the one worth least. Stops a struck destination's backlog from turning away the mails of all others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
         while self.mails.values().filter(|m| !m.stage.ended()).count() >= self.facts.holding_room {
-            let mut waiting: BTreeMap<DestinationId, Vec<(f64, Nanos, MailId)>> = BTreeMap::new();
-            for (&id, m) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
-                waiting.entry(m.new.destination).or_default().push((self.worth_at(m, now), m.new.due, id));
+            let mut many: BTreeMap<DestinationId, usize> = BTreeMap::new();
+            for (like, line) in &self.waiting {
+                *many.entry(like.0).or_default() += line.len();
             }
-            let longest = waiting.into_values().max_by_key(Vec::len).unwrap_or_default();
-            let least = longest.iter().min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            let Some(&(_, _, id)) = least else { return };
+            let longest = many.into_iter().max_by_key(|&(_, many)| many).map(|(dest, _)| dest);
+            let of = self.waiting.iter().filter(|(like, _)| Some(like.0) == longest);
+            let worth = |class, &(due, id)| (self.worth_at(class, due, now), due, id);
+            let all = of.flat_map(|(like, line)| line.iter().map(move |place| worth(like.1, place)));
+            let least = all.min_by(|a, b| a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+            let Some((_, _, id)) = least else { return };
             self.give_up(id, out);
         }
     }
@@ -724,21 +769,16 @@
     fn send_all(&mut self, now: Nanos, out: &mut impl Outlet) {
         while self.out.len() < self.facts.slots && now >= self.no_slot_until {
             // Through a long backlog all mails would go out just before their end. Harm: a burst is late.
-            let waiting = self.mails.values().filter(|m| m.stage == Stage::Waiting);
-            let takes = waiting.map(|m| self.usual[m.new.class.0]).sum::<f64>();
+            let takes = self.waiting.iter().map(|(like, l)| self.usual[like.1] * l.len() as f64).sum::<f64>();
             let horizon = HORIZON.max((takes / self.facts.slots as f64 - SHORT_BACKLOG) as Nanos);
             let mut best: Option<(f64, Nanos, MailId)> = None;
-            let mut known = BTreeMap::new();
-            for (&id, mail) in self.mails.iter().filter(|(_, m)| m.stage == Stage::Waiting) {
-                // What is open to one mail is open to its like: asked for each, a backlog took all time.
-                let like = (mail.new.destination, mail.new.class.0, mail.ran.map(|(_, zone)| zone.0));
-                let open = *known.entry(like).or_insert_with(|| self.has_route(mail, now));
-                if !open || self.turn_at(id, mail) > now {
-                    continue;
-                }
-                let worth = self.loss_rate(mail, now, horizon);
-                if best.is_none_or(|b| worth > b.0 || (worth == b.0 && mail.new.due < b.1)) {
-                    best = Some((worth, mail.new.due, id));
+            for (like, line) in self.waiting.iter().filter(|(_, line)| self.has_route(line, now)) {
+                let slot = self.usual(like.0, like.1);
+                for &(due, id) in line.iter().filter(|&&(_, id)| self.turn_at(id) <= now) {
+                    let worth = self.loss_rate(slot, like.1, due, now, horizon);
+                    if best.is_none_or(|b| worth > b.0 || (worth == b.0 && (due, id) < (b.1, b.2))) {
+                        best = Some((worth, due, id));
+                    }
                 }
             }
             let Some((_, _, id)) = best else { return };
@@ -747,8 +787,8 @@
         }
     }
 
-    /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a route that is
-    /// suspect, or has answered since (one connection fell silent, the answer is lost): they starve all others.
+    /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a route that
+    /// is suspect, or has answered since (one connection fell silent): they starve all others.
     /// Not on one that may yet prove silent. Could bounce a once-only mail yet to be answered: one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.out.len() < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
@@ -760,16 +800,18 @@
             (r.suspect || r.spoke_at > o.at) && now >= o.at + more * (self.silent_at(o) - o.at)
         };
         let Some(i) = self.out.iter().position(late) else { return };
-        let kept = |(&id, m): (&MailId, &Mail)| {
-            m.stage == Stage::Waiting && self.turn_at(id, m) <= now && self.has_route(m, now)
+        let kept = |line: &BTreeSet<(Nanos, MailId)>| {
+            self.has_route(line, now) && line.iter().any(|&(_, id)| self.turn_at(id) <= now)
         };
-        if self.mails.iter().any(kept) {
+        if self.waiting.values().any(kept) {
             self.out[i].called_off = true;
             out.call_off(self.out[i].mail, self.out[i].no);
         }
     }
 
-    fn has_route(&self, mail: &Mail, now: Nanos) -> bool {
+    /// Whether mails alike could go now.
+    fn has_route(&self, line: &BTreeSet<(Nanos, MailId)>, now: Nanos) -> bool {
+        let Some(mail) = line.first().map(|(_, id)| &self.mails[id]) else { return false };
         let most = ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2);
         let cards = self.cards(mail.new.destination);
         self.count_out(|o| self.routes[o.route].entry.destination == mail.new.destination) < most
@@ -824,16 +866,22 @@
         for o in &self.out {
             note(self.silent_at(o));
             note(2 * self.silent_at(o) - o.at);
+            if !self.mails[&o.mail].stage.ended() {
+                note(self.mails[&o.mail].new.due);
+            }
         }
-        let mut known = BTreeSet::new();
-        for (&id, mail) in self.mails.iter().filter(|(_, m)| !m.stage.ended()) {
-            note(mail.new.due - if mail.stage == Stage::Out { 0 } else { self.margin.min(mail.new.due) });
-            if mail.stage == Stage::Waiting && self.out.len() < self.facts.slots {
-                let turn = self.turn_at(id, mail);
-                let new =
-                    known.insert((mail.new.destination, mail.new.class.0, mail.ran.map(|r| r.1.0), turn));
-                for &route in self.cards(mail.new.destination).iter().filter(|_| new) {
-                    note(self.opens_at(route, mail, now).max(turn).max(self.no_slot_until));
+        for (like, line) in &self.waiting {
+            if let Some(&(due, id)) = line.first() {
+                note(due - self.margin.min(due));
+                if self.out.len() < self.facts.slots {
+                    let turns: BTreeSet<Nanos> = match self.facts.classes[like.1].ordered {
+                        true => line.iter().map(|&(_, id)| self.turn_at(id)).collect(),
+                        false => BTreeSet::from([0]),
+                    };
+                    for &route in self.cards(like.0) {
+                        let opens = self.opens_at(route, &self.mails[&id], now).max(self.no_slot_until);
+                        turns.iter().for_each(|&turn| note(opens.max(turn)));
+                    }
                 }
             }
         }
