One piece reads a client, one admits what a listener accepted, one names the clients

A class name was cloned at each hand-in for the one refusal that counts it, and shift looked its mail up twice. Each is one piece now (Hands::hear, Conns::admit_accepted, Daemon::clients); a test lost a variable.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -40,29 +40,33 @@
                 .conns
                 .least_client(now.saturating_sub(SILENT_GIVES_WAY), now.saturating_sub(IDLE_GIVES_WAY));
             let Some(id) = least else { return false };
-            if !self.hears(id) {
+            // One that lingers has nothing more to say.
+            let lingers = self.conns.get(id).is_some_and(|c| c.lingers);
+            if !lingers && matches!(self.hear(id), Ok(true)) {
+                self.deadlines.set(Due::Read(id), now);
+            } else {
                 self.part_with(id);
             }
         }
         !self.conns.full() || self.shed_idle()
     }
 
-    /// Reads what has come from a client. True: something had, and it has its turn.
-    fn hears(&mut self, id: ConnId) -> bool {
+    /// Reads what has come from a client. True: something had.
+    fn hear(&mut self, id: ConnId) -> std::io::Result<bool> {
         let now = self.now;
-        let Some(conn) = self.conns.get_mut(id).filter(|c| !c.lingers) else { return false };
+        let Some(conn) = self.conns.get_mut(id) else { return Ok(false) };
         let had = conn.input.len();
-        if conn.asked && had == 0 {
-            // Its next command begins, if anything has come.
+        if conn.asked && conn.between() {
+            // Its next command begins.
             conn.used = now;
         }
-        let read = self.conns.fill(id).is_ok();
-        match self.conns.get_mut(id).filter(|c| read && c.input.len() != had) {
-            Some(conn) => conn.heard = now,
-            None => return false,
+        let read = self.conns.fill(id);
+        let Some(conn) = self.conns.get_mut(id) else { return Ok(false) };
+        let came = conn.input.len() != had;
+        if came {
+            conn.heard = now;
         }
-        self.deadlines.set(Due::Read(id), now);
-        true
+        read.map(|()| came)
     }
 
     /// Closes a client's connection.
@@ -111,17 +115,8 @@
 
     pub fn client_ready(&mut self, id: ConnId) {
         let hands = &mut self.hands;
-        if let Some(conn) = hands.conns.get_mut(id).filter(|c| c.asked && c.between()) {
-            // Its next command begins.
-            conn.used = hands.now;
-        }
-        let had = hands.conns.get(id).map_or(0, |c| c.input.len());
-        let broken = hands.conns.fill(id).is_err();
-        let now = hands.now;
+        let broken = hands.hear(id).is_err();
         let Some(conn) = hands.conns.get_mut(id) else { return };
-        if conn.input.len() != had {
-            conn.heard = now;
-        }
         if conn.lingers {
             conn.input.consume(conn.input.len());
             if broken || conn.ended || hands.conns.arm(id).is_err() {
@@ -243,7 +238,7 @@
         // would go out twice. It covers a dispatcher that stood still; the harm is a needless -BUSY to one that ends its
         // side early and yet listens.
         let listens = self.hands.conns.get(conn).is_some_and(|c| !c.ended);
-        let class = put.class.clone();
+        let class = self.hands.class_of(&put.class);
         let mail = KeptMail {
             id: MailId(put.id),
             class: put.class,
@@ -265,7 +260,7 @@
             Err(Refusal::TooLong) => say(&mut self.hands, "-ERR d: longer than the class allows\r\n"),
             Err(Refusal::Untagged) => say(&mut self.hands, "-ERR k: expected in this class\r\n"),
             Err(Refusal::NoRoom) => {
-                if let Some(class) = self.hands.class_of(&class) {
+                if let Some(class) = class {
                     self.hands.figures.count(class, crate::mgmt::REJECTED);
                 }
                 say(&mut self.hands, "-BUSY\r\n")
--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -217,11 +217,20 @@
     /// The next client that waits to be let in.
     pub fn accept(&mut self) -> io::Result<Option<ConnId>> {
         let Some(listener) = &self.listener else { return Ok(None) };
-        match listener.accept() {
+        self.admit_accepted(listener.accept(), Role::Client, crate::resp::COMMAND_MOST)
+    }
+
+    /// What came of accepting on a listener; `bound` is that of both rings.
+    fn admit_accepted(
+        &mut self,
+        accepted: io::Result<(TcpStream, SocketAddr)>,
+        role: Role,
+        bound: usize,
+    ) -> io::Result<Option<ConnId>> {
+        match accepted {
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
-                let bounds = (crate::resp::COMMAND_MOST, crate::resp::COMMAND_MOST);
-                self.admit(stream, Role::Client, bounds, false).map(Some)
+                self.admit(stream, role, (bound, bound), false).map(Some)
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
             Err(e) => Err(e),
@@ -243,14 +252,7 @@
         let Some(listener) = &self.mgmt else { return Ok(None) };
         let accepted = listener.accept();
         self.poller.modify(listener, Event::readable(MGMT))?;
-        match accepted {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
-                self.admit(stream, Role::Caller, (bound, bound), false).map(Some)
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
-            Err(e) => Err(e),
-        }
+        self.admit_accepted(accepted, Role::Caller, bound)
     }
 
     pub fn arm_listener(&self) -> io::Result<()> {
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -409,15 +409,18 @@
             self.hands.conns.close_listener();
         }
         if next == Leaving::Parting {
-            let clients: Vec<ConnId> =
-                self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id).collect();
-            for id in clients {
+            for id in self.clients() {
                 self.client_ready(id);
                 self.part(id);
             }
         }
     }
 
+    /// All clients that are inside now.
+    fn clients(&self) -> Vec<ConnId> {
+        self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id).collect()
+    }
+
     /// On the way out, parts with a client whose last request is answered; it sends its next one elsewhere.
     fn part(&mut self, id: ConnId) {
         let between = |c: &crate::conns::Conn| c.input.is_empty() && c.output.is_empty();
@@ -439,8 +442,7 @@
         }
         log::info!("{}", if on { "drained by a call" } else { "takes clients again" });
         if on {
-            let clients = self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id);
-            for id in clients.collect::<Vec<_>>() {
+            for id in self.clients() {
                 // What has come is met first; and one that came just now has its time to ask.
                 self.client_ready(id);
                 if self.hands.conns.get(id).is_some_and(|c| c.asked) {
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -1149,12 +1149,11 @@
         wait_for("mails", || count() >= from + many);
     };
     more(40);
-    let old = rig.child.take().unwrap();
+    let mut old = rig.child.take().unwrap();
     rig.json["mgmt"] = rig.mgmt_at(1).into();
     rig.start_beside();
     more(40);
     rustix::process::kill_process(rustix::process::Pid::from_child(&old), Signal::TERM).unwrap();
-    let mut old = old;
     assert_eq!(old.wait().unwrap().code(), Some(0));
     more(40);
     stop.store(true, Ordering::SeqCst);
--- a/src/control.rs
+++ b/src/control.rs
@@ -382,7 +382,7 @@
             }
         }
         match to {
-            Stage::Out if from != to => self.mails.get_mut(&id).into_iter().for_each(|m| m.connects += 1),
+            Stage::Out if from != to => mail.connects += 1,
             Stage::Deferred if from != to => {
                 let come_back = self.come_back(id);
                 out.defer(id, come_back);
