--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -742,7 +742,16 @@
         json!({"version": 2, "full": false, "servers": [entry("draining"), second.entry("more", 9, "up")]});
     rig.platform.tell(&format!("{news}\n"));
     // Its destination is in the same line, so when it goes out the drain is known.
-    let later = client.mail("notice", 9, 19_000, "x");
+    // Until the line is read its destination is unknown, and a mail to it is turned away unheard.
+    let later = fresh();
+    let ask = put(&later, &format!("c=notice,d=19000,k=k{later},dest=9"), "x");
+    wait_for("the news", || match rig.client().says(&ask).as_str() {
+        "-ERR dest: unknown destination" => false,
+        answer => {
+            assert_eq!(answer, "+OK");
+            true
+        }
+    });
     wait_for("a mail after the drain", || relayed(&later));
     drop((slow.accept().unwrap(), filler));
     let mut late = slow.accept().unwrap().0;
