Discovery is asked for a watch where lists come only to those who ask

The module now asks, spread over three quarters of the time within which the settings demand a call; a watch that is lost is asked for again the same way, calls in vain rest up to three times it (four are allowed).

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -52,6 +52,9 @@
     }
     // The bench's days are short: a name keeps its number.
     fn forget(&mut self, _: EndpointId) {}
+    fn ask(&mut self) {
+        self.action("LISTEN", format_args!(" want=1"));
+    }
     fn wake(&mut self, after: Nanos) {
         self.action("ARM", format_args!(" mark=wake sleep-for-ns={after}"));
     }
@@ -100,18 +103,17 @@
         let Some(it) = self.instances.get_mut(name) else {
             return Ok(());
         };
-        let news = if line.name == "MEMBERS" { read_news(line, &self.lists, it)? } else { None };
+        let news = if line.name == "MEMBERS" { Some(read_news(line, &self.lists, it)?) } else { None };
         let from = self.out.len();
         let out = &mut Writer { out: &mut self.out, instance: name, endpoints: &it.endpoints };
         let d = &mut it.dispatcher;
         let names = &it.names;
         let decided = catch_unwind(AssertUnwindSafe(|| -> Result<(), Bad> {
             match line.name {
-                "MEMBERS" => {
-                    if let Some((scope, entries)) = news {
-                        d.list_news(now, scope, &entries, out);
-                    }
-                }
+                "MEMBERS" => match news.flatten() {
+                    Some((scope, entries)) => d.list_news(now, scope, &entries, out),
+                    None => d.list_lost(now, out),
+                },
                 "CALL" => {
                     let mail = NewMail {
                         id: line.hex("txn")?,
--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -157,6 +157,11 @@
         tip_multiple: r.within(LEAST_PART, MOST, "guarantees.tip-multiple")?,
         tip_window: r.count("guarantees.overload-for-ns")?,
         key_rest: r.at("guarantees.turn-gap-ns").and_then(Value::as_u64).unwrap_or(0),
+        ask_within: match r.at("discovery").map(Value::as_str) {
+            None | Some(Some("pushed")) => None,
+            Some(Some("on_request")) => Some(r.from(1, "guarantees.ask-within-ns")?),
+            _ => return Err(r.bad("discovery", "pushed or on_request")),
+        },
         tick: r.from(1, "tick-ns")?,
     };
     let keep_alive = r.count("limits.keepalive-ns")?;
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -304,6 +304,8 @@
         self.endpoints.forget(endpoint);
     }
 
+    // The watch is kept open here, whatever the settings say.
+    fn ask(&mut self) {}
     fn wake(&mut self, after: Nanos) {
         self.deadlines.set(Due::Wake, self.now + after);
     }
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -55,6 +55,8 @@
         self.commands.push(Command::HangUp(endpoint));
     }
     fn forget(&mut self, _: EndpointId) {}
+    // The model's lists come by themselves.
+    fn ask(&mut self) {}
     fn wake(&mut self, after: Nanos) {
         self.commands.push(Command::Wake(after));
     }
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -252,6 +252,7 @@
             tip_multiple: r.tip_multiple,
             tip_window: ms(r.tip_window_ms),
             key_rest: ms(r.key_rest_ms),
+            ask_within: None,
             tick: 5 * MS,
         }
     }
--- a/lab/tests/records.rs
+++ b/lab/tests/records.rs
@@ -23,7 +23,7 @@
         ],
         endpoints: vec![(0, 0), (0, 1), (1, 2), (1, 3)],
         drain_grace: 2 * S,
-        key_rest: 100 * MS,
+        ask_within: None,
         max_connects: 4,
         slack: Slack::VIRTUAL,
     })
--- a/src/control.rs
+++ b/src/control.rs
@@ -185,6 +185,9 @@
     missed: f64,
     /// By kind: the share of connects that met drops or full tables, of how many; no idle ones until then.
     tight: BTreeMap<usize, (f64, f64, Nanos)>,
+    /// Where lists come only to those who ask: when to ask, and how far the next time is spread.
+    ask_at: Nanos,
+    ask_spread: Nanos,
     margin: Nanos,
     wake_at: Nanos,
     now: Nanos,
@@ -192,7 +195,7 @@
 
 impl Dispatcher {
     pub fn boot(now: Nanos, facts: BootFacts) -> Self {
-        Dispatcher {
+        let mut d = Dispatcher {
             rng: Pcg64Mcg::seed_from_u64(facts.seed),
             usual: vec![FIRST_USUAL; facts.classes.len()],
             routes: Vec::new(),
@@ -207,14 +210,38 @@
             trial_until: 0,
             missed: 0.0,
             tight: BTreeMap::new(),
+            ask_at: NEVER,
+            ask_spread: 0,
             margin: 2 * facts.tick,
             wake_at: NEVER,
             now,
             facts,
+        };
+        d.ask_later(now);
+        d
+    }
+
+    /// Sets when discovery is asked for a watch, at the start and when it is lost. The rule demands a call of each
+    /// dispatcher in `ask_within`: spread over that they are served. It could learn a drain so much later.
+    fn ask_later(&mut self, now: Nanos) {
+        if let Some(within) = self.facts.ask_within {
+            // After a failed call there is four times as long; at shorter rests calls in vain would fill the line.
+            let (least, most) = (self.ask_spread / 2, (self.ask_spread * 3 / 2).max(within / 4 * 3));
+            self.ask_at = now + self.rng.random_range(least..most.max(least + 1));
+            self.ask_spread = (self.ask_spread * 2).clamp(within, 2 * within);
         }
     }
 
+    /// A call to discovery has failed, or the watch has broken.
+    pub fn list_lost(&mut self, now: Nanos, out: &mut impl Outlet) {
+        self.ask_later(now);
+        self.go_on(now, out);
+    }
+
     pub fn list_news(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
+        if self.ask_at == NEVER {
+            self.ask_spread = 0; // The watch serves.
+        }
         if scope == ListScope::Whole {
             let serving = self.routes.iter_mut().filter(|r| r.entry.serving);
             serving.for_each(|r| (r.entry.serving, r.sent_at) = (false, now));
@@ -702,6 +729,10 @@
 
     fn go_on(&mut self, now: Nanos, out: &mut impl Outlet) {
         self.now = now;
+        if now >= self.ask_at {
+            self.ask_at = NEVER;
+            out.ask();
+        }
         self.watch_silence(now, out);
         self.end_overdue(now, out);
         self.send_all(now, out);
@@ -873,6 +904,7 @@
     fn next_wake(&self, now: Nanos) -> Nanos {
         let mut at = NEVER;
         let mut note = |t: Nanos| at = if t > now { at.min(t) } else { at };
+        note(self.ask_at);
         for o in &self.out {
             note(self.silent_at(o));
             note(2 * self.silent_at(o) - o.at);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -75,6 +75,8 @@
     pub tip_multiple: f64,
     pub tip_window: Nanos,
     pub key_rest: Nanos,
+    /// Where lists come only to those who ask: without a watch one has to ask within this.
+    pub ask_within: Option<Nanos>,
     pub tick: Nanos,
 }
 
@@ -164,6 +166,8 @@
     fn hang_up(&mut self, endpoint: EndpointId);
     /// The endpoint is gone and nothing is known of it any more: its number may be another's from now on.
     fn forget(&mut self, endpoint: EndpointId);
+    /// Asks discovery for a watch on the list; changes or [`crate::control::Dispatcher::list_lost`] answer it.
+    fn ask(&mut self);
     /// Asks for [`crate::control::Dispatcher::woken`] after this span.
     fn wake(&mut self, after: Nanos);
     fn log(&mut self, line: &str);
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -467,3 +467,44 @@
     assert!(sends(&w, 8) <= 14, "{} of 80 mails went to it first", sends(&w, 8));
     assert_eq!(w.o.relayed.len(), 80);
 }
+
+/// Where lists come only to those who ask (big-1 and big-2 of quito-sede: sends 0.26 s after a drain that it would have
+/// heard of, had it asked): in time, out of step, once for each watch, and in time again whenever it is lost.
+#[test]
+fn discovery_is_asked_in_time_and_out_of_step() {
+    let within = 10 * S;
+    let mut first = vec![];
+    for seed in 0..40 {
+        let mut w = World::new(BootFacts { seed, ask_within: Some(within), dispatchers: 300, ..facts() });
+        let start = w.o.now;
+        w.pass(60 * S);
+        assert_eq!(w.o.asked.len(), 1, "asked again without a failure");
+        first.push(w.o.asked[0] - start);
+        // Calls in vain: the rule gives four times as long after each.
+        for _ in 0..6 {
+            let (lost, calls) = (w.o.now, w.o.asked.len());
+            w.d.list_lost(lost, &mut w.o);
+            w.pass(40 * S - 1);
+            assert_eq!(w.o.asked.len(), calls + 1);
+            assert!(calls == 1 || w.o.asked[calls] >= lost + within / 2, "in vain and again at once");
+        }
+        // It serves for a while; the watch breaks, which is no failed call.
+        w.list(ListScope::Update);
+        let (lost, calls) = (w.o.now, w.o.asked.len());
+        w.d.list_lost(lost, &mut w.o);
+        w.pass(within - 1);
+        assert_eq!(w.o.asked.len(), calls + 1);
+    }
+    assert!(first.iter().all(|&at| at < within));
+    let early = first.iter().filter(|&&at| at < within / 4).count();
+    assert!((5..25).contains(&early), "{early} of 40 in the first quarter");
+}
+
+#[test]
+fn pushed_lists_are_not_asked_for() {
+    let mut w = World::new(facts());
+    w.pass(60 * S);
+    w.d.list_lost(w.o.now, &mut w.o);
+    w.pass(60 * S);
+    assert!(w.o.asked.is_empty());
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -60,6 +60,7 @@
     pub lines: Vec<String>,
     pub hung_up: Vec<u32>,
     pub forgotten: Vec<u32>,
+    pub asked: Vec<Nanos>,
     mails: BTreeMap<MailId, Known>,
     order: BTreeMap<KeyId, Vec<MailId>>,
     rests: BTreeMap<KeyId, (Nanos, MailId)>,
@@ -100,6 +101,7 @@
         tip_multiple: 2.0,
         tip_window: 2 * S,
         key_rest: 100 * MS,
+        ask_within: None,
         tick: 5 * MS,
     }
 }
@@ -208,6 +210,9 @@
         assert!(!out, "forgotten with a connect out");
         self.forgotten.push(endpoint.0);
     }
+    fn ask(&mut self) {
+        self.asked.push(self.now);
+    }
     fn wake(&mut self, after: Nanos) {
         assert!(after > 0);
         // As the bench does, a little early.
@@ -251,6 +256,7 @@
             lines: vec![],
             hung_up: vec![],
             forgotten: vec![],
+            asked: vec![],
             mails: BTreeMap::new(),
             order: BTreeMap::new(),
             rests: BTreeMap::new(),
