Mails that go to one endpoint at once make one call where the kind allows

Now what waits and may go goes along, most loss by waiting first; slots, trials and a destination's share count calls; a trial goes alone.

--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -139,6 +139,14 @@
         r.within(0.0, MOST, &format!("penalties.{price}"))?;
     }
     let own = r.list("family-info.own-limits")?;
+    let batch = match r.at("family-info.per-call") {
+        None => vec![],
+        Some(_) => r.list("family-info.per-call")?.to_vec(),
+    };
+    let most = |v: &Value| {
+        let most = v.as_u64().filter(|n| (1..=MOST as u64).contains(n));
+        most.map(|n| n as usize).ok_or_else(|| r.bad("family-info.per-call", "whole numbers from 1"))
+    };
     let facts = BootFacts {
         seed,
         dispatchers: r.need("balancers", "a whole number from 1 to 4294967295", |v| {
@@ -146,6 +154,7 @@
         })?,
         classes,
         apart: own.iter().map(|v| v.as_bool().unwrap_or(false)).collect(),
+        batch: batch.iter().map(most).collect::<Result<_, _>>()?,
         halves: r.word("family-info.decay")? == "halves",
         slots: r.from(1, "family-info.workers")? as usize,
         holding_room: r.from(1, "limits.max-open")? as usize,
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -85,6 +85,13 @@
             r.word("state").map_err(|_| r.bad("state", "a folder that lasts, here or by RELAY_STATE"))?.into()
         }
     };
+    let boot = bellsill_boot::read(settings, seed, "settings")?;
+    if boot.facts.batch.iter().any(|most| *most > 1) {
+        return Err(r.bad(
+            "settings.family-info.per-call",
+            "1 for each kind: a call to an endpoint carries one mail",
+        ));
+    }
     Ok(Start {
         name: r.word("name")?.to_string(),
         listen: address("listen")?,
@@ -97,7 +104,7 @@
         sockets: r.from(32, "limits.sockets")? as usize,
         disk_bytes: (r.num("limits.disk_mb")? * 1e6) as u64,
         known: known.clone(),
-        boot: bellsill_boot::read(settings, seed, "settings")?,
+        boot,
         state,
         source: None,
         fixed: FIXED.map(|field| (field, json.get(field).cloned().unwrap_or(Value::Null))).to_vec(),
--- a/daemon/tests/service.rs
+++ b/daemon/tests/service.rs
@@ -449,9 +449,14 @@
         ("/settings/services/0/worth", json!(-1), "settings.services[0].worth"),
         ("/settings/penalties", json!({"probe": 0.01, "handshake": -0.04}), "settings.penalties.handshake"),
         ("/settings/penalties", json!({"probe": "dear"}), "settings.penalties.probe"),
+        ("/settings/family-info/per-call", json!([0]), "settings.family-info.per-call"),
+        ("/settings/family-info/per-call", json!([1, 20]), "settings.family-info.per-call"),
+        ("/settings/discovery", json!("sometimes"), "settings.discovery"),
     ] {
         let mut rig = Rig::new(&[]);
         rig.json["settings"]["penalties"] = json!({"probe": 0.01});
+        rig.json["settings"]["discovery"] = json!("pushed");
+        rig.json["settings"]["family-info"]["per-call"] = json!([1]);
         assert!(rig.command("check").output().unwrap().status.success());
         *rig.json.pointer_mut(place).unwrap() = value;
         for what in ["serve", "check"] {
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -241,6 +241,7 @@
             dispatchers: d.count as u32,
             classes: self.spec.classes.iter().map(class).collect(),
             apart: self.spec.kinds.iter().map(|k| k.apart).collect(),
+            batch: vec![],
             halves: true,
             slots: self.slots(),
             holding_room: self.hold(),
--- a/src/control.rs
+++ b/src/control.rs
@@ -90,6 +90,8 @@
     at: Nanos,
     mail: MailId,
     no: ConnectNo,
+    /// Mails of a batch go in one call: it takes one slot and has one fate.
+    call: u64,
     class: usize,
     route: usize,
     /// Idle connections were given back before it; for how long nothing had gone there.
@@ -180,6 +182,7 @@
     held_out: BTreeSet<EndpointId>,
     keys: BTreeMap<KeyId, KeyLine>,
     out: Vec<Connect>,
+    calls: u64,
     no_slot_until: Nanos,
     trial_until: Nanos,
     missed: f64,
@@ -206,6 +209,7 @@
             held_out: BTreeSet::new(),
             keys: BTreeMap::new(),
             out: Vec::new(),
+            calls: 0,
             no_slot_until: 0,
             trial_until: 0,
             missed: 0.0,
@@ -294,7 +298,10 @@
         if end.outcome.may_have_run() && mail.ran.is_none() {
             mail.ran = Some((connect.at, self.routes[connect.route].entry.zone));
         }
-        self.learn(now, connect, &end, out);
+        // A call is one piece of news; but a wait binds from the first mail that tells it.
+        if matches!(end.outcome, Outcome::Full(_)) || self.count_out(|o| o.call == connect.call) == 0 {
+            self.learn(now, connect, &end, out);
+        }
         if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
             if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff) {
                 line.rest_until = now + self.facts.key_rest + self.facts.tick;
@@ -685,8 +692,9 @@
         at
     }
 
+    /// How many calls are out with a mail of this sort.
     fn count_out(&self, sort: impl Fn(&Connect) -> bool) -> usize {
-        self.out.iter().filter(|o| sort(o)).count()
+        self.out.chunk_by(|a, b| a.call == b.call).filter(|call| call.iter().any(&sort)).count()
     }
 
     fn silent_at(&self, o: &Connect) -> Nanos {
@@ -808,7 +816,7 @@
     }
 
     fn send_all(&mut self, now: Nanos, out: &mut impl Outlet) {
-        while self.out.len() < self.facts.slots && now >= self.no_slot_until {
+        while self.count_out(|_| true) < self.facts.slots && now >= self.no_slot_until {
             // Through a long backlog all mails would go out just before their end. Harm: a burst is late.
             let takes = self.waiting.iter().map(|(like, l)| self.usual[like.1] * l.len() as f64).sum::<f64>();
             let horizon = HORIZON.max((takes / self.facts.slots as f64 - SHORT_BACKLOG) as Nanos);
@@ -824,15 +832,35 @@
             }
             let Some((_, _, id)) = best else { return };
             let Some(route) = self.deal(id, now) else { return };
-            self.send(id, route, now, out);
+            let batch = self.batch(id, route, now);
+            self.calls += 1;
+            batch.into_iter().for_each(|id| self.send(id, route, now, out));
+        }
+    }
+
+    /// The mails that go with this one, as its kind allows: to a limit they are one call. A trial goes alone, as its
+    /// silence would hold them all. One connect lost could fail as many mails.
+    fn batch(&self, first: MailId, route: usize, now: Nanos) -> Vec<MailId> {
+        let most = self.facts.batch.get(self.routes[route].entry.kind.0).copied().unwrap_or(1);
+        let mut rest: Vec<(f64, Nanos, MailId)> = vec![];
+        let alone = most < 2 || self.routes[route].suspect;
+        let dest = self.mails[&first].new.destination;
+        for (like, line) in self.waiting.iter().filter(|(like, _)| !alone && like.0 == dest) {
+            let open = |id| self.turn_at(id) <= now && self.opens_at(route, &self.mails[&id], now) <= now;
+            let slot = self.usual(dest, like.1);
+            let loss = |due| self.loss_rate(slot, like.1, due, now, HORIZON);
+            let rows = line.iter().filter(|&&(_, id)| id != first && open(id));
+            rest.extend(rows.map(|&(due, id)| (loss(due), due, id)));
         }
+        rest.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        std::iter::once(first).chain(rest.into_iter().map(|r| r.2)).take(most.max(1)).collect()
     }
 
     /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a route that
     /// is suspect, or has answered since (one connection fell silent): they starve all others.
     /// Not on one that may yet prove silent. Could bounce a once-only mail yet to be answered: one at a time.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
-        if self.out.len() < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
+        if self.count_out(|_| true) < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
         }
         let late = |o: &Connect| {
@@ -840,13 +868,18 @@
             let r = &self.routes[o.route];
             (r.suspect || r.spoke_at > o.at) && now >= o.at + more * (self.silent_at(o) - o.at)
         };
-        let Some(i) = self.out.iter().position(late) else { return };
+        let mut calls = self.out.chunk_by(|a, b| a.call == b.call);
+        let Some(call) = calls.find(|call| call.iter().all(&late)).map(|call| call[0].call) else {
+            return;
+        };
         let kept = |line: &BTreeSet<(Nanos, MailId)>| {
             self.has_route(line, now) && line.iter().any(|&(_, id)| self.turn_at(id) <= now)
         };
         if self.waiting.values().any(kept) {
-            self.out[i].called_off = true;
-            out.call_off(self.out[i].mail, self.out[i].no);
+            for o in self.out.iter_mut().filter(|o| o.call == call) {
+                o.called_off = true;
+                out.call_off(o.mail, o.no);
+            }
         }
     }
 
@@ -891,8 +924,19 @@
         if fresh {
             out.hang_up(self.routes[route].entry.endpoint);
         }
-        let rested = now - self.routes[route].sent_at;
-        self.out.push(Connect { at: now, mail: id, no, class, route, fresh, rested, called_off: false });
+        let with = self.out.last().filter(|o| o.call == self.calls);
+        let (rested, call) = (with.map_or(now - self.routes[route].sent_at, |o| o.rested), self.calls);
+        self.out.push(Connect {
+            at: now,
+            mail: id,
+            no,
+            call,
+            class,
+            route,
+            fresh,
+            rested,
+            called_off: false,
+        });
         self.routes[route].sent_at = now;
         self.routes[route].stretch = self.rng.random_range(0.5..1.5);
         let gate = self.routes[route].gate;
@@ -915,7 +959,7 @@
         for (like, line) in &self.waiting {
             if let Some(&(due, id)) = line.first() {
                 note(due - self.margin.min(due));
-                if self.out.len() < self.facts.slots {
+                if self.count_out(|_| true) < self.facts.slots {
                     let turns: BTreeSet<Nanos> = match self.facts.classes[like.1].ordered {
                         true => line.iter().map(|&(_, id)| self.turn_at(id)).collect(),
                         false => BTreeSet::from([0]),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,6 +62,8 @@
     pub classes: Vec<ClassFacts>,
     /// For each kind of destination: are its endpoints separate routes?
     pub apart: Vec<bool>,
+    /// For each kind: how many mails that go to one endpoint at once make one call.
+    pub batch: Vec<usize>,
     /// Past the target delay importance falls by half with each further one (else evenly).
     pub halves: bool,
     pub slots: usize,
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -508,3 +508,39 @@
     w.pass(60 * S);
     assert!(w.o.asked.is_empty());
 }
+
+/// big-1 of wales-head-office: two slots' worth of a backlog went out one by one, each a call against the limit.
+#[test]
+fn a_backlog_goes_in_one_call_where_its_kind_allows() {
+    let mut w = World::new(BootFacts { batch: vec![1, 4], slots: 2, ..facts() });
+    w.o.ways.fill(Way::Refuses(S));
+    for _ in 0..6 {
+        w.mail(0, 2, None, 12 * S);
+        w.mail(0, 0, None, 12 * S);
+    }
+    w.pass(500 * MS);
+    w.o.ways.fill(Way::Answers(100 * MS));
+    w.o.sent.clear();
+    w.pass(11 * S);
+    assert_eq!(w.o.relayed.len(), 12);
+    let most = |to: std::ops::Range<u32>| {
+        let same = |s: &Sent| w.o.sent.iter().filter(|t| (t.at, t.to) == (s.at, s.to)).count();
+        w.o.sent.iter().filter(|s| to.contains(&s.to)).map(same).max()
+    };
+    assert_eq!((most(8..12), most(0..4)), (Some(4), Some(1)));
+}
+
+/// rough-1 of wales-head-office and of maadi-main: the answers of one call come up to 20 ms apart, and the wait that the first
+/// told was passed over until the last had come.
+#[test]
+fn a_wait_told_to_any_mail_of_a_batch_binds() {
+    let mut w = World::new(BootFacts { batch: vec![1, 4], slots: 20, ..facts() });
+    (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+    w.o.ways.fill(Way::Refuses(S));
+    w.mails(6, 0, 2);
+    // Rule 5 is checked with each connect.
+    w.pass(3 * S);
+    w.o.ways.fill(Way::Answers(600 * MS));
+    w.pass(9 * S);
+    assert_eq!(w.o.relayed.len(), 6);
+}
