An untold wait in a crowd is spread up to the listed share; the route used last is dealt first

In each round of the deck the route used last, with no connect out, is dealt first: each still once a round.

--- a/src/control.rs
+++ b/src/control.rs
@@ -190,6 +190,8 @@
     ask_at: Nanos,
     ask_spread: Nanos,
     margin: Nanos,
+    /// The longest queue lifetime.
+    longest: Nanos,
     wake_at: Nanos,
     now: Nanos,
 }
@@ -215,6 +217,7 @@
             ask_at: NEVER,
             ask_spread: 0,
             margin: 2 * facts.tick,
+            longest: facts.classes.iter().map(|row| row.lifetime).max().unwrap_or(0),
             wake_at: NEVER,
             now,
             facts,
@@ -604,13 +607,15 @@
     /// Its share, where all dispatchers can have mails for it at once: a mail waits half its lifetime, in the mean, for
     /// a limit that is always met. A longer share is no measure, and mails would wait for nothing.
     fn pace(&self, route: usize) -> f64 {
-        let longest = self.facts.classes.iter().map(|row| row.lifetime).max().unwrap_or(0);
-        Some(self.share(route)).filter(|share| *share <= longest as f64 / 2.0).unwrap_or(0.0)
+        Some(self.share(route)).filter(|share| *share <= self.longest as f64 / 2.0).unwrap_or(0.0)
     }
 
     fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
-        let (crowd, r) = (self.crowd(route), &mut self.routes[route]);
-        let spread = (r.wait as f64 * (crowd - 1.0) * 3.0 * (r.stretch - 0.5)) as Nanos;
+        let (crowd, share) = (self.crowd(route), self.share(route).min(self.longest as f64));
+        let r = &mut self.routes[route];
+        let times = r.wait as f64 / FIRST_WAIT as f64;
+        let most = times * (FIRST_WAIT as f64 * 3.0 * (crowd - 1.0)).max(share);
+        let spread = if crowd > 1.0 { (most * (r.stretch - 0.5)) as Nanos } else { 0 };
         let wait = match told {
             0 => r.wait + spread,
             told if r.wait == FIRST_WAIT => told,
@@ -914,7 +919,12 @@
             deck.dealt = 0;
         }
         let open: Vec<usize> = (deck.dealt..deck.cards.len()).filter(|&i| open[i]).collect();
-        let pick = *open.get(self.rng.random_range(0..open.len().max(1)))?;
+        // In a round each is dealt once; first the one used last, which may have an idle connection.
+        let used = |i: usize| Some(deck.cards[i]).filter(|&r| !self.out.iter().any(|o| o.route == r));
+        let last = |&i: &usize| used(i).map(|r| self.routes[r].sent_at);
+        let latest = open.iter().map(last).max()?;
+        let open: Vec<usize> = open.into_iter().filter(|i| last(i) == latest).collect();
+        let pick = open[self.rng.random_range(0..open.len())];
         deck.cards.swap(deck.dealt, pick);
         deck.dealt += 1;
         Some(deck.cards[deck.dealt - 1])
