--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -181,7 +181,7 @@
         (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
         w.o.ways[8] = Way::Down;
         w.mail(0, 2, None, 12 * S);
-        w.pass(S + 10 * MS);
+        w.pass(S / 2);
         w.o.ways[8] = Way::Answers(100 * MS);
         w.pass(10 * S);
         // All of them together try it no more often than a cold one bears: this one not within its mail's time.
