--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,5 @@
-//! All decisions of a dispatcher: which mail goes out next, by which route, when one is given up. Call the method
-//! for each thing that happens, with the clock and an [`Outlet`] that acts at once. `docs/design.md` says why.
+//! All decisions of a dispatcher: which mail goes next, by which route, when one is given up. Call the method
+//! for what happens, with the clock and an [`Outlet`] that acts at once. `docs/design.md` says why.
 
 use crate::interface::*;
 use rand::{RngExt, SeedableRng};
@@ -14,12 +14,14 @@
 /// Up to so many dispatchers see each route often; with more, untold waits grow by a power of the ratio.
 const FEW: f64 = 3.0;
 const CROWD_POWER: f64 = 0.65;
+/// Their spread, from nought on, in the crowd's mean wait: a clump refused at one moment comes back apart.
+const CROWD_SPREAD: f64 = 3.0;
 /// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
 const GAP_STEP: Nanos = 40 * MS;
 const LONGEST_GAP: Nanos = 1_000 * MS;
 const GAP_SHARE: f64 = 0.15;
-/// Where a limit is listed: the first gap and the longest one, in shares of it.
-const SHARES: [f64; 2] = [1.0, 4.0];
+/// Where a limit is listed the first gap is a share of it, the longest so many.
+const MOST_SHARES: f64 = 4.0;
 /// Refused for so long, a route was shut or hung, and returns cold.
 const SHUT_AFTER: Nanos = 2_500 * MS;
 /// So many connections refused at once, and nothing relayed: it is down, and returns cold.
@@ -214,11 +216,11 @@
         d
     }
 
-    /// Sets when discovery is asked for a watch, at the start and when it is lost. The rule demands a call of each
-    /// dispatcher in `ask_within`: spread over that they are served. It could learn a drain so much later.
+    /// Sets when discovery is asked for a watch, at first and once it is lost. The rule wants a call of each
+    /// dispatcher in `ask_within`: spread over that all are served. It could learn a drain so much later.
     fn ask_later(&mut self, now: Nanos) {
         if let Some(within) = self.facts.ask_within {
-            // After a failed call there is four times as long; at shorter rests calls in vain would fill the line.
+            // After a failed call there is four times as long; shorter rests would fill the line in vain.
             let (least, most) = (self.ask_spread / 2, (self.ask_spread * 3 / 2).max(within / 4 * 3));
             self.ask_at = now + self.rng.0.random_range(least..most.max(least + 1));
             self.ask_spread = (self.ask_spread * 2).clamp(within, 2 * within);
@@ -371,8 +373,7 @@
             deck.cards.push(route);
         }
         self.index.insert(entry.endpoint, route);
-        // A wait told before it was listed binds it too. One listed in its destination's outage is as cold:
-        // all backlogs would meet at it. It could slow a sound newcomer with struck siblings.
+        // A wait told before binds it too. One listed in an outage is as cold: all backlogs meet at it.
         let (bound, r) = (self.bound(route), &mut self.routes);
         r[route].closed_until = bound.iter().map(|&s| r[s].closed_until).max().unwrap_or(0);
         r[route].struck = bound.iter().any(|&s| r[s].struck);
@@ -532,9 +533,9 @@
             _ => {
                 // Single answers are spoilt on the way from any route; one that spoils all is found later.
                 let spoilt = end.outcome == Outcome::Spoilt;
-                let part = if spoilt { 0.25 } else { 1.0 };
-                self.routes[route].fail += part * FAIL_WEIGHT * (1.0 - self.routes[route].fail);
-                let share = self.routes[route].fail;
+                let part = if spoilt { FAIL_WEIGHT / 4.0 } else { FAIL_WEIGHT };
+                let share = self.routes[route].fail * (1.0 - part) + part;
+                self.routes[route].fail = share;
                 // In a crowd each meets a route seldom: one connection not had in time says that it is gone.
                 let gone = end.outcome == Outcome::Unconnected && self.crowd(route) > 1.0;
                 if (spoilt || self.routes[route].open()) && share <= FAIL_MARGIN && !gone {
@@ -558,7 +559,7 @@
         let since = *self.routes[gate].refused_since.get_or_insert(now);
         if fresh {
             let share = self.pace(gate) * self.routes[route].stretch; // Many are refused at once.
-            let [least, most] = SHARES.map(|part| (part * share) as Nanos);
+            let (least, most) = (share as Nanos, (MOST_SHARES * share) as Nanos);
             let gap = &mut self.routes[gate].gap;
             *gap = (*gap * 2).clamp(step.max(least), LONGEST_GAP.max(most));
             self.routes[gate].refused_at = now;
@@ -584,8 +585,7 @@
         if rate > 0.0 { f64::from(self.facts.dispatchers) * 1e9 / rate } else { 0.0 }
     }
 
-    /// Its share, where all dispatchers can have mails for it at once: a mail waits half its lifetime, in the mean, for
-    /// a limit that is always met. A longer share is no measure, and mails would wait for nothing.
+    /// Its share, if all can have mails for it at once: at a limit always met one waits half its lifetime.
     fn pace(&self, route: usize) -> f64 {
         Some(self.share(route))
             .filter(|share| *share <= self.facts.longest_lifetime() as f64 / 2.0)
@@ -596,7 +596,7 @@
         let (crowd, share) = (self.crowd(route), self.share(route).min(self.facts.longest_lifetime() as f64));
         let r = &mut self.routes[route];
         let times = r.wait as f64 / FIRST_WAIT as f64;
-        let most = times * (FIRST_WAIT as f64 * 3.0 * (crowd - 1.0)).max(share);
+        let most = times * (FIRST_WAIT as f64 * CROWD_SPREAD * (crowd - 1.0)).max(share);
         let spread = if crowd > 1.0 { (most * (r.stretch - 0.5)) as Nanos } else { 0 };
         let base = if told > 0 { told } else { r.wait };
         let wait = if told > 0 && r.wait == FIRST_WAIT { told } else { base + spread };
@@ -608,8 +608,7 @@
         self.tight.get(&self.routes[route].entry.kind.0).is_some_and(|&(_, _, until)| now < until)
     }
 
-    /// How long a connect may go unanswered. While many destinations hang one more is likely to: what was
-    /// seen at any route counts. Could hold slow answers for silence.
+    /// How long a connect may go unanswered, by all routes. Could hold slow answers for silence.
     fn silent_after(&self, route: usize, class: usize) -> Nanos {
         let times = SILENT_TIMES * (1.0 - self.missed).max(LEAST_PATIENCE);
         ((times * self.usual(self.routes[route].entry.destination, class)) as Nanos).max(SILENT_FLOOR)
@@ -624,9 +623,8 @@
         }
     }
 
-    /// A mail relayed in usual time speaks for its route: no longer suspect, but cold if something had failed or
-    /// been refused for long, also if suspected since. Of a fleet with shares each tries at another time: it came
-    /// back, in the mean, half way since the connect before.
+    /// A mail relayed in usual time speaks for its route: not suspect, but cold if struck. Of a fleet with
+    /// shares each tries at another time: it came back, in the mean, half way since the connect before.
     fn cleared(&mut self, connect: Connect, now: Nanos, took: Nanos, out: &mut impl Outlet) {
         let ago = if self.share(connect.route) > 0.0 { connect.rested.min(self.facts.ramp) / 2 } else { 0 };
         let (r, route) = (&mut self.routes, connect.route);
@@ -750,8 +748,8 @@
         }
     }
 
-    /// Stops hung, silent and much slowed routes from taking up the slots, long before time-outs tell. A
-    /// connect overdue while others are answered is a lost answer, and holds for none but itself.
+    /// Stops silent routes from taking up the slots, long before time-outs. A connect overdue while others
+    /// are answered is a lost answer, and holds for none but itself.
     fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
         for o in self.out.clone() {
             let silent = now >= self.silent_at(&o) && o.at > self.routes[o.route].spoke_at;
@@ -765,27 +763,25 @@
     fn end_overdue(&mut self, now: Nanos, out: &mut impl Outlet) {
         let late =
             |o: &&Connect| self.mails[&o.mail].stage == Stage::Out && now >= self.mails[&o.mail].new.due;
-        let mut overdue: Vec<MailId> = self.out.iter().filter(late).map(|o| o.mail).collect();
+        let mut overdue: BTreeSet<MailId> = self.out.iter().filter(late).map(|o| o.mail).collect();
         for (like, line) in &self.waiting {
             // Those alike end by when they are due, unless windows or keys tell of each.
             let each = like.2.is_some() || self.facts.classes[like.1].ordered;
             for &(_, id) in line {
                 let mail = &self.mails[&id];
                 if !self.may_go_again(mail, now) || self.blocks_key(mail) {
-                    overdue.push(id);
+                    overdue.insert(id);
                 } else if !each {
                     break;
                 }
             }
         }
-        overdue.sort();
         for id in overdue {
             self.give_up(id, out);
         }
     }
 
-    /// Whether a mail that may have run holds up its key while all routes left to it are suspect: it is
-    /// given up for the others. Could lose a mail whose route returns the next moment.
+    /// Whether a mail that may have run holds up its key, all routes left suspect. Could lose it too soon.
     fn blocks_key(&self, mail: &Mail) -> bool {
         let behind = mail.new.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
         let patience = self.facts.classes[mail.new.class.0].target_delay;
@@ -794,8 +790,7 @@
         self.now >= at + patience && !self.cards(mail.new.destination).iter().any(|&r| sound(&self.routes[r]))
     }
 
-    /// Keeps a place free for the next mail: at a full hold, the destination with most mails waiting gives up
-    /// the one worth least. Stops a struck destination's backlog from turning away the mails of all others.
+    /// At a full hold the destination with most mails waiting gives up the one worth least, for the others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
         while self.mails.values().filter(|m| !m.stage.ended()).count() >= self.facts.holding_room {
             let mut many: BTreeMap<DestinationId, usize> = BTreeMap::new();
@@ -835,8 +830,7 @@
         }
     }
 
-    /// The mails that go with this one, as its kind allows: to a limit they are one call. A trial goes alone, as its
-    /// silence would hold them all. One connect lost could fail as many mails.
+    /// The mails that go in one call, as the kind allows. A trial goes alone: its silence would hold all.
     fn batch(&self, first: MailId, route: usize, now: Nanos) -> Vec<MailId> {
         let most = self.facts.batch.get(self.routes[route].entry.kind.0).copied().unwrap_or(1);
         let mut rest: Vec<(f64, Nanos, MailId)> = vec![];
@@ -853,9 +847,8 @@
         std::iter::once(first).chain(rest.into_iter().map(|r| r.2)).take(most.max(1)).collect()
     }
 
-    /// With all slots taken and a mail waiting for one, calls off the connect longest overdue on a route that
-    /// is suspect, or has answered since (one connection fell silent): they starve all others.
-    /// Not on one that may yet prove silent. Could bounce a once-only mail yet to be answered: one at a time.
+    /// With all slots taken and a mail waiting, calls off the call longest overdue on a route that is suspect or
+    /// has answered since (one connection fell silent). Could bounce a once-only mail yet to be answered.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.count_out(|_| true) < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
@@ -928,17 +921,8 @@
         }
         let with = self.out.last().filter(|o| o.call == self.calls);
         let (rested, call) = (with.map_or(now - self.routes[route].sent_at, |o| o.rested), self.calls);
-        self.out.push(Connect {
-            at: now,
-            mail: id,
-            no,
-            call,
-            class,
-            route,
-            fresh,
-            rested,
-            called_off: false,
-        });
+        let sent = Connect { at: now, mail: id, no, call, class, route, fresh, rested, called_off: false };
+        self.out.push(sent);
         self.routes[route].sent_at = now;
         self.routes[route].stretch = self.rng.0.random_range(0.5..1.5);
         let gate = self.routes[route].gate;
