--- a/src/control.rs
+++ b/src/control.rs
@@ -847,8 +847,8 @@
         std::iter::once(first).chain(rest.into_iter().map(|r| r.2)).take(most.max(1)).collect()
     }
 
-    /// With all slots taken and a mail waiting, calls off the call longest overdue on a route that is suspect or
-    /// has answered since (one connection fell silent). Could bounce a once-only mail yet to be answered.
+    /// With all slots taken and a mail waiting, calls off the call longest overdue on a route that is suspect
+    /// or has answered since (one connection fell silent). Could bounce a once-only mail yet to be answered.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.count_out(|_| true) < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
