--- a/src/control.rs
+++ b/src/control.rs
@@ -523,7 +523,8 @@
             Outcome::Unconnected if at_once => {
                 self.suspend(route, now, 0);
                 self.routes[route].unmet += 1;
-                if self.routes[route].unmet >= DOWN_AFTER {
+                let seldom = u32::from(self.crowd(route) > 1.0); // It is met seldom, and one fewer has to do.
+                if self.routes[route].unmet + seldom >= DOWN_AFTER {
                     self.routes[route].strike(now);
                 }
             }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -189,3 +189,21 @@
         assert_eq!(w.o.lines.iter().any(|l| l.contains("suspect")), cold, "{:?}", w.o.lines);
     }
 }
+
+/// An incident of maadi-main (i5db0fb, 13.53 s): 14 of 15 sends that pushed over what had crashed came from dispatchers whose
+/// connections it had refused once or twice; the third would have told them.
+#[test]
+fn two_connections_refused_are_an_outage_where_a_route_is_met_seldom() {
+    let sends = |dispatchers| {
+        let mut w = World::new(BootFacts { dispatchers, ..facts() });
+        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        w.o.ways[8] = Way::TableFull;
+        for _ in 0..4 {
+            w.mail(0, 2, None, 20 * S);
+            w.pass(10 * S);
+        }
+        w.o.sent.len()
+    };
+    assert_eq!(sends(300), 2);
+    assert!(sends(3) > 3);
+}
