--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -115,6 +115,7 @@
                     None => d.list_lost(now, out),
                 },
                 "CALL" => {
+                    check_tenant(names, line)?;
                     let mail = NewMail {
                         id: line.hex("txn")?,
                         class: ClassId(read_class(names, line)?),
@@ -182,6 +183,16 @@
     found.ok_or_else(|| line.bad("tier-class", "a name given in the settings"))
 }
 
+/// The decisions have no use for the tenant; one that the settings don't name is a fault of the line all the same.
+fn check_tenant(names: &Names, line: &Line) -> Result<(), Bad> {
+    match line.get("client-group") {
+        Some(name) if !names.tenants.is_empty() && !names.tenants.iter().any(|n| n == name) => {
+            Err(line.bad("client-group", "a name given in the settings"))
+        }
+        _ => Ok(()),
+    }
+}
+
 fn outcome(line: &Line, note: u64) -> Result<Outcome, Bad> {
     Ok(match line.num("disposition")? {
         200 => Outcome::Relayed,
--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -21,6 +21,8 @@
     pub classes: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
+    /// Who shares the service; none where the settings name nobody.
+    pub tenants: Vec<String>,
     /// A weight is a rate; else it says nothing.
     pub weights_are_rates: bool,
 }
@@ -133,6 +135,14 @@
         classes: class_names,
         kinds: r.words("flavors")?,
         zones: r.words("dcs")?,
+        tenants: match r.at("realms").and_then(Value::as_array) {
+            None => vec![],
+            Some(all) => {
+                let name = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_string);
+                let bad = || r.bad("realms", "a name for each");
+                all.iter().map(|v| name(v).ok_or_else(bad)).collect::<Result<_, _>>()?
+            }
+        },
         weights_are_rates: matches!(r.word("weights"), Ok("rough" | "nominal")),
     };
     for price in r.at("penalties").and_then(Value::as_object).into_iter().flat_map(|p| p.keys()) {
