A limit that answers tell stands in for a listed rate

The told limit is now the route's rate, as a listed one would be: gaps by the share of it, and with them calls of more mails. Ruled out: drained endpoints (no mail without a serving endpoint lost), slots.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -134,6 +134,7 @@
                         outcome: outcome(line, note)?,
                         over: line.get("over") == Some("1"),
                         took: line.maybe_num("wait-time-ns")?.unwrap_or(0),
+                        limit: told_limit(line)?,
                     };
                     d.connect_ended(now, end, out);
                 }
@@ -193,6 +194,16 @@
     }
 }
 
+/// What an answer tells of the limit there, in calls a second.
+fn told_limit(line: &Line) -> Result<f64, Bad> {
+    let told = line.get("usage").unwrap_or("").split(',').find_map(|pair| pair.strip_prefix("x1:"));
+    match told.map(str::parse::<f64>) {
+        None => Ok(0.0),
+        Some(Ok(limit)) if (0.0..=1e9).contains(&limit) => Ok(limit),
+        Some(_) => Err(line.bad("usage", "x1 as a rate")),
+    }
+}
+
 fn outcome(line: &Line, note: u64) -> Result<Outcome, Bad> {
     Ok(match line.num("disposition")? {
         200 => Outcome::Relayed,
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -206,7 +206,7 @@
             },
         );
         let took = self.now - call.at;
-        self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took });
+        self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took, limit: 0.0 });
     }
 
     /// Breaks a connect off: its connection is closed, which tells the endpoint.
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -425,7 +425,7 @@
                 self.open.remove(&arrival);
             }
         }
-        let end = ConnectEnd { mail, no: out.no, outcome, over, took: now - out.at };
+        let end = ConnectEnd { mail, no: out.no, outcome, over, took: now - out.at, limit: 0.0 };
         self.ended.push_back((host, end));
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -246,7 +246,8 @@
             let Some(route) = known.or_else(new) else { continue };
             let serving = entry.serving && !self.held_out.contains(&entry.endpoint);
             let r = &mut self.routes[route];
-            (r.listed, r.entry.rate) = (entry.serving, entry.rate);
+            r.listed = entry.serving;
+            r.entry.rate = if entry.rate > 0.0 { entry.rate } else { r.entry.rate }; // It may have been told.
             if std::mem::replace(&mut r.entry.serving, serving) != serving {
                 r.sent_at = now; // All dispatchers hear of its return at once.
             }
@@ -464,6 +465,8 @@
     fn learn(&mut self, now: Nanos, connect: Connect, end: &ConnectEnd, out: &mut impl Outlet) {
         let Connect { route, class, .. } = connect;
         let (gate, kind) = (self.routes[route].gate, self.routes[route].entry.kind.0);
+        let told = self.bound(route).into_iter().filter(|_| end.limit > 0.0);
+        told.for_each(|r| self.routes[r].entry.rate = end.limit); // Fresher than listed.
         let late = end.took > self.silent_after(route, class);
         if matches!(end.outcome, Outcome::Relayed | Outcome::TimedOut | Outcome::CalledOff) {
             let missed = f64::from(u8::from(late || end.outcome != Outcome::Relayed));
@@ -560,9 +563,8 @@
         let since = *self.routes[gate].refused_since.get_or_insert(now);
         if fresh {
             let share = self.pace(gate) * self.routes[route].stretch; // Many are refused at once.
-            let (least, most) = (share as Nanos, (MOST_SHARES * share) as Nanos);
-            let gap = &mut self.routes[gate].gap;
-            *gap = (*gap * 2).clamp(step.max(least), LONGEST_GAP.max(most));
+            let (gap, most) = (&mut self.routes[gate].gap, LONGEST_GAP.max((MOST_SHARES * share) as Nanos));
+            *gap = (*gap * 2).clamp(step.max(share as Nanos), most);
             self.routes[gate].refused_at = now;
         }
         for route in self.bound(route) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -162,6 +162,8 @@
     pub over: bool,
     /// Time since it was sent.
     pub took: Nanos,
+    /// The connects a second that the limit there takes of all dispatchers, as the answer tells; nought: not told.
+    pub limit: f64,
 }
 
 /// The answers of the decisions, carried out by whatever front stands before them.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -207,3 +207,25 @@
     assert_eq!(sends(300), 2);
     assert!(sends(3) > 3);
 }
+
+/// rough-1 and big-2 of maadi-main: no limit is listed, answers tell them; each dispatcher came back by the fleet's size alone.
+#[test]
+fn a_told_limit_stands_in_for_a_listed_rate() {
+    let between = |limit| {
+        let mut w = World::new(BootFacts { dispatchers: 100, ..facts() });
+        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        w.o.limit = limit;
+        w.mail(0, 2, None, 12 * S);
+        w.pass(S);
+        w.o.ways[8] = Way::RefusesLate;
+        w.mails(2, 0, 2);
+        w.pass(110 * MS);
+        w.o.ways[8] = Way::Answers(100 * MS);
+        w.o.sent.clear();
+        w.serve(9, false, ListScope::Update);
+        w.pass(11 * S);
+        w.o.sent[1].at - w.o.sent[0].at
+    };
+    // A share of 50 a second is 2 s for 100, spread by half.
+    assert!(between(50.0) >= 800 * MS && between(0.0) < 800 * MS);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -74,6 +74,8 @@
     pub hung_up: Vec<u32>,
     pub forgotten: Vec<u32>,
     pub asked: Vec<Nanos>,
+    /// What each answer tells of the limit.
+    pub limit: f64,
     mails: BTreeMap<MailId, Known>,
     order: BTreeMap<KeyId, Vec<MailId>>,
     rests: BTreeMap<KeyId, (Nanos, MailId)>,
@@ -282,6 +284,7 @@
             hung_up: vec![],
             forgotten: vec![],
             asked: vec![],
+            limit: 0.0,
             mails: BTreeMap::new(),
             order: BTreeMap::new(),
             rests: BTreeMap::new(),
@@ -443,7 +446,7 @@
             self.o.relayed.push(id);
         }
         let over = over || outcome == Outcome::Relayed;
-        let end = ConnectEnd { mail: id, no, outcome, over, took: now - at };
+        let end = ConnectEnd { mail: id, no, outcome, over, took: now - at, limit: self.o.limit };
         self.d.connect_ended(now, end, &mut self.o);
     }
 }
