A told limit counts only where its share paces; longer ones outlast the mails

Ruled out: pace and gaps, which such a share does not set. Only limits whose share is half a lifetime or less are taken over now.

--- a/src/control.rs
+++ b/src/control.rs
@@ -465,7 +465,9 @@
     fn learn(&mut self, now: Nanos, connect: Connect, end: &ConnectEnd, out: &mut impl Outlet) {
         let Connect { route, class, .. } = connect;
         let (gate, kind) = (self.routes[route].gate, self.routes[route].entry.kind.0);
-        let told = self.bound(route).into_iter().filter(|_| end.limit > 0.0);
+        let paces =
+            end.limit * self.facts.longest_lifetime() as f64 / 2e9 >= f64::from(self.facts.dispatchers);
+        let told = self.bound(route).into_iter().filter(|_| paces); // Else waits for its share are in vain.
         told.for_each(|r| self.routes[r].entry.rate = end.limit); // Fresher than listed.
         let late = end.took > self.silent_after(route, class);
         if matches!(end.outcome, Outcome::Relayed | Outcome::TimedOut | Outcome::CalledOff) {
@@ -850,8 +852,7 @@
         std::iter::once(first).chain(rest.into_iter().map(|r| r.2)).take(most.max(1)).collect()
     }
 
-    /// With all slots taken and a mail waiting, calls off the call longest overdue on a route that is suspect
-    /// or has answered since (one connection fell silent). Could bounce a once-only mail yet to be answered.
+    /// With all slots taken and a mail waiting, one overdue call goes. Could bounce a once-only mail too soon.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.count_out(|_| true) < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
@@ -886,8 +887,7 @@
     }
 
     fn deal(&mut self, id: MailId, now: Nanos) -> Option<usize> {
-        let mail = &self.mails[&id];
-        let dest = mail.new.destination;
+        let (mail, dest) = (&self.mails[&id], self.mails[&id].new.destination);
         let open: Vec<bool> = self.cards(dest).iter().map(|&r| self.opens_at(r, mail, now) <= now).collect();
         let deck = self.decks.get_mut(&dest)?;
         if !open[deck.dealt..].contains(&true) {
