--- a/src/control.rs
+++ b/src/control.rs
@@ -852,7 +852,7 @@
         std::iter::once(first).chain(rest.into_iter().map(|r| r.2)).take(most.max(1)).collect()
     }
 
-    /// With all slots taken and a mail waiting, one overdue call goes. Could bounce a once-only mail too soon.
+    /// With all slots taken and a mail waiting, one overdue call goes. Could bounce a once-only mail early.
     fn free_slot(&mut self, now: Nanos, out: &mut impl Outlet) {
         if self.count_out(|_| true) < self.facts.slots || self.count_out(|c| c.called_off) > 0 {
             return;
