Whether a limit paces is asked in one place; tests share the world of one lone route

learn and pace each compared a limit's share with half a lifetime, in two forms, and learn listed a route's siblings for every outcome, told limit or not. Both now ask paces, and siblings are listed only where a told limit counts. Six tests made the same world by hand: World::lone.

--- a/src/control.rs
+++ b/src/control.rs
@@ -465,10 +465,9 @@
     fn learn(&mut self, now: Nanos, connect: Connect, end: &ConnectEnd, out: &mut impl Outlet) {
         let Connect { route, class, .. } = connect;
         let (gate, kind) = (self.routes[route].gate, self.routes[route].entry.kind.0);
-        let paces =
-            end.limit * self.facts.longest_lifetime() as f64 / 2e9 >= f64::from(self.facts.dispatchers);
-        let told = self.bound(route).into_iter().filter(|_| paces); // Else waits for its share are in vain.
-        told.for_each(|r| self.routes[r].entry.rate = end.limit); // Fresher than listed.
+        if self.paces(end.limit) {
+            self.bound(route).into_iter().for_each(|r| self.routes[r].entry.rate = end.limit);
+        }
         let late = end.took > self.silent_after(route, class);
         if matches!(end.outcome, Outcome::Relayed | Outcome::TimedOut | Outcome::CalledOff) {
             let missed = f64::from(u8::from(late || end.outcome != Outcome::Relayed));
@@ -590,11 +589,13 @@
         if rate > 0.0 { f64::from(self.facts.dispatchers) * 1e9 / rate } else { 0.0 }
     }
 
-    /// Its share, if all can have mails for it at once: at a limit always met one waits half its lifetime.
+    /// Whether all can have mails for a limit at once: at one always met a mail waits half its lifetime.
+    fn paces(&self, rate: f64) -> bool {
+        rate * self.facts.longest_lifetime() as f64 / 2e9 >= f64::from(self.facts.dispatchers)
+    }
+
     fn pace(&self, route: usize) -> f64 {
-        Some(self.share(route))
-            .filter(|share| *share <= self.facts.longest_lifetime() as f64 / 2.0)
-            .unwrap_or(0.0)
+        if self.paces(self.routes[route].entry.rate) { self.share(route) } else { 0.0 }
     }
 
     fn suspend(&mut self, route: usize, now: Nanos, told: Nanos) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -142,8 +142,7 @@
 fn a_clump_refused_at_one_moment_comes_back_over_many_seconds() {
     let mut came = vec![];
     for seed in 0..262 {
-        let mut w = World::new(BootFacts { seed, dispatchers: 262, ..facts() });
-        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        let mut w = World::lone(BootFacts { seed, dispatchers: 262, ..facts() });
         w.o.ways[8] = Way::Refuses(0);
         let start = w.o.now;
         w.mail(0, 2, None, 20 * S);
@@ -159,8 +158,7 @@
 /// mails within 50 ms, before the first was refused; 35 of 41 sends that pushed it over came from those refused there before.
 #[test]
 fn one_mail_of_each_goes_first_to_what_opens_again_in_a_crowd() {
-    let mut w = World::new(BootFacts { dispatchers: 313, ..facts() });
-    (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+    let mut w = World::lone(BootFacts { dispatchers: 313, ..facts() });
     w.o.ways[8] = Way::RefusesLate;
     for _ in 0..3 {
         w.mail(0, 2, None, 20 * S);
@@ -177,8 +175,7 @@
 #[test]
 fn one_connection_not_had_in_time_is_an_outage_where_a_route_is_met_seldom() {
     for (dispatchers, cold) in [(300, true), (3, false)] {
-        let mut w = World::new(BootFacts { dispatchers, ..facts() });
-        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        let mut w = World::lone(BootFacts { dispatchers, ..facts() });
         w.o.ways[8] = Way::Down;
         w.mail(0, 2, None, 12 * S);
         w.pass(S / 2);
@@ -195,8 +192,7 @@
 #[test]
 fn two_connections_refused_are_an_outage_where_a_route_is_met_seldom() {
     let sends = |dispatchers| {
-        let mut w = World::new(BootFacts { dispatchers, ..facts() });
-        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        let mut w = World::lone(BootFacts { dispatchers, ..facts() });
         w.o.ways[8] = Way::TableFull;
         for _ in 0..4 {
             w.mail(0, 2, None, 20 * S);
@@ -212,8 +208,7 @@
 #[test]
 fn a_told_limit_stands_in_for_a_listed_rate() {
     let between = |limit| {
-        let mut w = World::new(BootFacts { dispatchers: 100, ..facts() });
-        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        let mut w = World::lone(BootFacts { dispatchers: 100, ..facts() });
         w.o.limit = limit;
         w.mail(0, 2, None, 12 * S);
         w.pass(S);
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -534,8 +534,7 @@
 /// told was passed over until the last had come.
 #[test]
 fn a_wait_told_to_any_mail_of_a_batch_binds() {
-    let mut w = World::new(BootFacts { batch: vec![1, 4], slots: 20, ..facts() });
-    (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+    let mut w = World::lone(BootFacts { batch: vec![1, 4], slots: 20, ..facts() });
     w.o.ways.fill(Way::Refuses(S));
     w.mails(6, 0, 2);
     // Rule 5 is checked with each connect.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -261,6 +261,13 @@
         Self::sized(facts, 12)
     }
 
+    /// Of the third destination, whose endpoints are routes apart, only endpoint 8 serves.
+    pub fn lone(facts: BootFacts) -> Self {
+        let mut w = Self::new(facts);
+        (9..12).for_each(|to| w.serve(to, false, ListScope::Update));
+        w
+    }
+
     pub fn sized(facts: BootFacts, endpoints: u32) -> Self {
         let now = 1_000 * S;
         let entry = |i: u32| ListEntry {
