--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -15,7 +15,7 @@
 /// How long a caller may take to send a whole line, and to read its answer.
 const CALL_WITHIN: Nanos = 2_000_000_000;
 /// The longest endpoint id taken.
-const ID_MOST: usize = 256;
+pub const ID_MOST: usize = 256;
 /// Endpoints that may be held out by hand at once: the list of them outlasts the process and must stay small.
 pub const HELD_MOST: usize = 1024;
 /// The file of the folder that lasts that names them, one a line.
@@ -303,71 +303,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn every_call_is_read() {
-        assert_eq!(parse(b"ready"), Ok(Call::Ready));
-        assert_eq!(parse(b"show-stat"), Ok(Call::ShowStat));
-        assert_eq!(parse(b"drain"), Ok(Call::Drain));
-        assert_eq!(parse(b"  resume "), Ok(Call::Resume));
-        assert_eq!(parse(b"disable-server s-5be2a07c"), Ok(Call::Disable("s-5be2a07c".into())));
-        assert_eq!(parse(b"enable-server s-5be2a07c"), Ok(Call::Enable("s-5be2a07c".into())));
-    }
-
-    #[test]
-    fn bad_forms_are_named() {
-        for (line, says) in [
-            (&b""[..], "empty"),
-            (b"reboot", "unknown call"),
-            (b"READY", "unknown call"),
-            (b"ready now", "takes no word"),
-            (b"disable-server", "needs an endpoint id"),
-            (b"enable-server a b", "takes no word"),
-            (b"\xff", "UTF-8"),
-        ] {
-            let why = parse(line).expect_err("a bad call");
-            assert!(why.contains(says), "{line:?}: {why}");
-        }
-        let long = format!("disable-server {}", "x".repeat(ID_MOST + 1));
-        assert!(parse(long.as_bytes()).is_err());
-    }
-
-    #[test]
-    fn held_out_lists_are_read_with_bad_lines_said() {
-        let (held, bad) = read_held("s-1\n\ns-2\ns-1\na b\n");
-        assert_eq!(held.into_iter().collect::<Vec<_>>(), ["s-1", "s-2"]);
-        assert_eq!(bad, ["line 5: no endpoint id"]);
-        let many: String = (0..HELD_MOST + 2).map(|n| format!("s-{n}\n")).collect();
-        let (held, bad) = read_held(&many);
-        assert_eq!((held.len(), bad.len()), (HELD_MOST, 2));
-    }
-
-    #[test]
-    fn figures_are_written_for_each_class() {
-        let mut figures = Figures::default();
-        figures.count(1, FAILED);
-        figures.count(0, COMPLETED);
-        figures.count(0, COMPLETED);
-        figures.upstream = 3;
-        let gauges = Gauges { pending: 4, members: 5, unavailable: 1 };
-        let text = render(&figures, &["notice".into(), "payment".into()], &gauges);
-        let lines: Vec<&str> = text.lines().collect();
-        assert_eq!(lines.first(), Some(&"SUCCESS"));
-        assert_eq!(lines.last(), Some(&"EOT"));
-        for line in [
-            "dispatcher.downstream_requests.notice.completed=2",
-            "dispatcher.downstream_requests.payment.failed=1",
-            "dispatcher.downstream_requests.payment.completed=0",
-            "dispatcher.upstream_requests=3",
-            "dispatcher.pending=4",
-            "dispatcher.members=5",
-            "dispatcher.members_unavailable=1",
-        ] {
-            assert!(lines.contains(&line), "{line} in {text}");
-        }
-    }
-}
--- /dev/null
+++ b/daemon/tests/calls.rs
@@ -0,0 +1,177 @@
+//! Calls to endpoints: what counts as relayed, and connections that come late or are turned away.
+
+mod common;
+
+use common::*;
+use rustix::process::Signal;
+use serde_json::json;
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+#[test]
+fn what_is_no_http_is_a_reset_and_a_connection_s_end_is_met() {
+    let babbles = Does::Writes("no HTTP at all\r\n\r\n");
+    let e = Endpoint::start(babbles);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    for does in [babbles, Does::Breaks] {
+        e.does(does);
+        let once = client.mail("payment", 7, 8000, "once");
+        wait_for("its end", || rig.platform.notice(&once).is_some());
+        assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    }
+    e.does(Does::SaysLast("200 OK"));
+    let before = e.calls().len();
+    for n in 1..4 {
+        client.mail("notice", 7, 8000, "each on a connection of its own");
+        wait_for("the call", || e.calls().len() >= before + n);
+    }
+    let mut conns: Vec<u64> = e.calls()[before..].iter().map(|c| c.conn).collect();
+    conns.dedup();
+    assert!(conns.len() >= 3);
+    assert_eq!(rig.platform.notices().len(), 2);
+}
+
+#[test]
+fn a_spoilt_answer_may_have_run_unless_its_first_line_says_relayed() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let relayed = [
+        "HTTP/1.1 200 OK\r\nno header at all\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on",
+        "HTTP/1.1 200 OK\r\nX-Endless: a",
+        "HTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for (n, text) in relayed.iter().enumerate() {
+        e.does(Does::Writes(text));
+        client.mail("payment", 7, 8000, "relayed");
+        wait_for("the call", || e.calls().len() > n);
+        wait_for("its end", || rig.kept().mails.is_empty());
+    }
+    let spoilt = [
+        "HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\nand so on",
+        "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nshort",
+        "HTTP/1.1 429 Full\r\nRetry-After: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 503 Full\r\nX-Endless: a",
+        "HTTP/1.1 099 What\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for text in spoilt {
+        e.does(Does::Writes(text));
+        let once = client.mail("payment", 7, 20_000, "spoilt");
+        wait_for("its end", || rig.platform.notice(&once).is_some());
+        assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead", "{text:?}");
+    }
+    e.does(OK);
+    client.mail("notice", 7, 8000, "after all that");
+    wait_for("the mail", || e.calls().iter().any(|c| c.body == "after all that"));
+    assert_eq!(e.calls().len(), relayed.len() + spoilt.len() + 1, "each went out once");
+    assert_eq!(rig.platform.notices().len(), spoilt.len());
+}
+
+#[test]
+fn a_connection_that_comes_up_after_the_mail_s_time_gets_nothing() {
+    let (slow, filler) = crowded();
+    let entry = json!({"id": "slow", "addr": slow.local_addr().unwrap().to_string(), "zone": "north",
+        "kind": "shops", "cell": 7, "state": "up"});
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry]);
+    rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
+    // The connection is kept, and closed when it has been idle for so long.
+    rig.json["settings"]["limits"]["keepalive-ns"] = json!(1_000_000_000);
+    rig.start();
+    let mut client = rig.client();
+    let (id, from) = (client.mail("payment", 7, 3000, "x"), Instant::now());
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    // The dispatcher stands still while the connection comes up, until the queue lifetime is over.
+    rig.signal(Signal::STOP);
+    drop((slow.accept().unwrap(), filler));
+    let mut late = slow.accept().unwrap().0;
+    std::thread::sleep(Duration::from_millis(3500).saturating_sub(from.elapsed()));
+    rig.signal(Signal::CONT);
+    wait_for("the mail's end", || rig.platform.notice(&id).is_some());
+    assert_eq!(rig.platform.notice(&id).unwrap()["result"], "bounced", "it never ran");
+    let mut got = Vec::new();
+    assert!(late.read_to_end(&mut got).is_ok() && got.is_empty());
+}
+
+#[test]
+fn a_connection_that_comes_up_after_its_endpoint_began_to_drain_gets_nothing() {
+    let (slow, filler) = crowded();
+    let addr = slow.local_addr().unwrap().to_string();
+    let entry = |state: &str| json!({"id": "slow", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": state});
+    let second = Endpoint::start(OK);
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry("up"), second.entry("second", 7, "up")]);
+    rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
+    rig.start();
+    let mut client = rig.client();
+    // Picks are even: one of the two goes to the endpoint that does not answer yet.
+    let mails = [client.mail("payment", 7, 24_000, "x"), client.mail("payment", 7, 24_000, "x")];
+    let relayed = |id: &String| second.calls().iter().any(|c| c.header("X-Trace-Id") == id);
+    wait_for("the first mail", || mails.iter().any(relayed));
+    let news =
+        json!({"version": 2, "full": false, "servers": [entry("draining"), second.entry("more", 9, "up")]});
+    rig.platform.tell(&format!("{news}\n"));
+    // Its destination is in the same line, so when it goes out the drain is known.
+    // Until the line is read its destination is unknown, and a mail to it is turned away unheard.
+    let later = fresh();
+    let ask = put(&later, &format!("c=notice,d=19000,k=k{later},dest=9"), "x");
+    wait_for("the news", || match rig.client().says(&ask).as_str() {
+        "-ERR dest: unknown destination" => false,
+        answer => {
+            assert_eq!(answer, "+OK");
+            true
+        }
+    });
+    wait_for("a mail after the drain", || relayed(&later));
+    drop((slow.accept().unwrap(), filler));
+    let mut late = slow.accept().unwrap().0;
+    let mut got = Vec::new();
+    // It is closed, as the endpoint drains, and nothing was written to it.
+    assert!(late.read_to_end(&mut got).is_ok() && got.is_empty());
+    wait_for("both mails", || mails.iter().all(relayed));
+}
+
+#[test]
+fn a_refused_mail_goes_to_another_route_and_one_that_is_over_is_over() {
+    let (full, open) = (
+        Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1000")),
+        Endpoint::start(Does::Says("410 Gone")),
+    );
+    let mut rig = Rig::new(&[(&full, 8), (&open, 8)]);
+    for entry in rig.json["known"]["servers"].as_array_mut().unwrap() {
+        entry["kind"] = "banks".into();
+    }
+    rig.start();
+    let mut client = rig.client();
+    for n in 1..10 {
+        client.mail("payment", 8, 8000, "x");
+        wait_for("the mail at the open route", || open.calls().len() == n);
+    }
+    assert_eq!(full.calls().len(), 1);
+    assert_eq!(rig.platform.notices().len(), 0, "nothing is owed for what is over");
+}
+
+#[test]
+fn a_connection_turned_away_with_503_and_closed_closes_no_sibling() {
+    let full = Endpoint::start(Does::SaysLast("503 Service Unavailable\r\nConnection: close"));
+    let open = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&full, 7), (&open, 7)]);
+    // In so large a fleet the wait after a refusal at their common limit would outlast every mail.
+    rig.json["settings"]["balancers"] = 100_000_000.into();
+    rig.start();
+    let mut client = rig.client();
+    for n in 1..4 {
+        client.mail("payment", 7, 8000, "x");
+        wait_for("the mail at the open route", || {
+            open.calls().len() == n || !rig.platform.notices().is_empty()
+        });
+    }
+    assert_eq!((full.calls().len(), open.calls().len(), rig.platform.notices().len()), (1, 3, 0));
+}
--- /dev/null
+++ b/daemon/tests/clients.rs
@@ -0,0 +1,185 @@
+//! What clients see: answers in order, bad input, and who is parted with when there are too many.
+
+mod common;
+
+use common::*;
+use rustix::process::Signal;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::time::Duration;
+
+#[test]
+fn split_and_pipelined_input_is_answered_in_order_and_relayed() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let (mut client, a, b) = (rig.client(), fresh(), fresh());
+    let mut input = b"PING\r\n".to_vec();
+    input.extend(put(&a, "c=notice,d=8000,k=tag-a,dest=7,new=1", "one\r\ntwo"));
+    input.extend(put(&b, "c=payment,d=8000,dest=7", ""));
+    input.extend(b"*1\r\n$4\r\nPING\r\n");
+    for byte in input {
+        client.to.write_all(&[byte]).unwrap();
+    }
+    assert_eq!(
+        [client.line(), client.line(), client.line(), client.line()],
+        ["+PONG", "+OK", "+OK", "+PONG"]
+    );
+    wait_for("both mails", || e.calls().len() == 2);
+    let calls = e.calls();
+    let call = calls.iter().find(|c| c.header("X-Trace-Id") == a).unwrap();
+    assert_eq!((call.head[0].as_str(), call.body.as_str()), ("POST /events HTTP/1.1", "one\r\ntwo"));
+    assert_eq!(call.header("Idempotency-Key"), "tag-a");
+    assert!(call.header("X-Expires-In").ends_with('u'));
+    let other = calls.iter().find(|c| c.header("X-Trace-Id") == b).unwrap();
+    assert_eq!((other.header("Idempotency-Key"), other.body.as_str()), ("", ""));
+    // One that is handed in twice is held or over; it is not an error, and while held not a second mail.
+    client.mail("notice", 7, 8000, "another");
+    wait_for("an idle connection used again", || e.calls().iter().any(|c| c.body == "another"));
+    assert!(e.calls().iter().all(|c| c.conn < 2));
+}
+
+#[test]
+fn bad_input_is_answered_and_stops_nothing() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let id = fresh();
+    for (fields, named) in [
+        ("d=1,k=a,dest=7", "c:"),
+        ("c=notice,k=a,dest=7", "d:"),
+        ("c=notice,d=x,k=a,dest=7", "d:"),
+        ("c=notice,d=5,k=a", "dest:"),
+        ("c=other,d=5,k=a,dest=7", "c:"),
+        ("c=notice,d=+5,k=a,dest=7", "d:"),
+        ("c=notice,d=20002,k=a,dest=7", "d:"),
+        ("c=notice,d=5,k=a,dest=8", "dest:"),
+        ("c=notice,d=5,dest=7", "k:"),
+        ("c=notice,d=5,k=a\r\nX: y,dest=7", "k:"),
+    ] {
+        let answer = client.says(&put(&id, fields, "x"));
+        assert!(answer.starts_with(&format!("-ERR {named}")), "{fields:?}: {answer}");
+    }
+    assert!(client.says(&put("xyz", "c=notice,d=5,k=a,dest=7", "x")).starts_with("-ERR id:"));
+    assert!(client.says(b"*1\r\n$7\r\nMSG.PUT\r\n").starts_with("-ERR wrong number"));
+    assert!(client.says(b"*1\r\n$4\r\nNONE\r\n").starts_with("-ERR unknown command"));
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    let long = "x".repeat(70_000);
+    for malformed in ["*1\r\n+PING\r\n", "*x\r\n", "*1\r\n$-2\r\n", "\u{1}\u{2}\r\n", &put_text(&id, &long)] {
+        let mut other = rig.client();
+        assert!(other.says(malformed.as_bytes()).starts_with("-ERR Protocol error"), "{malformed:.20?}");
+        assert_eq!(other.line(), "", "closed");
+    }
+    client.mail("notice", 7, 8000, "still served");
+    wait_for("the mail", || e.calls().len() == 1);
+}
+
+fn put_text(id: &str, body: &str) -> String {
+    String::from_utf8(put(id, "c=notice,d=8000,k=a,dest=7", body)).unwrap()
+}
+
+#[test]
+fn a_mail_whose_client_has_gone_on_is_not_taken() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let (mut client, id) = (rig.client(), fresh());
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    // The dispatcher stands still while the client hands in a mail and ends its side.
+    rig.signal(Signal::STOP);
+    client.to.write_all(&put(&id, "c=payment,d=8000,dest=7", "x")).unwrap();
+    client.to.shutdown(std::net::Shutdown::Write).unwrap();
+    rig.signal(Signal::CONT);
+    assert_eq!([client.line(), client.line()], ["-BUSY", ""]);
+    let later = rig.client().mail("payment", 7, 8000, "x");
+    wait_for("a later mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
+    assert!(!e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+}
+
+#[test]
+fn clients_that_say_nothing_or_stop_half_way_are_parted_with_and_starve_nobody() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["sockets"] = json!(64);
+    rig.start();
+    let whole = put(&fresh(), "c=notice,d=8000,k=a,dest=7", "x");
+    let mut bad: Vec<Client> = (0..150).map(|_| rig.client()).collect();
+    for (n, client) in bad.iter_mut().enumerate() {
+        // Some end up where there is no place for them yet; whatever happens to them is an end.
+        let _ = client.to.write_all(&whole[..n % 3 * 20]);
+    }
+    for n in 1..=3 {
+        rig.client().mail("notice", 7, 8000, "a usual client");
+        wait_for("the mail", || e.calls().len() == n);
+    }
+    for client in &mut bad {
+        let mut rest = Vec::new();
+        match client.from.read_to_end(&mut rest) {
+            Ok(_) => {}
+            Err(e) => assert_ne!(e.kind(), std::io::ErrorKind::WouldBlock, "neither an error nor a close"),
+        }
+    }
+    assert_eq!(e.calls().len(), 3);
+}
+
+/// Found on crowd+term+scrape: with no place left a client was parted with whose request had come and was not read yet.
+#[test]
+fn a_client_whose_request_has_come_gives_way_to_nobody() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["sockets"] = json!(64);
+    rig.start();
+    let silent = rig.client();
+    let mut inside: Vec<Client> = (0..10).map(|_| rig.client()).collect();
+    assert!(inside.iter_mut().all(|c| c.says(b"PING\r\n") == "+PONG"), "they and the one before are inside");
+    // While the dispatcher stands still a crowd comes first, then the requests; all of them find it at once.
+    rig.signal(Signal::STOP);
+    let crowd: Vec<Client> = (0..150).map(|_| rig.client()).collect();
+    let ids = [fresh(), fresh()];
+    let mut askers = [silent, inside.remove(0)];
+    for (asker, id) in askers.iter_mut().zip(&ids) {
+        asker.to.write_all(&put(id, "c=payment,d=20000,dest=7", "x")).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(600));
+    rig.signal(Signal::CONT);
+    for asker in &mut askers {
+        assert_eq!(asker.line(), "+OK");
+    }
+    for id in &ids {
+        wait_for("the mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+    }
+    drop(crowd);
+}
+
+#[test]
+fn a_client_that_keeps_erring_is_parted_with_and_hundreds_of_commands_are_all_answered() {
+    let mut rig = Rig::new(&[]);
+    rig.start();
+    let mut client = rig.client();
+    client.to.write_all(&b"PING\r\n".repeat(500)).unwrap();
+    assert!((0..500).all(|_| client.line() == "+PONG"));
+    client.to.write_all(&b"NONE\r\n".repeat(500)).unwrap();
+    let mut rest = String::new();
+    client.from.read_to_string(&mut rest).unwrap();
+    assert!(rest.starts_with("-ERR unknown command") && rest.lines().count() < 500, "{rest}");
+}
+
+#[test]
+fn more_clients_than_descriptors_wait_and_those_inside_are_served() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["sockets"] = json!(64);
+    rig.start();
+    let mut client = rig.client();
+    assert_eq!(client.says(b"PING\r\n"), "+PONG");
+    let others: Vec<Client> = (0..100).map(|_| rig.client()).collect();
+    for _ in 0..20 {
+        client.mail("notice", 7, 8000, "served all the same");
+    }
+    wait_for("all of them", || e.calls().len() == 20);
+    let open = std::fs::read_dir(format!("/proc/{}/fd", rig.child.as_ref().unwrap().id())).unwrap().count();
+    assert!(open <= 64, "{open} descriptors");
+    drop(others);
+    assert_eq!(rig.client().says(b"PING\r\n"), "+PONG");
+}
--- /dev/null
+++ b/daemon/tests/common/mod.rs
@@ -0,0 +1,377 @@
+//! The program started and spoken to over loopback sockets; endpoints and the platform are stand-ins of our own.
+
+// Each test binary has a copy of its own and uses only some of it.
+#![allow(dead_code)]
+
+use bellsill_daemon::mail_journal::{Kept, MailJournal};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Waits for something to become true. It may take as long as it likes; only what never comes fails.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !done() {
+        assert!(from.elapsed() < Duration::from_secs(60), "never came: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Reads the head and body of one HTTP request.
+pub fn request(from: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            text => lines.push(text.to_string()),
+        }
+    }
+    let length =
+        lines.iter().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |n| n.parse().unwrap());
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((lines, body))
+}
+
+/// A listener on a free port, with a thread for each connection.
+pub fn stand_in(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    addr
+}
+
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub head: Vec<String>,
+    pub body: String,
+    /// Counts the connections of its endpoint.
+    pub conn: u64,
+}
+
+impl Call {
+    pub fn header(&self, name: &str) -> &str {
+        self.head.iter().find_map(|l| l.strip_prefix(name)?.strip_prefix(": ")).unwrap_or("")
+    }
+}
+
+/// What an endpoint does with a call.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Does {
+    /// Answers with this: status line without its version, further headers.
+    Says(&'static str),
+    /// Answers, then closes the connection.
+    SaysLast(&'static str),
+    Hangs,
+    Breaks,
+    /// Writes just this, and keeps the connection open.
+    Writes(&'static str),
+}
+
+#[derive(Clone)]
+pub struct Endpoint {
+    pub addr: String,
+    pub calls: Arc<Mutex<Vec<Call>>>,
+    pub does: Arc<Mutex<Does>>,
+}
+
+impl Endpoint {
+    pub fn start(does: Does) -> Endpoint {
+        let (calls, does) = (Arc::new(Mutex::new(vec![])), Arc::new(Mutex::new(does)));
+        let (seen, way, conns) = (Arc::clone(&calls), Arc::clone(&does), Arc::new(AtomicU64::new(0)));
+        let addr = stand_in(move |stream| {
+            let conn = conns.fetch_add(1, Ordering::SeqCst);
+            let mut to = stream.try_clone().unwrap();
+            let mut from = BufReader::new(stream);
+            while let Some((head, body)) = request(&mut from) {
+                let body = String::from_utf8(body).unwrap();
+                let does = *way.lock().unwrap();
+                seen.lock().unwrap().push(Call { head, body, conn });
+                let done = match does {
+                    Does::Says(answer) | Does::SaysLast(answer) => {
+                        write!(to, "HTTP/1.1 {answer}\r\nContent-Length: 2\r\n\r\nok")
+                    }
+                    Does::Hangs => Ok(()),
+                    Does::Breaks => return,
+                    Does::Writes(text) => to.write_all(text.as_bytes()),
+                };
+                if done.is_err() || matches!(does, Does::SaysLast(_)) {
+                    return;
+                }
+            }
+        });
+        Endpoint { addr, calls, does }
+    }
+    pub fn does(&self, does: Does) {
+        *self.does.lock().unwrap() = does;
+    }
+    pub fn calls(&self) -> Vec<Call> {
+        self.calls.lock().unwrap().clone()
+    }
+    pub fn entry(&self, id: &str, cell: u64, state: &str) -> Value {
+        json!({"id": id, "addr": self.addr, "zone": "north", "kind": "shops", "cell": cell, "state": state})
+    }
+}
+
+/// Discovery and the place for notices.
+#[derive(Clone)]
+pub struct Platform {
+    pub addr: String,
+    pub watches: Arc<Mutex<Vec<TcpStream>>>,
+    pub since: Arc<Mutex<Vec<String>>>,
+    pub notices: Arc<Mutex<Vec<Value>>>,
+    pub deaf: Arc<AtomicBool>,
+}
+
+impl Platform {
+    pub fn start() -> Platform {
+        let watches: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let since: Arc<Mutex<Vec<String>>> = Arc::default();
+        let notices: Arc<Mutex<Vec<Value>>> = Arc::default();
+        let deaf = Arc::new(AtomicBool::new(false));
+        let (w, s, n, d) =
+            (Arc::clone(&watches), Arc::clone(&since), Arc::clone(&notices), Arc::clone(&deaf));
+        let addr = stand_in(move |stream| {
+            let mut to = stream.try_clone().unwrap();
+            let mut from = BufReader::new(stream);
+            while let Some((head, body)) = request(&mut from) {
+                if head[0].starts_with("GET /api/targets?follow=1&since=") {
+                    to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+                    s.lock().unwrap().push(head[0].clone());
+                    w.lock().unwrap().push(to.try_clone().unwrap());
+                    continue;
+                }
+                assert_eq!(head[0], "POST /v2/finals HTTP/1.1");
+                if d.load(Ordering::SeqCst) {
+                    return;
+                }
+                let lines = String::from_utf8(body).unwrap();
+                n.lock().unwrap().extend(lines.lines().map(|l| serde_json::from_str::<Value>(l).unwrap()));
+                to.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").unwrap();
+            }
+        });
+        Platform { addr, watches, since, notices, deaf }
+    }
+    /// Tells all watches, each byte in a chunk of its own.
+    pub fn tell(&self, text: &str) {
+        wait_for("a watch", || !self.watches.lock().unwrap().is_empty());
+        for watch in self.watches.lock().unwrap().iter_mut() {
+            for byte in text.bytes() {
+                // One that has ended hears no more.
+                let _ = watch.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']);
+            }
+        }
+    }
+    pub fn notices(&self) -> Vec<Value> {
+        self.notices.lock().unwrap().clone()
+    }
+    pub fn notice(&self, id: &str) -> Option<Value> {
+        self.notices().into_iter().find(|n| n["ref"] == id)
+    }
+}
+
+/// A dispatcher's process, its folder and its world.
+pub struct Rig {
+    pub folder: PathBuf,
+    pub listen: String,
+    pub json: Value,
+    pub platform: Platform,
+    pub child: Option<Child>,
+}
+
+static RIGS: AtomicU64 = AtomicU64::new(0);
+static IDS: AtomicU64 = AtomicU64::new(1);
+
+impl Rig {
+    pub fn new(endpoints: &[(&Endpoint, u64)]) -> Rig {
+        let (n, pid) = (RIGS.fetch_add(1, Ordering::SeqCst), std::process::id());
+        // An address of its own, so that nothing else is ever given its port.
+        let listen = format!("127.{}.{}.{}:6379", 16 + pid % 200, pid / 200 % 250, n + 1);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("rig-{pid}-{n}"));
+        std::fs::create_dir_all(folder.join("state")).unwrap();
+        let mut json: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+        let platform = Platform::start();
+        json["listen"] = listen.clone().into();
+        json["discovery"] = platform.addr.clone().into();
+        let entries = endpoints.iter().enumerate();
+        json["known"]["servers"] =
+            entries.map(|(i, (e, cell))| e.entry(&format!("e{i}"), *cell, "up")).collect::<Vec<_>>().into();
+        Rig { folder, listen, json, platform, child: None }
+    }
+
+    pub fn command(&self, what: &str) -> Command {
+        std::fs::write(self.folder.join("config.json"), self.json.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bellsill"));
+        command.env_remove("RELAY_STATE").arg(what).arg("--config").arg(self.folder.join("config.json"));
+        command.arg("--state").arg(self.folder.join("state")).arg("--log").arg("warn");
+        command
+    }
+
+    pub fn start(&mut self) {
+        let command = self.command("serve");
+        self.start_by(command);
+    }
+
+    pub fn start_by(&mut self, mut command: Command) {
+        self.child = Some(command.spawn().unwrap());
+        wait_for("a dispatcher that is ready", || {
+            let Ok(mut stream) = TcpStream::connect(&self.listen) else { return false };
+            stream.write_all(b"PING\r\n").is_ok()
+                && BufReader::new(stream).lines().next().is_some_and(|l| l.is_ok_and(|l| l == "+PONG"))
+        });
+    }
+
+    /// Starts a process beside one that runs, at the `mgmt` address that the configuration names now.
+    pub fn start_beside(&mut self) {
+        let child = self.command("serve").spawn().unwrap();
+        self.child = Some(child);
+        wait_for("a new version that is ready", || {
+            TcpStream::connect(self.json["mgmt"].as_str().unwrap()).is_ok()
+        });
+        assert!(self.call("ready")[0].starts_with("SUCCESS"));
+    }
+
+    /// What the journal holds at this moment.
+    pub fn kept(&self) -> Kept {
+        self.kept_in("mails")
+    }
+
+    /// What that journal of the folder holds at this moment.
+    pub fn kept_in(&self, journal: &str) -> Kept {
+        let copy = self.folder.join("copy");
+        std::fs::create_dir_all(&copy).unwrap();
+        std::fs::copy(self.folder.join("state").join(journal), copy.join("mails")).unwrap();
+        MailJournal::open(&copy, 10_000_000).unwrap().1
+    }
+
+    /// Whether the journal says that a connect of the mail never ran.
+    pub fn never_ran(&self, id: &str) -> bool {
+        let mails = self.kept().mails;
+        let mail = mails.iter().find(|m| format!("{:016x}", m.id.0) == id);
+        mail.is_some_and(|m| m.connects.iter().any(|c| c.may_have_run == Some(false)))
+    }
+
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = rustix::process::Pid::from_child(self.child.as_ref().unwrap());
+        rustix::process::kill_process(pid, signal).unwrap();
+    }
+
+    /// Where operators call this rig's dispatcher: the n-th process beside others has an address of its own.
+    pub fn mgmt_at(&self, n: u16) -> String {
+        let ip: std::net::SocketAddr = self.listen.parse().unwrap();
+        format!("{}:{}", ip.ip(), 9100 + n)
+    }
+
+    pub fn call(&self, line: &str) -> Vec<String> {
+        call_at(self.json["mgmt"].as_str().unwrap(), line)
+    }
+
+    pub fn figure(&self, name: &str) -> u64 {
+        figure_at(self.json["mgmt"].as_str().unwrap(), name)
+    }
+
+    pub fn client(&self) -> Client {
+        connect(&self.listen).unwrap()
+    }
+}
+
+/// One call as an operator makes it: a line out, the lines of the answer.
+pub fn call_at(addr: &str, line: &str) -> Vec<String> {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut lines = BufReader::new(stream).lines().map(|l| l.unwrap());
+    let first = lines.next().unwrap();
+    let more = line == "show-stat" && first.starts_with("SUCCESS");
+    let rest = lines.take_while(|l| l != "EOT").take(if more { usize::MAX } else { 0 });
+    std::iter::once(first).chain(rest).collect()
+}
+
+pub fn figure_at(addr: &str, name: &str) -> u64 {
+    let lines = call_at(addr, "show-stat");
+    let value = lines.iter().find_map(|l| l.strip_prefix(&format!("dispatcher.{name}=")));
+    value.unwrap_or_else(|| panic!("{name} in {lines:?}")).parse().unwrap()
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        if self.child.is_some() {
+            self.kill();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub struct Client {
+    pub to: TcpStream,
+    pub from: BufReader<TcpStream>,
+}
+
+pub fn connect(to: &str) -> std::io::Result<Client> {
+    let stream = TcpStream::connect(to)?;
+    // What never comes fails, as in `wait_for`.
+    stream.set_read_timeout(Some(Duration::from_secs(60)))?;
+    Ok(Client { from: BufReader::new(stream.try_clone()?), to: stream })
+}
+
+pub fn put(id: &str, fields: &str, body: &str) -> Vec<u8> {
+    let words = ["MSG.PUT", "0000000000000000", id, fields, body];
+    let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    format!("*5\r\n{words}").into_bytes()
+}
+
+pub fn fresh() -> String {
+    format!("{:016x}", 0xb0_0000 + IDS.fetch_add(1, Ordering::SeqCst))
+}
+
+impl Client {
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.from.read_line(&mut line).unwrap();
+        line.trim_end().to_string()
+    }
+    pub fn says(&mut self, bytes: &[u8]) -> String {
+        self.to.write_all(bytes).unwrap();
+        self.line()
+    }
+    /// Hands in a mail that is taken on.
+    pub fn mail(&mut self, class: &str, cell: u64, ms: u64, body: &str) -> String {
+        let id = fresh();
+        let answer = self.says(&put(&id, &format!("c={class},d={ms},k=k{id},dest={cell}"), body));
+        assert_eq!(answer, "+OK");
+        id
+    }
+}
+
+pub const OK: Does = Does::Says("200 OK");
+
+/// An endpoint whose queue of new connections is full, by the one given back: one more comes up when there is room.
+pub fn crowded() -> (TcpListener, TcpStream) {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener: TcpListener = listener.into();
+    let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener, filler)
+}
--- /dev/null
+++ b/daemon/tests/leaving.rs
@@ -0,0 +1,137 @@
+//! A dispatcher that leaves on SIGTERM, alone or for a new version, loses no mail.
+
+mod common;
+
+use common::*;
+use rustix::process::Signal;
+use serde_json::json;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+#[test]
+fn on_sigterm_mails_held_go_out_and_clients_are_parted_with_between_requests() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 0.7"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let held = client.mail("notice", 7, 20_000, "held");
+    wait_for("a refusal", || rig.never_ran(&held));
+    e.does(OK);
+    rig.signal(Signal::TERM);
+    // New clients may still come for a moment, and old ones ask on; what is not answered was not read.
+    let late = fresh();
+    let try_late = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(&rig.listen)?;
+        stream.write_all(&put(&late, "c=notice,d=20000,k=l,dest=7", "late"))?;
+        let mut answer = String::new();
+        BufReader::new(stream).read_line(&mut answer).map(|_| answer)
+    };
+    let answer = try_late().unwrap_or_default();
+    assert!(answer.is_empty() || answer == "+OK\r\n", "{answer}");
+    assert_eq!(client.line(), "", "parted with");
+    assert_eq!(rig.child.take().unwrap().wait().unwrap().code(), Some(0));
+    rig.start();
+    let last = rig.client().mail("notice", 7, 8000, "last");
+    let gone_out = |id: &str| e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count();
+    wait_for("a later mail", || gone_out(&last) == 1);
+    wait_for("the mail held", || gone_out(&held) >= 2);
+    wait_for("the late mail", || answer.is_empty() || gone_out(&late) >= 1);
+}
+
+#[test]
+fn on_sigterm_clients_inside_are_served_when_no_new_ones_are_let_in() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    client.mail("notice", 7, 8000, "before");
+    rig.signal(Signal::TERM);
+    wait_for("a closed door", || TcpStream::connect(&rig.listen).is_err());
+    client.mail("notice", 7, 8000, "behind it");
+    wait_for("the mail", || e.calls().iter().any(|c| c.body == "behind it"));
+    assert_eq!(client.line(), "", "parted with");
+    assert_eq!(rig.child.take().unwrap().wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn on_sigterm_a_call_that_is_never_answered_holds_up_nothing() {
+    let e = Endpoint::start(Does::Hangs);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let once = rig.client().mail("payment", 7, 20_000, "x");
+    wait_for("the call", || e.calls().len() == 1);
+    rig.signal(Signal::TERM);
+    let mut end = None;
+    wait_for("the dispatcher's end", || {
+        end = rig.child.as_mut().unwrap().try_wait().unwrap();
+        end.is_some()
+    });
+    assert_eq!(end.unwrap().code(), Some(0));
+    rig.start();
+    wait_for("the mail's end", || rig.platform.notice(&once).is_some());
+    assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    assert_eq!(e.calls().len(), 1);
+}
+
+#[test]
+fn a_new_version_takes_over_under_load_and_each_mail_is_relayed_once() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    rig.json["settings"]["limits"]["max-open"] = json!(1000);
+    rig.start();
+    let (stop, taken) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let clients: Vec<_> = (0..4)
+        .map(|_| {
+            let (listen, stop, taken) = (rig.listen.clone(), Arc::clone(&stop), Arc::clone(&taken));
+            std::thread::spawn(move || {
+                let mut kept: Option<Client> = None;
+                while !stop.load(Ordering::SeqCst) {
+                    // Parted with between requests, a client asks once more on a new connection, under the same id.
+                    let id = fresh();
+                    let request = put(&id, "c=payment,d=20000,dest=7", "x");
+                    for _ in 0..100 {
+                        let Ok(mut client) = kept.take().map_or_else(|| connect(&listen), Ok) else {
+                            continue;
+                        };
+                        let mut line = String::new();
+                        let sent = client.to.write_all(&request);
+                        if sent.and_then(|()| client.from.read_line(&mut line)).is_ok_and(|n| n > 0) {
+                            assert_eq!(line, "+OK\r\n");
+                            taken.lock().unwrap().push(id);
+                            kept = Some(client);
+                            break;
+                        }
+                    }
+                    std::thread::sleep(Duration::from_millis(60));
+                }
+            })
+        })
+        .collect();
+    let count = || taken.lock().unwrap().len();
+    let more = |many: usize| {
+        let from = count();
+        wait_for("mails", || count() >= from + many);
+    };
+    more(40);
+    let mut old = rig.child.take().unwrap();
+    rig.json["mgmt"] = rig.mgmt_at(1).into();
+    rig.start_beside();
+    more(40);
+    rustix::process::kill_process(rustix::process::Pid::from_child(&old), Signal::TERM).unwrap();
+    assert_eq!(old.wait().unwrap().code(), Some(0));
+    more(40);
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    let taken = taken.lock().unwrap().clone();
+    wait_for("all of them", || e.calls().len() >= taken.len() && rig.figure("pending") == 0);
+    let mut calls: Vec<String> = e.calls().iter().map(|c| c.header("X-Trace-Id").to_string()).collect();
+    let all = calls.len();
+    calls.sort();
+    calls.dedup();
+    assert_eq!((calls.len(), rig.platform.notices()), (all, vec![]), "none twice, none given up");
+    assert!(taken.iter().all(|id| calls.binary_search(id).is_ok()), "none lost");
+}
