A repeat's window is asked for again once its connection has come up

With each connect in the log (--log debug), window 3 s: `connect 0 to 127.11.0.5` at 980.323, `ended: TimedOut` at 982.323, `connect 1 to 127.11.0.2, 1000 ms after it was decided` at 983.929: decided 2.6 s after the first, written 3.6 s after it. To blame: endpoints.rs connection_rose asked still_open, which knows of drains and waits only. The test fails on the code before.

--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -267,8 +267,8 @@
         }
     }
 
-    /// While the connection came up its endpoint may have started to drain, or a wait may have begun there: only the
-    /// decisions know. Or its time is up, and its deadline is the next thing seen: a dispatcher that stood still would
+    /// While the connection came up its endpoint may have started to drain, a wait may have begun there, or the window in
+    /// which the mail may be repeated may have closed: only the decisions know. Or its time is up, and its deadline is the next thing seen: a dispatcher that stood still would
     /// otherwise send mails whose queue lifetime is long over. A mail turned back here has not been sent, and the
     /// connection is kept.
     fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
@@ -276,8 +276,8 @@
         match hands.conns.risen(id) {
             Ok(()) => {
                 hands.deadlines.clear(Due::Conn(id));
-                let endpoint = hands.mails.get(slot).and_then(|m| m.call).map(|c| c.endpoint);
-                let open = endpoint.is_some_and(|e| self.dispatcher.still_open(hands.now, e));
+                let call = hands.mails.get(slot).and_then(|m| Some((m.id, m.call?.endpoint)));
+                let open = call.is_some_and(|(mail, e)| self.dispatcher.may_begin(hands.now, mail, e));
                 if open && hands.in_time(slot) {
                     hands.write_call(slot, id);
                 } else {
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -189,6 +189,7 @@
         let Some(mail) = self.mails.get_mut(slot) else { return };
         let Some(call) = mail.call.take() else { return };
         let (id, stage) = (mail.id, mail.stage);
+        log::debug!("mail {:016x}: connect {} ended, begun {}: {outcome:?}", id.0, call.no.0, call.begun);
         self.deadlines.clear(Due::Call(slot));
         let was_over = stage.ended();
         if call.begun && !was_over && outcome != Outcome::Relayed {
@@ -248,6 +249,13 @@
             return;
         }
         call.begun = true;
+        log::debug!(
+            "mail {:016x}: connect {} to {}, {} ms after it was decided",
+            mail.id.0,
+            call.no.0,
+            endpoint.addr,
+            (now - call.at) / 1_000_000
+        );
         self.figures.upstream += 1;
         if let Some(to) = self.conns.get_mut(conn) {
             // The ring is made for the longest call and was empty.
--- a/daemon/tests/calls.rs
+++ b/daemon/tests/calls.rs
@@ -5,7 +5,8 @@
 use common::*;
 use rustix::process::Signal;
 use serde_json::json;
-use std::io::Read;
+use std::io::{BufReader, Read};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -175,3 +176,36 @@
     }
     assert_eq!((full.calls().len(), open.calls().len(), rig.platform.notices().len()), (1, 3, 0));
 }
+
+/// Seen on join+mass, zone+brink and split+brink: a repeat was decided inside its window and written up to 1.5 s later, once its
+/// connection came up, outside of it.
+#[test]
+fn a_connection_that_comes_up_after_the_window_for_repeats_gets_no_repeat() {
+    let slow = crowded_but_for(1);
+    let entry = json!({"id": "slow", "addr": slow.local_addr().unwrap().to_string(), "zone": "north",
+        "kind": "shops", "cell": 7, "state": "up"});
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry]);
+    rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
+    rig.json["settings"]["limits"]["keepalive-ns"] = json!(1_000_000_000);
+    for class in rig.json["settings"]["services"].as_array_mut().unwrap() {
+        class["window-ns"] = json!(600_000_000);
+    }
+    rig.start();
+    let id = rig.client().mail("notice", 7, 8000, "x");
+    let (first, _) = slow.accept().unwrap();
+    let mut from = BufReader::new(first);
+    request(&mut from).unwrap();
+    let window = Instant::now() + Duration::from_millis(650);
+    // No further connection comes up now, and the call breaks after it was read: it may have run, and goes again.
+    let filler = TcpStream::connect(slow.local_addr().unwrap()).unwrap();
+    drop(from);
+    std::thread::sleep(window.saturating_duration_since(Instant::now()));
+    drop((slow.accept().unwrap(), filler));
+    let mut late = slow.accept().unwrap().0;
+    let mut got = Vec::new();
+    // It is kept for other calls until it has been idle for its time.
+    assert!(late.read_to_end(&mut got).is_ok() && got.is_empty(), "{}", String::from_utf8_lossy(&got));
+    wait_for("the mail's end", || rig.platform.notice(&id).is_some());
+    assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
+}
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -368,10 +368,15 @@
 
 /// An endpoint whose queue of new connections is full, by the one given back: one more comes up when there is room.
 pub fn crowded() -> (TcpListener, TcpStream) {
-    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
-    listener.listen(0).unwrap();
-    let listener: TcpListener = listener.into();
+    let listener = crowded_but_for(1);
     let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     (listener, filler)
 }
+
+/// An endpoint whose queue takes so many new connections that it has not accepted, and no more.
+pub fn crowded_but_for(places: i32) -> TcpListener {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(places - 1).unwrap();
+    listener.into()
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,9 +1,8 @@
 //! All decisions of a dispatcher: which mail goes next, by which route, when one is given up. Call the method
 //! for what happens, with the clock and an [`Outlet`] that acts at once. `docs/design.md` says why.
 
+use crate::chance::Chance;
 use crate::interface::*;
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const MS: Nanos = 1_000_000;
@@ -168,14 +167,6 @@
     answers: f64,
 }
 
-struct Chance(Pcg64Mcg);
-
-impl Default for Chance {
-    fn default() -> Self {
-        Chance(Pcg64Mcg::seed_from_u64(0))
-    }
-}
-
 #[derive(Default)]
 pub struct Dispatcher {
     facts: BootFacts,
@@ -207,8 +198,7 @@
 
 impl Dispatcher {
     pub fn boot(now: Nanos, facts: BootFacts) -> Self {
-        let (rng, usual) =
-            (Chance(Pcg64Mcg::seed_from_u64(facts.seed)), vec![FIRST_USUAL; facts.classes.len()]);
+        let (rng, usual) = (Chance::seeded(facts.seed), vec![FIRST_USUAL; facts.classes.len()]);
         let margin = 2 * facts.tick;
         let mut d =
             Dispatcher { rng, usual, margin, wake_at: NEVER, ask_at: NEVER, now, facts, ..Self::default() };
@@ -222,7 +212,7 @@
         if let Some(within) = self.facts.ask_within {
             // After a failed call there is four times as long; shorter rests would fill the line in vain.
             let (least, most) = (self.ask_spread / 2, (self.ask_spread * 3 / 2).max(within / 4 * 3));
-            self.ask_at = now + self.rng.0.random_range(least..most.max(least + 1));
+            self.ask_at = now + self.rng.range(least..most.max(least + 1));
             self.ask_spread = (self.ask_spread * 2).clamp(within, 2 * within);
         }
     }
@@ -343,7 +333,12 @@
         self.routes.iter().filter(|r| r.listed && (!r.entry.serving || r.suspect)).count()
     }
 
-    /// Whether a connect whose connection came up just now may be written: no drain or wait began since.
+    /// Whether a connect whose connection came up just now may be written: no drain or wait began since, and
+    /// a mail that may have run is still in its window.
+    pub fn may_begin(&self, now: Nanos, mail: MailId, endpoint: EndpointId) -> bool {
+        self.still_open(now, endpoint) && self.mails.get(&mail).is_some_and(|m| self.repeatable(m, now))
+    }
+
     pub fn still_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
         let open = |&r: &usize| self.routes[r].entry.serving && self.routes[r].closed_until <= now;
         self.index.get(&endpoint).is_some_and(open)
@@ -379,7 +374,7 @@
         r[route].closed_until = bound.iter().map(|&s| r[s].closed_until).max().unwrap_or(0);
         r[route].struck = bound.iter().any(|&s| r[s].struck);
         r[route].traffic = r[bound[0]].traffic;
-        r[route].stretch = self.rng.0.random_range(0.5..1.5);
+        r[route].stretch = self.rng.range(0.5..1.5);
         route
     }
 
@@ -451,11 +446,16 @@
     fn may_go_again(&self, mail: &Mail, now: Nanos) -> bool {
         mail.connects < self.facts.max_connects
             && now + self.margin < mail.new.due
-            && match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
-                (None, _) | (_, Repeat::Redeliverable) => true,
-                (Some((at, _)), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
-                (Some(_), Repeat::OnceOnly) => false,
-            }
+            && self.repeatable(mail, now)
+    }
+
+    /// Whether what earlier connects of it may have done allows one that begins now.
+    fn repeatable(&self, mail: &Mail, now: Nanos) -> bool {
+        match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
+            (None, _) | (_, Repeat::Redeliverable) => true,
+            (Some((at, _)), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
+            (Some(_), Repeat::OnceOnly) => false,
+        }
     }
 
     fn usual(&self, dest: DestinationId, class: usize) -> f64 {
@@ -900,7 +900,7 @@
         let last = |&i: &usize| used(i).map(|r| self.routes[r].sent_at);
         let latest = open.iter().map(last).max()?;
         let open: Vec<usize> = open.into_iter().filter(|i| last(i) == latest).collect();
-        let pick = open[self.rng.0.random_range(0..open.len())];
+        let pick = open[self.rng.range(0..open.len())];
         deck.cards.swap(deck.dealt, pick);
         deck.dealt += 1;
         Some(deck.cards[deck.dealt - 1])
@@ -928,7 +928,7 @@
         let sent = Connect { at: now, mail: id, no, call, class, route, fresh, rested, called_off: false };
         self.out.push(sent);
         self.routes[route].sent_at = now;
-        self.routes[route].stretch = self.rng.0.random_range(0.5..1.5);
+        self.routes[route].stretch = self.rng.range(0.5..1.5);
         let gate = self.routes[route].gate;
         self.routes[gate].gate_sent_at = now;
         self.shift(id, Stage::Out, out);
