What is taken on keeps its place: a door by what is free of the hold, no giving up at a full one

Ruled out: tries used up (none had 6), waits past the end, windows (24 mails, which had run). Now the front asks the decisions before it answers +OK: one destination's mails may take a share of what is free, by worth (the dynamic threshold of shared buffers), so that a hung destination leaves room. The test fails on the code before.

--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -170,6 +170,7 @@
         halves: r.word("family-info.decay")? == "halves",
         slots: r.from(1, "family-info.workers")? as usize,
         holding_room: r.from(1, "limits.max-open")? as usize,
+        own_door: false,
         max_connects: r.from(1, "limits.max-attempts")? as u32,
         connect_timeout: r.count("limits.connect-timeout-ns")?,
         max_come_back: if r.flag("limits.retry-after") { r.count("limits.max-retry-after-ns")? } else { 0 },
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -117,7 +117,6 @@
     pub dispatcher: Dispatcher,
     pub hands: Hands,
     pub classes: Vec<ClassFacts>,
-    pub holding_room: usize,
     /// There was no place for a client that came last.
     pub turned_away: bool,
     clock: Clock,
@@ -142,7 +141,7 @@
         let clock = Clock::start();
         let now = clock.now();
         let Start { boot, known, .. } = start;
-        let (facts, names) = (boot.facts, boot.names);
+        let (facts, names) = (BootFacts { own_door: true, ..boot.facts }, boot.names);
         let class_names = names.classes.clone();
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
         let (mut journal, mut kept) = MailJournal::open(&start.state, start.disk_bytes).map_err(in_folder)?;
@@ -157,7 +156,6 @@
         let reserve = facts.slots + 8;
         let mut daemon = Daemon {
             classes: facts.classes.clone(),
-            holding_room: facts.holding_room,
             hands: Hands {
                 now,
                 conns: Conns::new(
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -332,11 +332,6 @@
             self.break_call(slot, Outcome::Unconnected);
         }
     }
-
-    /// How many mails are owed their end.
-    pub fn held(&self) -> usize {
-        self.mails.iter().filter(|(_, mail)| !mail.stage.ended()).count()
-    }
 }
 
 /// Why a mail is not taken on.
@@ -373,7 +368,8 @@
             answer(hands);
             return Ok(());
         }
-        if !takes || hands.held() >= self.holding_room || !hands.take(mail.clone()) {
+        let admitted = self.dispatcher.admits(ClassId(class), DestinationId(mail.destination));
+        if !takes || !admitted || !hands.take(mail.clone()) {
             return Err(Refusal::NoRoom);
         }
         answer(hands);
--- a/daemon/tests/clients.rs
+++ b/daemon/tests/clients.rs
@@ -183,3 +183,22 @@
     drop(others);
     assert_eq!(rig.client().says(b"PING\r\n"), "+PONG");
 }
+
+/// Seen on the short days of another customer: a full hold gave up up to 860 mails a day that had surely not run, most of them
+/// right after they had been taken on.
+#[test]
+fn what_is_taken_on_keeps_its_place_and_a_hung_destination_leaves_room_for_others() {
+    let (hung, sound) = (Endpoint::start(Does::Hangs), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&hung, 7), (&sound, 9)]);
+    rig.start();
+    let mut client = rig.client();
+    let put_in = |client: &mut Client, cell: u64| {
+        let id = fresh();
+        client.says(&put(&id, &format!("c=notice,d=20000,k=k{id},dest={cell}"), "x"))
+    };
+    let taken = (0..200).take_while(|_| put_in(&mut client, 7) == "+OK").count();
+    let kept = rig.kept();
+    assert_eq!((kept.mails.len(), kept.owed.len()), (taken, 0), "one given up while it could wait");
+    assert_eq!(put_in(&mut client, 9), "+OK");
+    wait_for("a mail elsewhere", || !sound.calls().is_empty());
+}
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -245,6 +245,7 @@
             halves: true,
             slots: self.slots(),
             holding_room: self.hold(),
+            own_door: false,
             max_connects: d.max_connects,
             connect_timeout: ms(d.connect_timeout_ms),
             max_come_back: ms(d.max_come_back_ms),
--- a/src/control.rs
+++ b/src/control.rs
@@ -60,9 +60,11 @@
 const FORGET_AFTER: Nanos = 60_000 * MS;
 /// The shares of the slots that one destination, and all suspect routes together, may hold.
 const SLOT_SHARE: f64 = 0.35;
+/// Times what is free in the hold, what one destination's mails of the worthiest class may take of it.
+const DOOR_SHARE: f64 = 4.0;
 const TRIAL_SHARE: f64 = 0.25;
-/// How long a kind keeps no idle connections once this share of connects met drops or full tables; the least
-/// weight of one in it; one alone is enough where nothing had gone for so long: those at rest are dropped.
+/// How long a kind keeps no idle connections once this share of connects met drops or full tables, the least
+/// weight of one in it; one is enough where nothing had gone for so long.
 const TIGHT: Nanos = 60_000 * MS;
 const TIGHT_RESTED: Nanos = 2_000 * MS;
 const TIGHT_SHARE: f64 = 0.15;
@@ -72,10 +74,10 @@
 enum Stage {
     Waiting,
     Out,
-    Relayed,
+    /// Relayed, or withdrawn.
+    Over,
     Deferred,
     Bounced,
-    Withdrawn,
 }
 
 impl Stage {
@@ -100,11 +102,9 @@
 }
 
 struct Mail {
+    /// With what has been done for it until now.
     new: NewMail,
     stage: Stage,
-    connects: u32,
-    /// The first connect that may have run: when it was sent, and the zone it went to.
-    ran: Option<(Nanos, ZoneId)>,
 }
 
 /// What mails have in common that go by the same routes: destination, class, the zone they may have run in.
@@ -112,7 +112,7 @@
 
 impl Mail {
     fn like(&self) -> Like {
-        (self.new.destination, self.new.class.0, self.ran.map(|(_, zone)| zone.0))
+        (self.new.destination, self.new.class.0, self.new.past.ran.map(|(_, zone)| zone.0))
     }
 }
 
@@ -201,13 +201,12 @@
         let (rng, usual) = (Chance::seeded(facts.seed), vec![FIRST_USUAL; facts.classes.len()]);
         let margin = 2 * facts.tick;
         let mut d =
-            Dispatcher { rng, usual, margin, wake_at: NEVER, ask_at: NEVER, now, facts, ..Self::default() };
+            Dispatcher { rng, usual, margin, wake_at: NEVER, ask_at: NEVER, facts, ..Self::default() };
         d.ask_later(now);
         d
     }
 
-    /// Sets when discovery is asked for a watch, at first and once it is lost. The rule wants a call of each
-    /// dispatcher in `ask_within`: spread over that all are served. It could learn a drain so much later.
+    /// Sets when discovery is asked: a call of each within `ask_within`, spread. A drain is learnt so much later.
     fn ask_later(&mut self, now: Nanos) {
         if let Some(within) = self.facts.ask_within {
             // After a failed call there is four times as long; shorter rests would fill the line in vain.
@@ -217,7 +216,6 @@
         }
     }
 
-    /// A call to discovery has failed, or the watch has broken.
     pub fn list_lost(&mut self, now: Nanos, out: &mut impl Outlet) {
         self.ask_later(now);
         self.go_on(now, out);
@@ -245,7 +243,6 @@
         self.go_on(now, out);
     }
 
-    /// Mails that come together go together: decided on each alone, hundreds took seconds after a restart.
     pub fn mails_taken(&mut self, now: Nanos, all: impl IntoIterator<Item = NewMail>, out: &mut impl Outlet) {
         self.now = now;
         for new in all {
@@ -253,8 +250,7 @@
             if let Some(key) = key {
                 self.keys.entry(key).or_default().mails.push_back(new.id);
             }
-            let Past { connects, ran } = new.past;
-            let mail = Mail { new: NewMail { key, ..new }, stage: Stage::Waiting, connects, ran };
+            let mail = Mail { new: NewMail { key, ..new }, stage: Stage::Waiting };
             let over = !self.may_go_again(&mail, now);
             self.waiting.entry(mail.like()).or_default().insert((new.due, new.id));
             self.mails.insert(new.id, mail);
@@ -271,8 +267,8 @@
         let connect = self.out.remove(i);
         let Some(mail) = self.mails.get_mut(&end.mail) else { return };
         let key = mail.new.key;
-        if end.outcome.may_have_run() && mail.ran.is_none() {
-            mail.ran = Some((connect.at, self.routes[connect.route].entry.zone));
+        if end.outcome.may_have_run() && mail.new.past.ran.is_none() {
+            mail.new.past.ran = Some((connect.at, self.routes[connect.route].entry.zone));
         }
         // A call is one piece of news; but a wait binds from the first mail that tells it.
         if matches!(end.outcome, Outcome::Full(_)) || self.count_out(|o| o.call == connect.call) == 0 {
@@ -287,9 +283,9 @@
             }
         }
         let mail = &self.mails[&end.mail];
+        let over = end.over || end.outcome == Outcome::Relayed;
         match mail.stage {
-            Stage::Out if end.outcome == Outcome::Relayed => self.shift(end.mail, Stage::Relayed, out),
-            Stage::Out if end.over => self.shift(end.mail, Stage::Withdrawn, out),
+            Stage::Out if over => self.shift(end.mail, Stage::Over, out),
             Stage::Out if self.may_go_again(mail, now) => self.shift(end.mail, Stage::Waiting, out),
             Stage::Out => self.give_up(end.mail, out),
             stage => self.shift(end.mail, stage, out),
@@ -311,7 +307,7 @@
 
     pub fn mail_withdrawn(&mut self, now: Nanos, mail: MailId, out: &mut impl Outlet) {
         if self.mails.get(&mail).is_some_and(|m| !m.stage.ended()) {
-            self.shift(mail, Stage::Withdrawn, out);
+            self.shift(mail, Stage::Over, out);
         }
         self.go_on(now, out);
     }
@@ -333,8 +329,16 @@
         self.routes.iter().filter(|r| r.listed && (!r.entry.serving || r.suspect)).count()
     }
 
-    /// Whether a connect whose connection came up just now may be written: no drain or wait began since, and
-    /// a mail that may have run is still in its window.
+    /// Whether a front with a door of its own lets one more in; what is in goes on waiting. One destination's
+    /// mails may take so much of what is free, by worth, that a hung one leaves room for the others.
+    pub fn admits(&self, class: ClassId, destination: DestinationId) -> bool {
+        let free = self.facts.holding_room.saturating_sub(self.mails.len() + 1) as f64;
+        let most = self.facts.classes.iter().map(|row| row.importance).fold(f64::MIN_POSITIVE, f64::max);
+        let share = DOOR_SHARE * self.facts.classes[class.0].importance / most;
+        (self.backlog(destination) as f64) < free * share
+    }
+
+    /// Whether a connect may be written whose connection came up now: no drain, wait or window's end since.
     pub fn may_begin(&self, now: Nanos, mail: MailId, endpoint: EndpointId) -> bool {
         self.still_open(now, endpoint) && self.mails.get(&mail).is_some_and(|m| self.repeatable(m, now))
     }
@@ -394,7 +398,7 @@
             }
         }
         match to {
-            Stage::Out if from != to => mail.connects += 1,
+            Stage::Out if from != to => mail.new.past.connects += 1,
             Stage::Deferred if from != to => out.defer(id, self.come_back(id)),
             Stage::Bounced if from != to => out.bounce(id),
             _ => {}
@@ -419,7 +423,7 @@
     fn give_up(&mut self, id: MailId, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
         let harmless = self.count_out(|c| c.mail == id) == 0
-            && match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
+            && match (mail.new.past.ran, self.facts.classes[mail.new.class.0].repeat) {
                 (None, _) | (_, Repeat::Redeliverable) => true,
                 (Some((at, _)), Repeat::Tagged { window, same_zone: false }) => mail.new.due <= at + window,
                 _ => false,
@@ -431,6 +435,10 @@
         self.decks.get(&dest).map_or(&[], |d| &d.cards)
     }
 
+    fn backlog(&self, dest: DestinationId) -> usize {
+        self.waiting.iter().filter(|(like, _)| like.0 == dest).map(|(_, line)| line.len()).sum()
+    }
+
     fn bound(&self, route: usize) -> Vec<usize> {
         let same = |&r: &usize| self.routes[r].gate == self.routes[route].gate;
         self.cards(self.routes[route].entry.destination).iter().copied().filter(same).collect()
@@ -444,14 +452,14 @@
     }
 
     fn may_go_again(&self, mail: &Mail, now: Nanos) -> bool {
-        mail.connects < self.facts.max_connects
+        mail.new.past.connects < self.facts.max_connects
             && now + self.margin < mail.new.due
             && self.repeatable(mail, now)
     }
 
     /// Whether what earlier connects of it may have done allows one that begins now.
     fn repeatable(&self, mail: &Mail, now: Nanos) -> bool {
-        match (mail.ran, self.facts.classes[mail.new.class.0].repeat) {
+        match (mail.new.past.ran, self.facts.classes[mail.new.class.0].repeat) {
             (None, _) | (_, Repeat::Redeliverable) => true,
             (Some((at, _)), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
             (Some(_), Repeat::OnceOnly) => false,
@@ -646,8 +654,8 @@
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
-    /// The space between sends to a cold or struck route: this dispatcher's own former traffic, cut to what a
-    /// cold destination bears. Where it had next to none, all of them together go by one mail in `least`.
+    /// The space between sends to a cold or struck route: its part of what a cold one bears, by its own former
+    /// traffic. Where it had next to none, all together go by one mail in `least`.
     fn space(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
         let f = &self.facts;
         let rate = self.routes[route].traffic / TRAFFIC_SPAN * COLD_ROOM * warm * f.tip_multiple;
@@ -662,7 +670,7 @@
     fn opens_at(&self, route: usize, mail: &Mail, now: Nanos) -> Nanos {
         let r = &self.routes;
         let row = &self.facts.classes[mail.new.class.0];
-        let elsewhere = mail.ran.is_some_and(|(_, zone)| zone != r[route].entry.zone);
+        let elsewhere = mail.new.past.ran.is_some_and(|(_, zone)| zone != r[route].entry.zone);
         let bound = matches!(row.repeat, Repeat::Tagged { same_zone: true, .. });
         if !r[route].entry.serving || (bound && elsewhere) {
             return NEVER;
@@ -693,7 +701,6 @@
         at
     }
 
-    /// How many calls are out with a mail of this sort.
     fn count_out(&self, sort: impl Fn(&Connect) -> bool) -> usize {
         self.out.chunk_by(|a, b| a.call == b.call).filter(|call| call.iter().any(&sort)).count()
     }
@@ -733,7 +740,7 @@
         if line.mails.front() != Some(&id) || line.loose > 0 {
             return NEVER;
         }
-        if mail.connects > 0 { 0 } else { line.rest_until }
+        if mail.new.past.connects > 0 { 0 } else { line.rest_until }
     }
 
     fn go_on(&mut self, now: Nanos, out: &mut impl Outlet) {
@@ -754,8 +761,7 @@
         }
     }
 
-    /// Stops silent routes from taking up the slots, long before time-outs. A connect overdue while others
-    /// are answered is a lost answer, and holds for none but itself.
+    /// Stops silent routes from taking up the slots. One overdue while others are answered is a lost answer.
     fn watch_silence(&mut self, now: Nanos, out: &mut impl Outlet) {
         for o in self.out.clone() {
             let silent = now >= self.silent_at(&o) && o.at > self.routes[o.route].spoke_at;
@@ -791,19 +797,16 @@
     fn blocks_key(&self, mail: &Mail) -> bool {
         let behind = mail.new.key.and_then(|k| self.keys.get(&k)).map_or(0, |l| l.mails.len());
         let patience = self.facts.classes[mail.new.class.0].target_delay;
-        let Some((at, zone)) = mail.ran.filter(|_| behind > 1) else { return false };
+        let Some((at, zone)) = mail.new.past.ran.filter(|_| behind > 1) else { return false };
         let sound = |r: &Route| r.entry.zone == zone && r.entry.serving && !r.suspect;
         self.now >= at + patience && !self.cards(mail.new.destination).iter().any(|&r| sound(&self.routes[r]))
     }
 
     /// At a full hold the destination with most mails waiting gives up the one worth least, for the others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
-        while self.mails.values().filter(|m| !m.stage.ended()).count() >= self.facts.holding_room {
-            let mut many: BTreeMap<DestinationId, usize> = BTreeMap::new();
-            for (like, line) in &self.waiting {
-                *many.entry(like.0).or_default() += line.len();
-            }
-            let longest = many.into_iter().max_by_key(|&(_, many)| many).map(|(dest, _)| dest);
+        let room = if self.facts.own_door { usize::MAX } else { self.facts.holding_room };
+        while self.mails.values().filter(|m| !m.stage.ended()).count() >= room {
+            let longest = self.waiting.keys().map(|like| like.0).max_by_key(|&dest| self.backlog(dest));
             let of = self.waiting.iter().filter(|(like, _)| Some(like.0) == longest);
             let worth = |class, &(due, id)| (self.worth_at(class, due, now), due, id);
             let all = of.flat_map(|(like, line)| line.iter().map(move |place| worth(like.1, place)));
@@ -878,7 +881,6 @@
         }
     }
 
-    /// Whether mails alike could go now.
     fn has_route(&self, line: &BTreeSet<(Nanos, MailId)>, now: Nanos) -> bool {
         let Some(mail) = line.first().map(|(_, id)| &self.mails[id]) else { return false };
         let most = ((self.facts.slots as f64 * SLOT_SHARE) as usize).max(2);
@@ -908,7 +910,7 @@
 
     fn send(&mut self, id: MailId, route: usize, now: Nanos, out: &mut impl Outlet) {
         let mail = &self.mails[&id];
-        let (class, no) = (mail.new.class.0, ConnectNo(mail.connects));
+        let (class, no) = (mail.new.class.0, ConnectNo(mail.new.past.connects));
         let left = mail.new.due - now - self.margin;
         let time_out = match self.facts.classes[class].repeat {
             // For a once-only mail a time-out is a bounce; but a hung route must not hold a slot for good.
@@ -950,10 +952,9 @@
             if let Some(&(due, id)) = line.first() {
                 note(due - self.margin.min(due));
                 if self.count_out(|_| true) < self.facts.slots {
-                    let turns: BTreeSet<Nanos> = match self.facts.classes[like.1].ordered {
-                        true => line.iter().map(|&(_, id)| self.turn_at(id)).collect(),
-                        false => BTreeSet::from([0]),
-                    };
+                    let most = if self.facts.classes[like.1].ordered { line.len() } else { 1 };
+                    let turns = line.iter().take(most).map(|&(_, id)| self.turn_at(id));
+                    let turns: BTreeSet<Nanos> = turns.collect();
                     for &route in self.cards(like.0) {
                         let opens = self.opens_at(route, &self.mails[&id], now).max(self.no_slot_until);
                         turns.iter().for_each(|&turn| note(opens.max(turn)));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,6 +68,8 @@
     pub halves: bool,
     pub slots: usize,
     pub holding_room: usize,
+    /// The front asks [`crate::control::Dispatcher::admits`] before it takes a mail on; else a full hold gives up mails.
+    pub own_door: bool,
     pub max_connects: u32,
     pub connect_timeout: Nanos,
     /// The longest time to come back that a client heeds; nought where none is heard.
@@ -120,7 +122,7 @@
     pub past: Past,
 }
 
-/// What was done for a mail by a former process of this dispatcher.
+/// What was done for a mail: by a former process of this dispatcher, and by this one so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Past {
     pub connects: u32,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -110,6 +110,7 @@
         halves: false,
         slots: 8,
         holding_room: 60,
+        own_door: false,
         max_connects: 6,
         connect_timeout: S,
         max_come_back: 2 * S,
