Time-outs and call-offs of tagged mails are worked out from their window where they outlast it

Not seen as a loss of its own but reasoned (the operators' term), and shown by a plain case: at a window of 3 s a trial took 5 s, so that what it cut off was bounced; at one of 1 s each time-out (2 s at the least, control.rs TIMEOUT_FLOOR) did nothing but bounce. Now: two thirds of the window if that is over the silence watch's time, else as long as a once-only mail's; call-offs of what could not be repeated stand back twice as long, as for once-only mails. The case fails on the code before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -206,7 +206,7 @@
         d
     }
 
-    /// Sets when discovery is asked: a call of each within `ask_within`, spread. A drain is learnt so much later.
+    /// Sets when discovery is asked: a call of each within `ask_within`, spread. A drain is learnt later.
     fn ask_later(&mut self, now: Nanos) {
         if let Some(within) = self.facts.ask_within {
             // After a failed call there is four times as long; shorter rests would fill the line in vain.
@@ -340,7 +340,7 @@
 
     /// Whether a connect may be written whose connection came up now: no drain, wait or window's end since.
     pub fn may_begin(&self, now: Nanos, mail: MailId, endpoint: EndpointId) -> bool {
-        self.still_open(now, endpoint) && self.mails.get(&mail).is_some_and(|m| self.repeatable(m, now))
+        self.still_open(now, endpoint) && self.mails.get(&mail).is_some_and(|m| self.repeatable(m, None, now))
     }
 
     pub fn still_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
@@ -454,14 +454,14 @@
     fn may_go_again(&self, mail: &Mail, now: Nanos) -> bool {
         mail.new.past.connects < self.facts.max_connects
             && now + self.margin < mail.new.due
-            && self.repeatable(mail, now)
+            && self.repeatable(mail, None, now)
     }
 
-    /// Whether what earlier connects of it may have done allows one that begins now.
-    fn repeatable(&self, mail: &Mail, now: Nanos) -> bool {
-        match (mail.new.past.ran, self.facts.classes[mail.new.class.0].repeat) {
+    /// Whether earlier connects, and one of `then` that may have run, allow one that begins now.
+    fn repeatable(&self, mail: &Mail, then: Option<Nanos>, now: Nanos) -> bool {
+        match (mail.new.past.ran.map(|r| r.0).or(then), self.facts.classes[mail.new.class.0].repeat) {
             (None, _) | (_, Repeat::Redeliverable) => true,
-            (Some((at, _)), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
+            (Some(at), Repeat::Tagged { window, .. }) => now + self.facts.tick < at + window,
             (Some(_), Repeat::OnceOnly) => false,
         }
     }
@@ -654,7 +654,7 @@
         out.log(&format!("route {id} {word}: relayed in {} ms, failure share {share:.2}", took / MS));
     }
 
-    /// The space between sends to a cold or struck route: its part of what a cold one bears, by its own former
+    /// The space between sends to a cold or struck route: a part of what a cold one bears, by its own former
     /// traffic. Where it had next to none, all together go by one mail in `least`.
     fn space(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
         let f = &self.facts;
@@ -712,11 +712,10 @@
     fn worth_at(&self, class: usize, due: Nanos, at: Nanos) -> f64 {
         let row = &self.facts.classes[class];
         let age = at.saturating_sub(due.saturating_sub(row.lifetime));
-        if at >= due {
-            return 0.0;
-        }
         let late = age.saturating_sub(row.target_delay) as f64;
-        let share = if self.facts.halves {
+        let share = if at >= due {
+            0.0
+        } else if self.facts.halves {
             0.5f64.powf(late / row.target_delay as f64).max(row.late_share)
         } else {
             1.0 - (1.0 - row.late_share) * late / (row.lifetime - row.target_delay).max(1) as f64
@@ -788,9 +787,7 @@
                 }
             }
         }
-        for id in overdue {
-            self.give_up(id, out);
-        }
+        overdue.into_iter().for_each(|id| self.give_up(id, out));
     }
 
     /// Whether a mail that may have run holds up its key, all routes left suspect. Could lose it too soon.
@@ -862,14 +859,12 @@
             return;
         }
         let late = |o: &Connect| {
-            let more = if self.facts.classes[o.class].repeat == Repeat::OnceOnly { 2 } else { 1 };
+            let more = if self.repeatable(&self.mails[&o.mail], Some(o.at), now) { 1 } else { 2 };
             let r = &self.routes[o.route];
             (r.suspect || r.spoke_at > o.at) && now >= o.at + more * (self.silent_at(o) - o.at)
         };
         let mut calls = self.out.chunk_by(|a, b| a.call == b.call);
-        let Some(call) = calls.find(|call| call.iter().all(&late)).map(|call| call[0].call) else {
-            return;
-        };
+        let Some(call) = calls.find(|c| c.iter().all(&late)).map(|c| c[0].call) else { return };
         let kept = |line: &BTreeSet<(Nanos, MailId)>| {
             self.has_route(line, now) && line.iter().any(|&(_, id)| self.turn_at(id) <= now)
         };
@@ -912,15 +907,21 @@
         let mail = &self.mails[&id];
         let (class, no) = (mail.new.class.0, ConnectNo(mail.new.past.connects));
         let left = mail.new.due - now - self.margin;
+        let usual = self.usual(mail.new.destination, class);
         let time_out = match self.facts.classes[class].repeat {
             // For a once-only mail a time-out is a bounce; but a hung route must not hold a slot for good.
-            Repeat::OnceOnly => TIMEOUT_CEILING.min(left),
-            _ if self.routes[route].suspect => TRIAL_TIMEOUT.min(left),
-            _ => {
-                let usual = self.usual(mail.new.destination, class);
-                ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING).min(left)
-            }
+            Repeat::OnceOnly => TIMEOUT_CEILING,
+            _ if self.routes[route].suspect => TRIAL_TIMEOUT,
+            _ => ((TIMEOUT_TIMES * usual) as Nanos).clamp(TIMEOUT_FLOOR, TIMEOUT_CEILING),
+        };
+        let silent = self.silent_after(route, class);
+        let time_out = match self.facts.classes[class].repeat {
+            // One that would outlast the window leaves time for the repeat, or else is as a once-only's.
+            Repeat::Tagged { window, .. } if time_out >= window && window / 3 * 2 >= silent => window / 3 * 2,
+            Repeat::Tagged { window, .. } if time_out >= window => TIMEOUT_CEILING,
+            _ => time_out,
         };
+        let time_out = time_out.min(left);
         let fresh = self.tight(route, now);
         if fresh {
             out.hang_up(self.routes[route].entry.endpoint);
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -543,3 +543,29 @@
     w.pass(9 * S);
     assert_eq!(w.o.relayed.len(), 6);
 }
+
+/// The operators' term: time-outs are worked out from the window where they would outlast it. At a window of 3 s a trial took 5 s, and
+/// nothing that it cut off could be repeated; at one of 1 s no time-out did but bounce.
+#[test]
+fn a_time_out_leaves_a_tagged_mail_time_to_be_repeated_or_is_as_long_as_a_once_only_one_s() {
+    let first = |window, hung: bool| {
+        let mut f = facts();
+        f.classes[1].repeat = Repeat::Tagged { window, same_zone: false };
+        let mut w = World::lone(f);
+        if hung {
+            // Found out by mails that may run again.
+            w.o.ways[8] = Way::Hangs;
+            w.mails(2, 0, 2);
+            w.pass(4 * S);
+        }
+        w.o.sent.clear();
+        let mail = w.mail(1, 2, None, 12 * S);
+        w.pass(3 * S);
+        w.o.sent.iter().find(|s| s.mail == mail).expect("it goes").time_out
+    };
+    for hung in [false, true] {
+        let most = if hung { 2 * S } else { 2_400 * MS };
+        assert_eq!((first(3 * S, hung), first(S, hung)), (most, 8 * S));
+    }
+    assert!(first(12 * S, false) >= 2 * S && first(12 * S, true) == 5 * S);
+}
