Endings: clients are parted with by half-closing, and what has come is read before a call is broken off

To blame, by reading and by a test each where the order can be forced: - clients.rs part_with closed at once: a request that crossed it reset the connection (test: broken pipe on the code before).

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -45,7 +45,8 @@
             if !lingers && matches!(self.hear(id), Ok(true)) {
                 self.deadlines.set(Due::Read(id), now);
             } else {
-                self.part_with(id);
+                // Its place is wanted now; and what it was told last has long been read.
+                self.close_client(id);
             }
         }
         !self.conns.full() || self.shed_idle()
@@ -70,26 +71,44 @@
     }
 
     /// Closes a client's connection.
-    pub fn part_with(&mut self, id: ConnId) {
+    fn close_client(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Conn(id));
         self.deadlines.clear(Due::Read(id));
         self.conns.close(id);
     }
+
+    /// Parts with a client: the own side ends, and what still comes is read and thrown away until the other side has ended
+    /// too, or for a while. Closed over bytes that are not read, the connection would be reset, and answers that the client
+    /// has not read would be lost with it. It covers a request that crosses the end: nothing of it is taken on, and the
+    /// client sends it once more elsewhere. The harm: the place is held for as long as that takes.
+    pub fn part_with(&mut self, id: ConnId) {
+        self.deadlines.clear(Due::Read(id));
+        let polite = self.conns.get(id).is_some_and(|c| !c.lingers && !c.ended && c.output.is_empty());
+        if polite && self.conns.linger(id).and_then(|()| self.conns.arm(id)).is_ok() {
+            // What is here already is met now.
+            self.deadlines.set(Due::Conn(id), self.now + LINGER);
+            self.deadlines.set(Due::Read(id), self.now);
+        } else {
+            self.close_client(id);
+        }
+    }
 }
 
 impl Daemon {
     /// Lets clients in, while there are descriptors for them. Idle connections to endpoints give way first; then new
     /// clients wait a little in the kernel's queue, so that the ones served already are not starved.
-    pub fn let_in(&mut self) {
+    /// True: more may wait.
+    pub fn let_in(&mut self) -> bool {
         let hands = &mut self.hands;
-        let mut again = Ok(());
+        let (mut again, mut more) = (Ok(()), true);
         for _ in 0..LET_IN_MOST {
             if !hands.make_way() {
                 // Said once, until there is place again.
                 if !std::mem::replace(&mut self.turned_away, true) {
                     log::warn!("no place for more clients, {} connections are open", hands.conns.len());
                 }
-                return hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
+                hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
+                return false;
             }
             match hands.conns.accept() {
                 Ok(Some(id)) => {
@@ -98,11 +117,14 @@
                     hands.conns.get_mut(id).into_iter().for_each(|c| (c.used, c.heard) = (now, now));
                     hands.deadlines.set(Due::Conn(id), now + REQUEST_WITHIN);
                 }
-                Ok(None) => break,
+                Ok(None) => {
+                    more = false;
+                    break;
+                }
                 // It has gone again while it waited.
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
-                    again = Err(e);
+                    (again, more) = (Err(e), false);
                     break;
                 }
             }
@@ -111,6 +133,7 @@
             log::warn!("a client could not be let in: {e}");
             hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
         }
+        more
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
@@ -120,10 +143,10 @@
         if conn.lingers {
             conn.input.consume(conn.input.len());
             if broken || conn.ended || hands.conns.arm(id).is_err() {
-                hands.part_with(id);
+                hands.close_client(id);
             }
         } else if broken || !self.answer_commands(id) {
-            self.hands.part_with(id);
+            self.hands.close_client(id);
         }
     }
 
@@ -131,14 +154,19 @@
     /// connect and say nothing, or stop half-way, would else hold their places for good; it covers those that read no
     /// answers too. The harm: one that is slower than that is parted with unheard. What came last is still met.
     pub fn client_overdue(&mut self, id: ConnId) {
-        let conns = &mut self.hands.conns;
-        let Some(had) = conns.get(id).filter(|c| !c.lingers).map(|c| c.input.len()) else {
-            return self.hands.part_with(id);
-        };
-        if conns.fill(id).is_ok() && conns.get(id).is_some_and(|c| c.input.len() != had) {
-            return self.client_ready(id);
+        if self.hands.conns.get(id).is_some_and(|c| c.lingers) {
+            return self.hands.close_client(id);
+        }
+        // A request that begins now has its own time from now on.
+        match self.hands.hear(id) {
+            Ok(true) => {
+                if !self.answer_commands(id) {
+                    self.hands.close_client(id);
+                }
+            }
+            Ok(false) => self.hands.part_with(id),
+            Err(_) => self.hands.close_client(id),
         }
-        self.hands.part_with(id);
     }
 
     /// Answers the commands that have come whole. False: the connection is done.
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -310,6 +310,14 @@
         if self.endpoints[endpoint].addr != addr {
             self.hang_up(endpoint);
             self.endpoints[endpoint].addr = addr;
+            // What still comes up at the old address would be somebody else's by then.
+            let of = |c: &crate::conns::Conn| c.rising && c.role == Role::Endpoint(endpoint);
+            let rising: Vec<ConnId> = self.conns.iter().filter(|(_, c)| of(c)).map(|(id, _)| id).collect();
+            for slot in
+                rising.iter().filter_map(|id| self.endpoints.calls.get(id).copied()).collect::<Vec<_>>()
+            {
+                self.break_call(slot, Outcome::Unsent(false));
+            }
         }
         let find = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
         Ok(Some(ListEntry {
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -133,6 +133,8 @@
                 }
                 self.shift(slot, crate::mails::Stage::Rising);
             }
+            // Nobody was asked: taken for a refusal it would speak against the endpoint.
+            Err(_) if self.conns.full() => self.end_call(slot, Outcome::Unsent(true), false),
             Err(_) => self.end_call(slot, Outcome::Unconnected, false),
         }
     }
@@ -190,7 +192,7 @@
 
     /// The answer to a call, as far as it has come. True: it is known. Anything but a mail relayed is believed only when
     /// the answer is whole and sound: a spoilt one may stand for a mail that ran, and would go out again.
-    fn answer(&mut self, id: ConnId, slot: MailSlot) -> Result<bool, http::Malformed> {
+    pub fn answer(&mut self, id: ConnId, slot: MailSlot) -> Result<bool, http::Malformed> {
         let Some(conn) = self.conns.get_mut(id) else { return Ok(true) };
         if conn.input.is_empty() && !conn.ended {
             return Ok(false);
@@ -256,14 +258,16 @@
         }
         let filled = hands.conns.fill(id);
         let ended = filled.is_err() || hands.conns.get(id).is_some_and(|c| c.ended);
-        match hands.answer(id, slot) {
+        match self.hands.answer(id, slot) {
             Ok(true) => {}
             // What is not written by its time is not written later: its deadline is the next thing seen.
-            Ok(false) if !ended && !hands.in_time(slot) => {}
-            Ok(false) if !ended && hands.conns.flush(id).is_ok() => {}
+            Ok(false) if !ended && !self.hands.in_time(slot) => {}
+            // Half written, and its window has closed, or a drain or a wait has begun: what is not whole never runs.
+            Ok(false) if !ended && self.may_not_end(slot) => self.hands.break_call(slot, Outcome::Reset),
+            Ok(false) if !ended && self.hands.conns.flush(id).is_ok() => {}
             // The end before an answer: nobody knows whether it ran.
-            Ok(_) => hands.break_call(slot, Outcome::Reset),
-            Err(_) => hands.break_call(slot, Outcome::Spoilt),
+            Ok(_) => self.hands.break_call(slot, Outcome::Reset),
+            Err(_) => self.hands.break_call(slot, Outcome::Spoilt),
         }
     }
 
@@ -290,6 +294,15 @@
         }
     }
 
+    /// Whether a call is not whole yet, and might not begin now.
+    fn may_not_end(&self, slot: MailSlot) -> bool {
+        let Some((id, call)) = self.hands.mails.get(slot).and_then(|m| Some((m.id, m.call?))) else {
+            return false;
+        };
+        let half = call.conn.and_then(|c| self.hands.conns.get(c)).is_some_and(|c| !c.output.is_empty());
+        half && !self.dispatcher.may_begin(self.hands.now, id, call.endpoint)
+    }
+
     fn idle_ready(&mut self, id: ConnId) {
         let hands = &mut self.hands;
         let mut good = hands.conns.fill(id).is_ok();
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -254,7 +254,7 @@
         for what in seen {
             self.hands.now = self.clock.now();
             match what {
-                Seen::Listener => self.let_in(),
+                Seen::Listener => drop(self.let_in()),
                 Seen::Mgmt => self.let_callers_in(),
                 Seen::Signals => self.told()?,
                 Seen::Conn(id) => self.ready(id),
@@ -277,11 +277,12 @@
             self.settle();
         }
         self.hands.send_notices();
-        // A client still here is within a request, or has not read its answer.
-        let asked = self.hands.conns.iter().any(|(_, c)| c.role == Role::Client && !c.lingers);
-        let quiet = self.hands.mails.is_empty() && self.hands.notices.owed() == 0 && !asked;
+        // A client still here is within a request, has not read its answer, or has not ended its side.
+        let inside = self.hands.conns.iter().any(|(_, c)| c.role == Role::Client);
+        let quiet = self.hands.mails.is_empty() && self.hands.notices.owed() == 0 && !inside;
         let out = self.hands.mails.iter().any(|(_, m)| m.call.is_some());
-        if (self.leaving == Leaving::Parting && quiet) || (self.leaving == Leaving::Ending && !out) {
+        if (self.leaving == Leaving::Parting && quiet) || (self.leaving == Leaving::Ending && !out && !inside)
+        {
             self.leaving = Leaving::Gone;
         }
         Ok(())
@@ -334,7 +335,7 @@
             Due::Read(id) => self.ready(id),
             Due::Watch => hands.watch(),
             Due::Notices => hands.notices_rested(),
-            Due::Accept => self.let_in(),
+            Due::Accept => drop(self.let_in()),
             Due::Leave => self.leave_on(),
             Due::Adopt => {
                 let (kept, again) = take_over(&mut hands.journal);
@@ -408,7 +409,8 @@
         self.leaving = next;
         self.hands.deadlines.set(Due::Leave, self.told_to_leave + then);
         if next == Leaving::Shut {
-            self.let_in();
+            // Whoever has come is let in: closed over them, the listener would reset them.
+            while self.let_in() {}
             self.hands.deadlines.clear(Due::Accept);
             self.hands.conns.close_listener();
         }
@@ -427,7 +429,7 @@
 
     /// On the way out, parts with a client whose last request is answered; it sends its next one elsewhere.
     fn part(&mut self, id: ConnId) {
-        let between = |c: &crate::conns::Conn| c.input.is_empty() && c.output.is_empty();
+        let between = |c: &crate::conns::Conn| c.between() && !c.lingers;
         let parts = self.leaving >= Leaving::Parting || self.draining;
         if parts && self.hands.conns.get(id).is_some_and(between) {
             self.hands.part_with(id);
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -210,12 +210,22 @@
         self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took, limit: 0.0 });
     }
 
-    /// Breaks a connect off: its connection is closed, which tells the endpoint.
+    /// Breaks a connect off: its connection is closed, which tells the endpoint. What has come until then is read first: an
+    /// answer that arrived in the moment in which its time fell due, or in which it is called off, is an answer.
     pub fn break_call(&mut self, slot: MailSlot, outcome: Outcome) {
         let Some(call) = self.mails.get(slot).and_then(|m| m.call) else { return };
+        let in_time = matches!(outcome, Outcome::TimedOut | Outcome::CalledOff);
+        if let Some(conn) = call.conn.filter(|_| call.begun && in_time) {
+            // What cannot be read is as good as not come.
+            let _ = self.conns.fill(conn);
+            if matches!(self.answer(conn, slot), Ok(true)) {
+                return;
+            }
+        }
         let written = call.conn.and_then(|c| self.conns.get(c)).is_some_and(|c| c.output.is_empty());
         let outcome = match outcome {
             // Not all of it was written: it never ran.
+            Outcome::Unsent(_) => outcome,
             _ if !call.begun || !written => Outcome::Unconnected,
             outcome => outcome,
         };
--- a/daemon/tests/calls.rs
+++ b/daemon/tests/calls.rs
@@ -209,3 +209,30 @@
     wait_for("the mail's end", || rig.platform.notice(&id).is_some());
     assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
 }
+
+#[test]
+fn a_connection_that_comes_up_after_its_endpoint_has_moved_gets_nothing() {
+    let (old, filler) = crowded();
+    let moved = Endpoint::start(OK);
+    let entry = |addr: String| json!({"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"});
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry(old.local_addr().unwrap().to_string())]);
+    rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
+    rig.start();
+    let id = rig.client().mail("payment", 7, 24_000, "x");
+    let news = json!({"version": 2, "full": false, "servers": [entry(moved.addr.clone()), moved.entry("more", 9, "up")]});
+    rig.platform.tell(&format!("{news}\n"));
+    // A destination of the same line is known: so the move is.
+    let later = fresh();
+    let ask = put(&later, &format!("c=notice,d=19000,k=k{later},dest=9"), "x");
+    wait_for("the news", || rig.client().says(&ask) == "+OK");
+    // The connection to the old address is given up: nothing comes up there, or what did is closed with nothing written.
+    drop((old.accept().unwrap(), filler));
+    wait_for("the mail where it is now", || moved.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+    old.set_nonblocking(true).unwrap();
+    let mut got = Vec::new();
+    if let Ok((mut late, _)) = old.accept() {
+        late.set_nonblocking(false).unwrap();
+        assert!(late.read_to_end(&mut got).is_ok_and(|_| got.is_empty()));
+    }
+}
--- a/daemon/tests/clients.rs
+++ b/daemon/tests/clients.rs
@@ -202,3 +202,27 @@
     assert_eq!(put_in(&mut client, 9), "+OK");
     wait_for("a mail elsewhere", || !sound.calls().is_empty());
 }
+
+/// A request that arrives between the last read and the end of a resting client: nothing of it is taken on, and no reset takes away
+/// what the client has not read.
+#[test]
+fn a_request_that_crosses_the_parting_is_not_taken_on_and_resets_nothing() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    rig.start();
+    let mut resting = rig.client();
+    resting.mail("notice", 7, 8000, "before");
+    assert!(rig.call("drain")[0].starts_with("SUCCESS"));
+    assert_eq!(resting.line(), "", "parted with");
+    let crossing = fresh();
+    resting.to.write_all(&put(&crossing, "c=notice,d=8000,k=a,dest=7", "crossing")).unwrap();
+    // Over a connection that was reset nothing more can be written.
+    resting.to.write_all(b"PING\r\n").expect("no reset");
+    // Once this is answered, what came before has been met.
+    let later = rig.client().mail("notice", 7, 8000, "later");
+    wait_for("the later mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
+    assert_eq!(resting.line(), "", "no answer");
+    let kept = rig.kept().mails.iter().any(|m| format!("{:016x}", m.id.0) == crossing);
+    assert!(!kept && !e.calls().iter().any(|c| c.header("X-Trace-Id") == crossing));
+}
