The daemon reads the limits that answers tell, where the settings say that they do

Seen: OTHER's settings have `report.how` inline with x0 and x1, and its answers carry Endpoint-Load-Metrics; the daemon passed limit 0.0 on for each (mails.rs end_call). A report that cannot be read is passed over and said once.

--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -49,6 +49,8 @@
     pub keep_alive: Nanos,
     /// For how long after a drain is told something new may still go there; nought where nothing is said.
     pub drain_grace: Nanos,
+    /// Answers hold load reports that tell the limit met.
+    pub reports_limits: bool,
 }
 
 /// Reads values under a path such as `limits.max-open`, with a plain word on what is missing.
@@ -191,5 +193,9 @@
         None => 0,
         Some(_) => r.count("guarantees.drain-grace-ns")?,
     };
-    Ok(Boot { facts, names, keep_alive, drain_grace })
+    // Settings of a world without reports may leave them out.
+    let columns = r.at("report.columns").and_then(Value::as_array);
+    let tells = columns.is_some_and(|all| all.iter().any(|name| name.as_str() == Some("x1")));
+    let reports_limits = tells && matches!(r.word("report.how"), Ok("inline"));
+    Ok(Boot { facts, names, keep_alive, drain_grace, reports_limits })
 }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -221,6 +221,8 @@
             504 | 410 => Outcome::Unsent(false),
             _ => Outcome::Errored,
         };
+        let report = answer.head.as_ref().and_then(|head| head.report).filter(|_| self.reports_limits);
+        self.heed_report(slot, report);
         self.endpoints.calls.remove(&id);
         match read {
             Ok(whole) if written && !answer.head.as_ref().is_some_and(|head| head.last) => {
@@ -237,6 +239,20 @@
         Ok(true)
     }
 
+    /// A report that cannot be read changes nothing; that is said once.
+    fn heed_report(&mut self, slot: MailSlot, report: Option<Result<f64, http::BadReport>>) {
+        match (report, self.mails.get_mut(slot).and_then(|m| m.call.as_mut())) {
+            (Some(Ok(limit)), Some(call)) => call.limit = limit,
+            (Some(Err(http::BadReport)), _) if !std::mem::replace(&mut self.bad_report_said, true) => {
+                log::warn!(
+                    "an answer's load report tells no `{}` from 0 to 1e9; such reports are passed over",
+                    http::LIMIT
+                )
+            }
+            _ => {}
+        }
+    }
+
     /// An answer is whole: its connection is kept for the next call.
     fn emptied(&mut self, id: ConnId) {
         self.endpoints.emptying.remove(&id);
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -180,6 +180,8 @@
                 class_names,
                 connect_timeout: facts.connect_timeout,
                 keep_alive: boot.keep_alive,
+                reports_limits: boot.reports_limits,
+                bad_report_said: false,
                 figures: Default::default(),
                 held_out: crate::mgmt::load_held(&start.state).unwrap_or_default(),
             },
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -31,11 +31,28 @@
     /// The wait told, nought where none is.
     pub wait: Nanos,
     pub over_slots: bool,
+    /// The calls a second that the limit takes of all dispatchers, as its load report tells, if it has one.
+    pub report: Option<Result<f64, BadReport>>,
     /// The connection ends after this answer.
     pub last: bool,
     pub body: Body,
 }
 
+/// A load report that tells no limit, or none that makes sense.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BadReport;
+
+/// The field of a load report that tells a limit.
+pub const LIMIT: &str = "x1";
+const LIMIT_MOST: f64 = 1e9;
+
+/// Reads the limit from the names and values of a load report.
+fn limit(report: &str) -> Result<f64, BadReport> {
+    let value = report.split(',').find_map(|pair| pair.trim().strip_prefix(LIMIT)?.strip_prefix('='));
+    let limit = value.and_then(|v| v.trim().parse::<f64>().ok());
+    limit.filter(|l| (0.0..=LIMIT_MOST).contains(l)).ok_or(BadReport)
+}
+
 /// Whether the first line of an answer has come and says that the mail is relayed. That line is true whatever spoils the
 /// rest.
 pub fn says_relayed(bytes: &[u8]) -> bool {
@@ -65,6 +82,7 @@
             status,
             wait: 0,
             over_slots: false,
+            report: None,
             last: answer.version == Some(0),
             body: Body::UntilEnd,
         };
@@ -90,6 +108,8 @@
                 head.wait = (seconds.clamp(0.0, 1e6) * 1e9) as Nanos;
             } else if is("x-over-slots") {
                 head.over_slots = value == "1";
+            } else if is("endpoint-load-metrics") {
+                head.report = Some(limit(value));
             }
         }
         ring.consume(taken);
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -85,6 +85,8 @@
     pub until: Nanos,
     /// Its first byte may be written, and the journal says so.
     pub begun: bool,
+    /// The limit that its answer told, nought for none.
+    pub limit: f64,
 }
 
 pub struct Held {
@@ -114,6 +116,10 @@
     pub class_names: Vec<String>,
     pub connect_timeout: Nanos,
     pub keep_alive: Nanos,
+    /// Answers may tell limits, as the settings say.
+    pub reports_limits: bool,
+    /// A report that cannot be read has been said.
+    pub bad_report_said: bool,
     /// What operators are shown.
     pub figures: crate::mgmt::Figures,
     /// The endpoints taken out by hand, by their ids in the list; kept in the folder that lasts.
@@ -207,7 +213,7 @@
             },
         );
         let took = self.now - call.at;
-        self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took, limit: 0.0 });
+        self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took, limit: call.limit });
     }
 
     /// Breaks a connect off: its connection is closed, which tells the endpoint. What has come until then is read first: an
@@ -287,7 +293,7 @@
         let (at, until) = (self.now, self.now + time_out);
         let no = ConnectNo(held.connects);
         held.connects += 1;
-        held.call = Some(Call { no, endpoint, conn: None, at, until, begun: false });
+        held.call = Some(Call { no, endpoint, conn: None, at, until, begun: false, limit: 0.0 });
         self.deadlines.set(Due::Call(slot), until);
         self.place(slot, endpoint);
     }
--- /dev/null
+++ b/daemon/tests/endings.rs
@@ -0,0 +1,460 @@
+//! What is still owed in the instant in which something ends: descriptors, a process, a client, a watch, a connection.
+
+mod common;
+
+use bellsill_daemon::mail_journal::{Kept, MailJournal};
+use common::*;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// An address of the rig's own where nobody listens, and nothing else is ever given the port.
+fn nobody(rig: &Rig, port: u16) -> String {
+    let listen: std::net::SocketAddr = rig.listen.parse().unwrap();
+    format!("{}:{port}", listen.ip())
+}
+
+/// Has somebody listen there from now on: connections go on to another address.
+fn forward(from: &str, to: &str) {
+    let (listener, to) = (TcpListener::bind(from).unwrap(), to.to_string());
+    std::thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(&to) else { continue };
+            let ways = [
+                (near.try_clone().unwrap(), far.try_clone().unwrap()),
+                (far.try_clone().unwrap(), near.try_clone().unwrap()),
+            ];
+            for (mut from, mut to) in ways {
+                std::thread::spawn(move || {
+                    let _ = std::io::copy(&mut from, &mut to);
+                    let _ = (to.shutdown(Shutdown::Write), from.shutdown(Shutdown::Read));
+                });
+            }
+        }
+    });
+}
+
+/// The next connection.
+fn accept(at: &TcpListener) -> BufReader<TcpStream> {
+    at.set_nonblocking(true).unwrap();
+    let mut next = None;
+    wait_for("a connection", || {
+        next = at.accept().ok();
+        next.is_some()
+    });
+    let stream = next.unwrap().0;
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    BufReader::new(stream)
+}
+
+/// Reads to the end of a connection, which may be a reset where something was unread. What came until then.
+fn to_the_end(from: &mut BufReader<TcpStream>) -> Vec<u8> {
+    let mut got = Vec::new();
+    if let Err(e) = from.read_to_end(&mut got) {
+        assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "neither an end nor a reset");
+    }
+    got
+}
+
+fn entry(id: &str, addr: &str, cell: u64) -> Value {
+    json!({"id": id, "addr": addr, "zone": "north", "kind": "shops", "cell": cell, "state": "up"})
+}
+
+fn calls_of(e: &Endpoint, id: &str) -> usize {
+    e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count()
+}
+
+static COPIES: AtomicU64 = AtomicU64::new(0);
+
+/// What the journal holds at this moment. Each copy has a folder of its own: a process that another test starts in that
+/// instant has the last copy's lock for as long as it is no program yet, and an empty journal would be read beside it.
+fn kept(rig: &Rig) -> Kept {
+    let copy = rig.folder.join(format!("copy-{}", COPIES.fetch_add(1, Ordering::SeqCst)));
+    std::fs::create_dir_all(&copy).unwrap();
+    std::fs::copy(rig.folder.join("state/mails"), copy.join("mails")).unwrap();
+    let kept = MailJournal::open(&copy, 10_000_000).unwrap().1;
+    std::fs::remove_dir_all(&copy).unwrap();
+    kept
+}
+
+fn kept_ids(rig: &Rig) -> BTreeSet<String> {
+    kept(rig).mails.iter().map(|m| format!("{:016x}", m.id.0)).collect()
+}
+
+/// A place for notices that says each that has come, and answers only when it is told to; it can go for good.
+struct Place {
+    addr: String,
+    posts: Arc<Mutex<Vec<String>>>,
+    answers: Arc<AtomicBool>,
+    gone: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Place {
+    fn start() -> Place {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let posts: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (answers, gone) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (p, a, g) = (Arc::clone(&posts), Arc::clone(&answers), Arc::clone(&gone));
+        let thread = std::thread::spawn(move || {
+            while !g.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                stream.set_nonblocking(false).unwrap();
+                let (posts, answers) = (Arc::clone(&p), Arc::clone(&a));
+                std::thread::spawn(move || {
+                    let mut to = stream.try_clone().unwrap();
+                    let mut from = BufReader::new(stream);
+                    while let Some((head, body)) = request(&mut from) {
+                        if head[0].starts_with("GET ") {
+                            let _ = to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                            continue;
+                        }
+                        let answers = answers.load(Ordering::SeqCst);
+                        posts.lock().unwrap().push(String::from_utf8(body).unwrap());
+                        if !answers || to.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Place { addr, posts, answers, gone, thread: Some(thread) }
+    }
+    /// How many requests have told of that mail.
+    fn told(&self, id: &str) -> usize {
+        self.posts.lock().unwrap().iter().filter(|lines| lines.contains(id)).count()
+    }
+    /// Nobody listens there from now on.
+    fn go(&mut self) {
+        self.gone.store(true, Ordering::SeqCst);
+        self.thread.take().unwrap().join().unwrap();
+        wait_for("its end", || TcpStream::connect(&self.addr).is_err());
+    }
+}
+
+/// Clients that ask once and stay, until one more has no answer.
+fn crowd(rig: &Rig, inside: &mut Vec<Client>) {
+    for _ in 0..60 {
+        let mut client = rig.client();
+        client.to.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        let mut line = String::new();
+        let answered = client.to.write_all(b"PING\r\n").and_then(|()| client.from.read_line(&mut line));
+        inside.push(client);
+        if answered.is_err() || line != "+PONG\r\n" {
+            return;
+        }
+    }
+}
+
+/// Hands in a mail as clients do: by the one inside, and by another connection where that one was parted with.
+fn hand_in(rig: &Rig, client: Client, class: &str, cell: u64, ms: u64) -> String {
+    let (id, mut client) = (fresh(), Some(client));
+    let ask = put(&id, &format!("c={class},d={ms},k=k{id},dest={cell}"), "x");
+    wait_for("a mail taken on", || {
+        let mut by = client.take().unwrap_or_else(|| rig.client());
+        by.to.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        let sent = by.to.write_all(&ask);
+        // One that waited for its place is told what it asked before.
+        let answer = by.from.lines().map_while(Result::ok).find(|line| !line.ends_with("PONG"));
+        match (sent, answer) {
+            (Ok(()), Some(answer)) => {
+                assert_eq!(answer, "+OK");
+                true
+            }
+            _ => false,
+        }
+    });
+    id
+}
+
+#[test]
+fn with_clients_at_all_their_places_calls_callers_notices_and_the_watch_have_theirs() {
+    let (sound, failing) = (Endpoint::start(OK), Endpoint::start(Does::Says("500 Oops")));
+    let mut rig = Rig::new(&[(&sound, 7), (&failing, 8)]);
+    let discovery = nobody(&rig, 7100);
+    rig.json["discovery"] = discovery.clone().into();
+    rig.json["limits"]["sockets"] = json!(32);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    // The system allows no more either.
+    let served = rig.command("serve");
+    let mut command = Command::new("sh");
+    command.env_remove("RELAY_STATE").arg("-c").arg("ulimit -n 32 && exec \"$0\" \"$@\"");
+    command.arg(served.get_program()).args(served.get_args());
+    rig.start_by(command);
+    let mut inside = Vec::new();
+    crowd(&rig, &mut inside);
+    let one = inside.remove(0);
+    let relayed = hand_in(&rig, one, "payment", 7, 20_000);
+    wait_for("the mail", || calls_of(&sound, &relayed) == 1);
+    crowd(&rig, &mut inside);
+    assert!(rig.call("ready")[0].starts_with("SUCCESS"));
+    wait_for("the figure", || rig.figure("downstream_requests.payment.completed") == 1);
+    let one = inside.remove(inside.len() - 2);
+    let dead = hand_in(&rig, one, "payment", 8, 20_000);
+    wait_for("its end", || rig.figure("downstream_requests.payment.failed") == 1);
+    crowd(&rig, &mut inside);
+    assert!(rig.platform.since.lock().unwrap().is_empty() && rig.platform.notices().is_empty());
+    forward(&discovery, &rig.platform.addr);
+    wait_for("the watch", || !rig.platform.since.lock().unwrap().is_empty());
+    wait_for("the notice", || rig.platform.notice(&dead).is_some());
+    assert_eq!(rig.platform.notice(&dead).unwrap()["result"], "dead");
+    // What the watch says is heard, and mails go by it.
+    crowd(&rig, &mut inside);
+    rig.platform.tell(&format!("{}\n", json!({"version": 2, "servers": [sound.entry("more", 9, "up")]})));
+    wait_for("the news", || rig.figure("members") == 3);
+    let client = rig.client();
+    let last = hand_in(&rig, client, "notice", 9, 19_000);
+    wait_for("a mail by the news", || calls_of(&sound, &last) == 1);
+    assert_eq!((calls_of(&sound, &relayed), calls_of(&failing, &dead)), (1, 1));
+    assert!(rig.platform.notice(&relayed).is_none() && rig.platform.notice(&last).is_none());
+}
+
+#[test]
+fn mails_taken_on_and_untried_are_tried_by_the_next_process() {
+    let sound = Endpoint::start(OK);
+    let mut rig = Rig::new(&[]);
+    // One endpoint refuses connections, at the other none comes up.
+    let (refuses, (hangs, _filler)) = (nobody(&rig, 7200), crowded());
+    let hangs = hangs.local_addr().unwrap().to_string();
+    rig.json["known"]["servers"] = json!([entry("e0", &refuses, 7), entry("e1", &hangs, 8)]);
+    rig.start();
+    let mut client = rig.client();
+    let mut mails = BTreeSet::new();
+    for n in 0..12 {
+        let (class, ms) = [("payment", 23_000), ("notice", 19_000)][n % 2];
+        mails.insert(client.mail(class, 7 + n as u64 / 2 % 2, ms, "x"));
+    }
+    let held = kept(&rig);
+    assert!(held.mails.iter().all(|m| m.connects.is_empty()) && held.owed.is_empty());
+    assert_eq!(kept_ids(&rig), mails);
+    rig.kill();
+    assert_eq!(kept_ids(&rig), mails);
+    forward(&refuses, &sound.addr);
+    rig.json["known"]["servers"][1]["addr"] = sound.addr.clone().into();
+    rig.start();
+    wait_for("all of them", || mails.iter().all(|id| calls_of(&sound, id) > 0));
+    wait_for("their ends", || kept(&rig) == Kept::default());
+    assert!(mails.iter().all(|id| calls_of(&sound, id) == 1), "each once");
+    assert_eq!(rig.platform.notices(), Vec::<Value>::new());
+}
+
+#[test]
+fn a_client_that_floods_and_goes_leaves_each_mail_taken_with_one_end() {
+    let sound = Endpoint::start(OK);
+    let mut rig = Rig::new(&[]);
+    let addr = nobody(&rig, 7200);
+    rig.json["known"]["servers"] = json!([entry("e0", &addr, 7), entry("e1", &addr, 8)]);
+    rig.start();
+    let mut other = rig.client();
+    let mut ids = Vec::new();
+    // The first goes when it has read one answer: so one is taken for sure. The second goes at once.
+    for cell in [7, 8] {
+        let mut commands = Vec::new();
+        for _ in 0..200 {
+            ids.push(fresh());
+            let fields = format!("c=payment,d=8000,dest={cell}");
+            commands.extend(put(ids.last().unwrap(), &fields, "flood"));
+        }
+        let mut flood = rig.client();
+        flood.to.write_all(&commands).unwrap();
+        if cell == 7 {
+            assert_eq!(flood.line(), "+OK");
+            assert!(kept_ids(&rig).contains(&ids[0]), "it is in the journal before its answer");
+        }
+        drop(flood);
+        for _ in 0..20 {
+            assert_eq!(other.says(b"PING\r\n"), "+PONG");
+        }
+    }
+    let taken = kept_ids(&rig);
+    assert!(taken.contains(&ids[0]) && taken.iter().all(|id| ids.contains(id)));
+    forward(&addr, &sound.addr);
+    wait_for("all ends", || {
+        assert_eq!(other.says(b"PING\r\n"), "+PONG");
+        kept(&rig) == Kept::default()
+    });
+    for id in &ids {
+        let (relayed, told) = (calls_of(&sound, id), rig.platform.notice(id).is_some());
+        assert!(relayed <= 1, "{id} went out {relayed} times");
+        let ends = relayed + usize::from(told);
+        match taken.contains(id) {
+            true => assert_eq!(ends, 1, "{id}: relayed {relayed}, told {told}"),
+            false => assert!(ends <= 1, "{id}: relayed {relayed}, told {told}"),
+        }
+    }
+}
+
+#[test]
+fn a_notice_whose_answer_was_lost_is_sent_by_the_next_process_until_it_is_answered() {
+    let failing = Endpoint::start(Does::Says("500 Oops"));
+    let mut rig = Rig::new(&[(&failing, 7)]);
+    let mut old = Place::start();
+    rig.json["discovery"] = old.addr.clone().into();
+    rig.start();
+    let dead = rig.client().mail("payment", 7, 8000, "x");
+    wait_for("the notice", || old.told(&dead) >= 1);
+    old.go();
+    let before = old.told(&dead);
+    assert_eq!(rig.client().says(b"PING\r\n"), "+PONG");
+    rig.kill();
+    assert_eq!(kept(&rig).owed.len(), 1);
+    let new = Place::start();
+    rig.json["discovery"] = new.addr.clone().into();
+    rig.start();
+    wait_for("the notice again", || new.told(&dead) >= 2);
+    assert_eq!(kept(&rig).owed.len(), 1, "it has no answer");
+    new.answers.store(true, Ordering::SeqCst);
+    wait_for("its end", || kept(&rig) == Kept::default());
+    assert!(new.posts.lock().unwrap().iter().all(|lines| {
+        let line: Value = serde_json::from_str(lines).unwrap();
+        line == json!({"ref": dead, "result": "dead"})
+    }));
+    // Answered, it is told no more: not by the next process either.
+    let told = new.told(&dead);
+    rig.kill();
+    rig.start();
+    let later = rig.client().mail("payment", 7, 8000, "x");
+    wait_for("a later notice", || new.told(&later) >= 1);
+    assert_eq!((old.told(&dead), new.told(&dead)), (before, told));
+    assert_eq!((calls_of(&failing, &dead), calls_of(&failing, &later)), (1, 1));
+}
+
+#[test]
+fn after_sighup_a_late_line_of_the_old_watch_is_not_heard() {
+    let (known, late, new) = (Endpoint::start(OK), Endpoint::start(OK), Endpoint::start(OK));
+    let old = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut rig = Rig::new(&[(&known, 7)]);
+    rig.json["discovery"] = old.local_addr().unwrap().to_string().into();
+    rig.start();
+    let mut watch = accept(&old);
+    assert!(request(&mut watch).unwrap().0[0].starts_with("GET /api/targets?follow=1"));
+    let says = |to: &mut TcpStream, text: &str| write!(to, "{:x}\r\n{text}\r\n", text.len());
+    // It begins a list, and falls silent.
+    let mut to = watch.get_ref().try_clone().unwrap();
+    to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    says(&mut to, "{\"version\": 50, \"servers\": [\n").unwrap();
+    rig.json["discovery"] = rig.platform.addr.clone().into();
+    // It writes the configuration.
+    drop(rig.command("check"));
+    rig.signal(Signal::HUP);
+    wait_for("the move", || !rig.platform.since.lock().unwrap().is_empty());
+    assert!(rig.platform.since.lock().unwrap()[0].contains("since=0 "));
+    // The list's end, and a list on one line. Where the connection has ended already that cannot be written.
+    let entries = json!([late.entry("late7", 7, "up"), late.entry("late9", 9, "up")]);
+    let _ = says(&mut to, &format!("{}]}}\n", entries.to_string().trim_matches(['[', ']'])));
+    let _ = says(&mut to, &format!("{}\n", json!({"version": 51, "full": true, "servers": entries})));
+    to_the_end(&mut watch);
+    rig.platform.tell(&format!("{}\n", json!({"version": 3, "servers": [new.entry("new", 11, "up")]})));
+    let mut client = rig.client();
+    let ask = |cell: u64| put(&fresh(), &format!("c=notice,d=19000,k=a{cell},dest={cell}"), "x");
+    wait_for("the new one's line", || client.says(&ask(11)) == "+OK");
+    wait_for("a mail by it", || !new.calls().is_empty());
+    assert_eq!(client.says(&ask(9)), "-ERR dest: unknown destination");
+    for n in 1..=8 {
+        client.mail("payment", 7, 20_000, "x");
+        wait_for("the mail", || known.calls().len() + late.calls().len() == n);
+    }
+    assert_eq!(late.calls().len(), 0);
+}
+
+#[test]
+fn an_idle_connection_on_which_half_a_line_came_is_not_used_again() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut rig = Rig::new(&[]);
+    rig.json["known"]["servers"] = json!([entry("e0", &endpoint.local_addr().unwrap().to_string(), 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let answer = |conn: &mut BufReader<TcpStream>, id: &str| {
+        let (head, _) = request(conn).unwrap();
+        assert!(head.contains(&format!("X-Trace-Id: {id}")), "{id} in {head:?}");
+        conn.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+        // The answer is read, and the connection idle.
+        wait_for("its end", || kept(&rig).mails.is_empty());
+    };
+    let half = |conn: &mut BufReader<TcpStream>| conn.get_mut().write_all(b"HTTP/1.1 2").unwrap();
+    // A sound one is used again.
+    let a = client.mail("payment", 7, 20_000, "x");
+    let mut first = accept(&endpoint);
+    answer(&mut first, &a);
+    let b = client.mail("payment", 7, 20_000, "x");
+    answer(&mut first, &b);
+    half(&mut first);
+    assert!(to_the_end(&mut first).is_empty(), "closed, with nothing written to it");
+    let c = client.mail("payment", 7, 20_000, "x");
+    let mut second = accept(&endpoint);
+    answer(&mut second, &c);
+    // The half line and the next mail are there in the same instant.
+    let d = fresh();
+    rig.signal(Signal::STOP);
+    half(&mut second);
+    client.to.write_all(&put(&d, "c=payment,d=20000,dest=7", "x")).unwrap();
+    rig.signal(Signal::CONT);
+    assert_eq!(client.line(), "+OK");
+    assert!(to_the_end(&mut second).is_empty(), "closed, with nothing written to it");
+    let mut third = accept(&endpoint);
+    answer(&mut third, &d);
+    wait_for("all to be over", || kept(&rig) == Kept::default());
+    assert_eq!(rig.platform.notices(), Vec::<Value>::new());
+}
+
+#[test]
+fn a_call_out_at_sigkill_goes_again_only_where_its_class_allows() {
+    let hung = Endpoint::start(Does::Hangs);
+    let mut rig = Rig::new(&[(&hung, 7)]);
+    rig.json["settings"]["services"][0]["window-ns"] = json!(60_000_000_000u64);
+    rig.start();
+    let mut client = rig.client();
+    let once = client.mail("payment", 7, 23_000, "x");
+    let tagged = client.mail("notice", 7, 19_000, "x");
+    wait_for("both calls", || calls_of(&hung, &once) == 1 && calls_of(&hung, &tagged) >= 1);
+    rig.kill();
+    hung.does(OK);
+    let before = calls_of(&hung, &tagged);
+    rig.start();
+    wait_for("the tagged one again", || calls_of(&hung, &tagged) > before);
+    wait_for("the end of the other", || rig.platform.notice(&once).is_some());
+    assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
+    wait_for("all to be over", || kept(&rig) == Kept::default());
+    let last = rig.client().mail("payment", 7, 20_000, "x");
+    wait_for("a later mail", || calls_of(&hung, &last) == 1);
+    assert_eq!(calls_of(&hung, &once), 1, "it may have run");
+    assert!(rig.platform.notice(&tagged).is_none(), "it is relayed");
+}
+
+#[test]
+fn a_tagged_call_out_at_sigkill_does_not_go_again_after_its_window() {
+    let hung = Endpoint::start(Does::Hangs);
+    let mut rig = Rig::new(&[(&hung, 7)]);
+    rig.json["settings"]["services"][0]["window-ns"] = json!(1_000_000_000);
+    rig.start();
+    let id = rig.client().mail("notice", 7, 19_000, "x");
+    wait_for("the call", || calls_of(&hung, &id) >= 1);
+    rig.kill();
+    hung.does(OK);
+    // The journal stands still. A machine that stands still may have had it go again before.
+    let held = kept(&rig);
+    let connects = held.mails.first().map(|m| m.connects.iter().map(|c| c.at).collect::<Vec<_>>());
+    let before = connects.as_ref().map_or_else(|| calls_of(&hung, &id), Vec::len);
+    let closed = connects.and_then(|c| c.last().copied()).unwrap_or(0) + 1_100_000_000;
+    wait_for("the window's end", || {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64 > closed
+    });
+    rig.start();
+    wait_for("its end", || rig.platform.notice(&id).is_some());
+    assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
+    let last = rig.client().mail("payment", 7, 20_000, "x");
+    wait_for("a later mail", || calls_of(&hung, &last) == 1);
+    assert!(calls_of(&hung, &id) <= before, "{} after {before}", calls_of(&hung, &id));
+}
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -203,6 +203,21 @@
     assert_eq!((head.status, head.wait, head.last, head.over_slots), (429, 250_000_000, true, false));
 }
 
+#[test]
+fn a_load_report_tells_a_limit_or_is_known_for_bad() {
+    let report = |text: &str| {
+        let mut ring = Ring::new(1000);
+        ring.push(format!("HTTP/1.1 503 Busy\r\n{text}Content-Length: 0\r\n\r\n").as_bytes());
+        http::head(&mut ring).unwrap().unwrap().report
+    };
+    let named = |value: &str| report(&format!("endpoint-load-metrics: {value}\r\n"));
+    assert_eq!(report(""), None);
+    assert_eq!((named("x0=0.4,x1=25"), named("x1=0")), (Some(Ok(25.0)), Some(Ok(0.0))));
+    for bad in ["", "x0=0.4", "x1=", "x1=-1", "x1=NaN", "x1=inf", "x1=2e9", "x11=3", "x1:25"] {
+        assert_eq!(named(bad), Some(Err(http::BadReport)), "{bad}");
+    }
+}
+
 /// Does one step on the journal and on what it should hold.
 fn step(
     journal: &mut MailJournal,
