--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use bellsill_daemon::mail_journal::{Kept, MailJournal};
+use bellsill_daemon::mail_journal::Kept;
 use common::*;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -71,21 +71,8 @@
     e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count()
 }
 
-static COPIES: AtomicU64 = AtomicU64::new(0);
-
-/// What the journal holds at this moment. Each copy has a folder of its own: a process that another test starts in that
-/// instant has the last copy's lock for as long as it is no program yet, and an empty journal would be read beside it.
-fn kept(rig: &Rig) -> Kept {
-    let copy = rig.folder.join(format!("copy-{}", COPIES.fetch_add(1, Ordering::SeqCst)));
-    std::fs::create_dir_all(&copy).unwrap();
-    std::fs::copy(rig.folder.join("state/mails"), copy.join("mails")).unwrap();
-    let kept = MailJournal::open(&copy, 10_000_000).unwrap().1;
-    std::fs::remove_dir_all(&copy).unwrap();
-    kept
-}
-
 fn kept_ids(rig: &Rig) -> BTreeSet<String> {
-    kept(rig).mails.iter().map(|m| format!("{:016x}", m.id.0)).collect()
+    rig.kept().mails.iter().map(|m| format!("{:016x}", m.id.0)).collect()
 }
 
 /// A place for notices that says each that has come, and answers only when it is told to; it can go for good.
@@ -236,7 +223,7 @@
         let (class, ms) = [("payment", 23_000), ("notice", 19_000)][n % 2];
         mails.insert(client.mail(class, 7 + n as u64 / 2 % 2, ms, "x"));
     }
-    let held = kept(&rig);
+    let held = rig.kept();
     assert!(held.mails.iter().all(|m| m.connects.is_empty()) && held.owed.is_empty());
     assert_eq!(kept_ids(&rig), mails);
     rig.kill();
@@ -245,7 +232,7 @@
     rig.json["known"]["servers"][1]["addr"] = sound.addr.clone().into();
     rig.start();
     wait_for("all of them", || mails.iter().all(|id| calls_of(&sound, id) > 0));
-    wait_for("their ends", || kept(&rig) == Kept::default());
+    wait_for("their ends", || rig.kept() == Kept::default());
     assert!(mails.iter().all(|id| calls_of(&sound, id) == 1), "each once");
     assert_eq!(rig.platform.notices(), Vec::<Value>::new());
 }
@@ -283,7 +270,7 @@
     forward(&addr, &sound.addr);
     wait_for("all ends", || {
         assert_eq!(other.says(b"PING\r\n"), "+PONG");
-        kept(&rig) == Kept::default()
+        rig.kept() == Kept::default()
     });
     for id in &ids {
         let (relayed, told) = (calls_of(&sound, id), rig.platform.notice(id).is_some());
@@ -309,14 +296,14 @@
     let before = old.told(&dead);
     assert_eq!(rig.client().says(b"PING\r\n"), "+PONG");
     rig.kill();
-    assert_eq!(kept(&rig).owed.len(), 1);
+    assert_eq!(rig.kept().owed.len(), 1);
     let new = Place::start();
     rig.json["discovery"] = new.addr.clone().into();
     rig.start();
     wait_for("the notice again", || new.told(&dead) >= 2);
-    assert_eq!(kept(&rig).owed.len(), 1, "it has no answer");
+    assert_eq!(rig.kept().owed.len(), 1, "it has no answer");
     new.answers.store(true, Ordering::SeqCst);
-    wait_for("its end", || kept(&rig) == Kept::default());
+    wait_for("its end", || rig.kept() == Kept::default());
     assert!(new.posts.lock().unwrap().iter().all(|lines| {
         let line: Value = serde_json::from_str(lines).unwrap();
         line == json!({"ref": dead, "result": "dead"})
@@ -381,7 +368,7 @@
         assert!(head.contains(&format!("X-Trace-Id: {id}")), "{id} in {head:?}");
         conn.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
         // The answer is read, and the connection idle.
-        wait_for("its end", || kept(&rig).mails.is_empty());
+        wait_for("its end", || rig.kept().mails.is_empty());
     };
     let half = |conn: &mut BufReader<TcpStream>| conn.get_mut().write_all(b"HTTP/1.1 2").unwrap();
     // A sound one is used again.
@@ -405,7 +392,7 @@
     assert!(to_the_end(&mut second).is_empty(), "closed, with nothing written to it");
     let mut third = accept(&endpoint);
     answer(&mut third, &d);
-    wait_for("all to be over", || kept(&rig) == Kept::default());
+    wait_for("all to be over", || rig.kept() == Kept::default());
     assert_eq!(rig.platform.notices(), Vec::<Value>::new());
 }
 
@@ -426,7 +413,7 @@
     wait_for("the tagged one again", || calls_of(&hung, &tagged) > before);
     wait_for("the end of the other", || rig.platform.notice(&once).is_some());
     assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
-    wait_for("all to be over", || kept(&rig) == Kept::default());
+    wait_for("all to be over", || rig.kept() == Kept::default());
     let last = rig.client().mail("payment", 7, 20_000, "x");
     wait_for("a later mail", || calls_of(&hung, &last) == 1);
     assert_eq!(calls_of(&hung, &once), 1, "it may have run");
@@ -444,7 +431,7 @@
     rig.kill();
     hung.does(OK);
     // The journal stands still. A machine that stands still may have had it go again before.
-    let held = kept(&rig);
+    let held = rig.kept();
     let connects = held.mails.first().map(|m| m.connects.iter().map(|c| c.at).collect::<Vec<_>>());
     let before = connects.as_ref().map_or_else(|| calls_of(&hung, &id), Vec::len);
     let closed = connects.and_then(|c| c.last().copied()).unwrap_or(0) + 1_100_000_000;
