--- a/src/control.rs
+++ b/src/control.rs
@@ -636,8 +636,8 @@
         }
     }
 
-    /// A mail relayed in usual time: not suspect, cold if struck. With shares each dispatcher tries at another
-    /// time: in the mean it came back half way since the connect before. Some guess early: paced for longer.
+    /// A mail relayed in usual time: not suspect, cold if struck. With shares all try at different times: in
+    /// the mean it came back half way since the connect before. Some guess early: paced for longer.
     fn cleared(&mut self, connect: Connect, now: Nanos, took: Nanos, out: &mut impl Outlet) {
         let most = if self.share(connect.route) > 0.0 { self.facts.ramp / 2 } else { 0 };
         let (r, route) = (&mut self.routes, connect.route);
