--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -145,7 +145,14 @@
             if broken || conn.ended || hands.conns.arm(id).is_err() {
                 hands.close_client(id);
             }
-        } else if broken || !self.answer_commands(id) {
+        } else {
+            self.meet(id, broken);
+        }
+    }
+
+    /// Answers what has come from a client, or closes its connection where that broke or is done.
+    fn meet(&mut self, id: ConnId, broken: bool) {
+        if broken || !self.answer_commands(id) {
             self.hands.close_client(id);
         }
     }
@@ -159,13 +166,8 @@
         }
         // A request that begins now has its own time from now on.
         match self.hands.hear(id) {
-            Ok(true) => {
-                if !self.answer_commands(id) {
-                    self.hands.close_client(id);
-                }
-            }
             Ok(false) => self.hands.part_with(id),
-            Err(_) => self.hands.close_client(id),
+            heard => self.meet(id, heard.is_err()),
         }
     }
 
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -23,8 +23,6 @@
     addr: SocketAddr,
     /// Of the last line that was whole.
     version: u64,
-    /// Lines of a list that goes on.
-    begun: Vec<u8>,
     /// Either one of them is not late, or another call has its time set.
     watches: Vec<Watch>,
     names: Names,
@@ -38,6 +36,8 @@
     since: Nanos,
     body: Option<Body>,
     line: Vec<u8>,
+    /// Lines of a list that goes on.
+    begun: Vec<u8>,
     /// A whole line has come from it.
     serves: bool,
     /// Its first line is late, and another call is made meanwhile.
@@ -46,7 +46,7 @@
 
 impl Discovery {
     pub fn new(addr: SocketAddr, names: Names, backoff: Backoff) -> Discovery {
-        Discovery { addr, version: 0, watches: vec![], begun: vec![], names, backoff }
+        Discovery { addr, version: 0, watches: vec![], names, backoff }
     }
 
     pub fn zones(&self) -> &[String] {
@@ -75,9 +75,15 @@
         let bounds = (64 * 1024, 1024);
         match self.conns.open(self.discovery.addr, Role::Watch, bounds) {
             Ok(conn) => {
-                let watch =
-                    Watch { conn, since: self.now, body: None, line: vec![], serves: false, late: false };
-                self.discovery.watches.push(watch);
+                self.discovery.watches.push(Watch {
+                    conn,
+                    since: self.now,
+                    body: None,
+                    line: vec![],
+                    begun: vec![],
+                    serves: false,
+                    late: false,
+                });
                 let request = http::watch(self.discovery.addr, self.discovery.version);
                 if let Some(conn) = self.conns.get_mut(conn) {
                     conn.output.push(request.as_bytes());
@@ -173,9 +179,6 @@
         let now = self.now;
         self.deadlines.set(Due::Conn(id), now + SILENT_FOR);
         self.discovery.backoff.served();
-        if self.discovery.watches.iter().any(|w| w.conn == id && !w.serves) {
-            self.discovery.begun.clear();
-        }
         self.close_watches(|w| w.conn != id);
         self.deadlines.clear(Due::Watch);
         self.discovery.watches.iter_mut().for_each(|w| (w.serves, w.late, w.since) = (true, false, now));
@@ -198,7 +201,7 @@
             hands.watch_serves(id);
         }
         for line in lines {
-            self.list_line(&line);
+            self.list_line(id, &line);
         }
         let hands = &mut self.hands;
         let last = hands.conns.get(id).is_none_or(|c| c.last);
@@ -208,27 +211,28 @@
     }
 
     /// One line of the watch: a bad one is logged and skipped.
-    fn list_line(&mut self, line: &[u8]) {
+    fn list_line(&mut self, id: ConnId, line: &[u8]) {
         let line = line.trim_ascii();
         if line.is_empty() {
             return;
         }
         // An agent may write a list indented, over many lines: what ends too early goes on in the next one.
-        let mut begun = std::mem::take(&mut self.hands.discovery.begun);
+        let Some(watch) = self.hands.discovery.watches.iter_mut().find(|w| w.conn == id) else { return };
+        let mut begun = std::mem::take(&mut watch.begun);
         if !begun.is_empty() {
             begun.push(b'\n');
             begun.extend(line);
             match serde_json::from_slice::<Value>(&begun) {
                 Ok(json) => return self.list(&json),
                 Err(e) if e.is_eof() && begun.len() < LINE_MOST => {
-                    return self.hands.discovery.begun = begun;
+                    return watch.begun = begun;
                 }
                 Err(e) => log::warn!("discovery: lines that are no JSON were skipped: {e}"),
             }
         }
         match serde_json::from_slice::<Value>(line) {
             Ok(json) => self.list(&json),
-            Err(e) if e.is_eof() => self.hands.discovery.begun = line.to_vec(),
+            Err(e) if e.is_eof() => watch.begun = line.to_vec(),
             Err(e) => log::warn!("discovery: a line that is no JSON was skipped: {e}"),
         }
     }
@@ -311,11 +315,11 @@
             self.hang_up(endpoint);
             self.endpoints[endpoint].addr = addr;
             // What still comes up at the old address would be somebody else's by then.
-            let of = |c: &crate::conns::Conn| c.rising && c.role == Role::Endpoint(endpoint);
-            let rising: Vec<ConnId> = self.conns.iter().filter(|(_, c)| of(c)).map(|(id, _)| id).collect();
-            for slot in
-                rising.iter().filter_map(|id| self.endpoints.calls.get(id).copied()).collect::<Vec<_>>()
-            {
+            let rises = |id: &ConnId| {
+                self.conns.get(*id).is_some_and(|c| c.rising && c.role == Role::Endpoint(endpoint))
+            };
+            let calls = self.endpoints.calls.iter().filter(|(id, _)| rises(id));
+            for slot in calls.map(|(_, slot)| *slot).collect::<Vec<_>>() {
                 self.break_call(slot, Outcome::Unsent(false));
             }
         }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -288,9 +288,9 @@
     }
 
     /// While the connection came up its endpoint may have started to drain, a wait may have begun there, or the window in
-    /// which the mail may be repeated may have closed: only the decisions know. Or its time is up, and its deadline is the next thing seen: a dispatcher that stood still would
-    /// otherwise send mails whose queue lifetime is long over. A mail turned back here has not been sent, and the
-    /// connection is kept.
+    /// which the mail may be repeated may have closed: only the decisions know. Or its time is up, and its deadline is the
+    /// next thing seen: a dispatcher that stood still would otherwise send mails whose queue lifetime is long over. A mail
+    /// turned back here has not been sent, and the connection is kept.
     fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
         let hands = &mut self.hands;
         match hands.conns.risen(id) {
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -230,8 +230,8 @@
         }
         let written = call.conn.and_then(|c| self.conns.get(c)).is_some_and(|c| c.output.is_empty());
         let outcome = match outcome {
-            // Not all of it was written: it never ran.
             Outcome::Unsent(_) => outcome,
+            // Not all of it was written: it never ran.
             _ if !call.begun || !written => Outcome::Unconnected,
             outcome => outcome,
         };
--- a/daemon/tests/calls.rs
+++ b/daemon/tests/calls.rs
@@ -78,8 +78,7 @@
 #[test]
 fn a_connection_that_comes_up_after_the_mail_s_time_gets_nothing() {
     let (slow, filler) = crowded();
-    let entry = json!({"id": "slow", "addr": slow.local_addr().unwrap().to_string(), "zone": "north",
-        "kind": "shops", "cell": 7, "state": "up"});
+    let entry = up("slow", &slow.local_addr().unwrap().to_string(), 7);
     let mut rig = Rig::new(&[]);
     rig.json["known"]["servers"] = json!([entry]);
     rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
@@ -105,7 +104,7 @@
 fn a_connection_that_comes_up_after_its_endpoint_began_to_drain_gets_nothing() {
     let (slow, filler) = crowded();
     let addr = slow.local_addr().unwrap().to_string();
-    let entry = |state: &str| json!({"id": "slow", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": state});
+    let entry = |state: &str| entry("slow", &addr, 7, state);
     let second = Endpoint::start(OK);
     let mut rig = Rig::new(&[]);
     rig.json["known"]["servers"] = json!([entry("up"), second.entry("second", 7, "up")]);
@@ -182,8 +181,7 @@
 #[test]
 fn a_connection_that_comes_up_after_the_window_for_repeats_gets_no_repeat() {
     let slow = crowded_but_for(1);
-    let entry = json!({"id": "slow", "addr": slow.local_addr().unwrap().to_string(), "zone": "north",
-        "kind": "shops", "cell": 7, "state": "up"});
+    let entry = up("slow", &slow.local_addr().unwrap().to_string(), 7);
     let mut rig = Rig::new(&[]);
     rig.json["known"]["servers"] = json!([entry]);
     rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
@@ -214,7 +212,7 @@
 fn a_connection_that_comes_up_after_its_endpoint_has_moved_gets_nothing() {
     let (old, filler) = crowded();
     let moved = Endpoint::start(OK);
-    let entry = |addr: String| json!({"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"});
+    let entry = |addr: String| up("e0", &addr, 7);
     let mut rig = Rig::new(&[]);
     rig.json["known"]["servers"] = json!([entry(old.local_addr().unwrap().to_string())]);
     rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -124,7 +124,7 @@
         self.calls.lock().unwrap().clone()
     }
     pub fn entry(&self, id: &str, cell: u64, state: &str) -> Value {
-        json!({"id": id, "addr": self.addr, "zone": "north", "kind": "shops", "cell": cell, "state": state})
+        entry(id, &self.addr, cell, state)
     }
 }
 
@@ -383,3 +383,26 @@
     listener.listen(places - 1).unwrap();
     listener.into()
 }
+
+/// An entry of the list of endpoints.
+pub fn entry(id: &str, addr: &str, cell: u64, state: &str) -> Value {
+    json!({"id": id, "addr": addr, "zone": "north", "kind": "shops", "cell": cell, "state": state})
+}
+
+pub fn up(id: &str, addr: &str, cell: u64) -> Value {
+    entry(id, addr, cell, "up")
+}
+
+/// The next connection.
+pub fn accept(at: &TcpListener) -> BufReader<TcpStream> {
+    at.set_nonblocking(true).unwrap();
+    let mut next = None;
+    wait_for("a connection", || {
+        next = at.accept().ok();
+        next.is_some()
+    });
+    let stream = next.unwrap().0;
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    BufReader::new(stream)
+}
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -5,7 +5,7 @@
 use common::*;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use std::io::{BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 
@@ -120,17 +120,8 @@
 
 /// The next call of a watch, once all of it has come; other connections are for notices, and are dropped.
 fn next_watch(at: &TcpListener) -> (TcpStream, String) {
-    at.set_nonblocking(true).unwrap();
     loop {
-        let mut next = None;
-        wait_for("a call to discovery", || {
-            next = at.accept().ok();
-            next.is_some()
-        });
-        let stream = next.unwrap().0;
-        stream.set_nonblocking(false).unwrap();
-        stream.set_read_timeout(Some(std::time::Duration::from_secs(60))).unwrap();
-        let mut from = BufReader::new(stream);
+        let mut from = accept(at);
         if let Some((head, _)) = request(&mut from)
             && head[0].starts_with("GET /api/targets?follow=1")
         {
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -40,20 +40,6 @@
     });
 }
 
-/// The next connection.
-fn accept(at: &TcpListener) -> BufReader<TcpStream> {
-    at.set_nonblocking(true).unwrap();
-    let mut next = None;
-    wait_for("a connection", || {
-        next = at.accept().ok();
-        next.is_some()
-    });
-    let stream = next.unwrap().0;
-    stream.set_nonblocking(false).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
-    BufReader::new(stream)
-}
-
 /// Reads to the end of a connection, which may be a reset where something was unread. What came until then.
 fn to_the_end(from: &mut BufReader<TcpStream>) -> Vec<u8> {
     let mut got = Vec::new();
@@ -63,10 +49,6 @@
     got
 }
 
-fn entry(id: &str, addr: &str, cell: u64) -> Value {
-    json!({"id": id, "addr": addr, "zone": "north", "kind": "shops", "cell": cell, "state": "up"})
-}
-
 fn calls_of(e: &Endpoint, id: &str) -> usize {
     e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count()
 }
@@ -215,7 +197,7 @@
     // One endpoint refuses connections, at the other none comes up.
     let (refuses, (hangs, _filler)) = (nobody(&rig, 7200), crowded());
     let hangs = hangs.local_addr().unwrap().to_string();
-    rig.json["known"]["servers"] = json!([entry("e0", &refuses, 7), entry("e1", &hangs, 8)]);
+    rig.json["known"]["servers"] = json!([up("e0", &refuses, 7), up("e1", &hangs, 8)]);
     rig.start();
     let mut client = rig.client();
     let mut mails = BTreeSet::new();
@@ -242,7 +224,7 @@
     let sound = Endpoint::start(OK);
     let mut rig = Rig::new(&[]);
     let addr = nobody(&rig, 7200);
-    rig.json["known"]["servers"] = json!([entry("e0", &addr, 7), entry("e1", &addr, 8)]);
+    rig.json["known"]["servers"] = json!([up("e0", &addr, 7), up("e1", &addr, 8)]);
     rig.start();
     let mut other = rig.client();
     let mut ids = Vec::new();
@@ -360,7 +342,7 @@
 fn an_idle_connection_on_which_half_a_line_came_is_not_used_again() {
     let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut rig = Rig::new(&[]);
-    rig.json["known"]["servers"] = json!([entry("e0", &endpoint.local_addr().unwrap().to_string(), 7)]);
+    rig.json["known"]["servers"] = json!([up("e0", &endpoint.local_addr().unwrap().to_string(), 7)]);
     rig.start();
     let mut client = rig.client();
     let answer = |conn: &mut BufReader<TcpStream>, id: &str| {
--- a/src/control.rs
+++ b/src/control.rs
@@ -435,7 +435,7 @@
     }
 
     fn backlog(&self, dest: DestinationId) -> usize {
-        self.waiting.iter().filter(|(like, _)| like.0 == dest).map(|(_, line)| line.len()).sum()
+        self.waiting.range((dest, 0, None)..).take_while(|(l, _)| l.0 == dest).map(|(_, ids)| ids.len()).sum()
     }
 
     fn bound(&self, route: usize) -> Vec<usize> {
@@ -751,7 +751,9 @@
         self.watch_silence(now, out);
         self.end_overdue(now, out);
         self.send_all(now, out);
-        self.make_room(now, out);
+        if !self.facts.own_door {
+            self.make_room(now, out);
+        }
         self.free_slot(now, out);
         let at = self.next_wake(now);
         if at < self.wake_at {
@@ -801,8 +803,7 @@
 
     /// At a full hold the destination with most mails waiting gives up the one worth least, for the others.
     fn make_room(&mut self, now: Nanos, out: &mut impl Outlet) {
-        let room = if self.facts.own_door { usize::MAX } else { self.facts.holding_room };
-        while self.mails.values().filter(|m| !m.stage.ended()).count() >= room {
+        while self.mails.values().filter(|m| !m.stage.ended()).count() >= self.facts.holding_room {
             let longest = self.waiting.keys().map(|like| like.0).max_by_key(|&dest| self.backlog(dest));
             let of = self.waiting.iter().filter(|(like, _)| Some(like.0) == longest);
             let worth = |class, &(due, id)| (self.worth_at(class, due, now), due, id);
@@ -921,7 +922,6 @@
             Repeat::Tagged { window, .. } if time_out >= window => TIMEOUT_CEILING,
             _ => time_out,
         };
-        let time_out = time_out.min(left);
         let fresh = self.tight(route, now);
         if fresh {
             out.hang_up(self.routes[route].entry.endpoint);
@@ -935,7 +935,7 @@
         let gate = self.routes[route].gate;
         self.routes[gate].gate_sent_at = now;
         self.shift(id, Stage::Out, out);
-        out.connect(id, self.routes[route].entry.endpoint, time_out);
+        out.connect(id, self.routes[route].entry.endpoint, time_out.min(left));
     }
 
     fn next_wake(&self, now: Nanos) -> Nanos {
