Watch: a state machine without sockets, and net for what speaks without deciding

Cause: discovery.rs holds the watch's state, its sockets and the list's entries in one; nothing else can follow a watch, and it stands in a circle of imports with endpoints, event_loop, mails, mgmt and notices. No watch kept a part of the configuration. Change: net has ring, http, slots and deadlines, moved as they were (http gains `get`, from which `watch` is built). watch has backoff as it was, the calls of a plain and of a scoped watch (`Watch`), and what a dispatcher keeps (`ScopedList`: entries by destination and bucket, cache, versions, state file). The daemon re-exports the paths that tests use; it does not use `Watch` yet. Entries of a bucket are told from others by the installation's layout (`BucketMap`). A line that goes back, is a whole list, is too long or cannot be read fails its call, since a change that was passed over would not be told again.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,7 +2,9 @@
 //! [`event_loop::Daemon`] runs it; `docs/daemon.md` says how the parts fit.
 #![deny(unsafe_code)]
 
-pub mod backoff;
+pub use bellsill_net::{deadlines, http, ring, slots};
+pub use bellsill_watch::backoff;
+
 pub mod command_line;
 pub mod start;
 
@@ -16,10 +18,6 @@
 pub mod notices;
 
 pub mod conns;
-pub mod deadlines;
-pub mod http;
 pub mod logger;
 pub mod mail_journal;
 pub mod resp;
-pub mod ring;
-pub mod slots;
--- a/daemon/src/deadlines.rs
+++ b/net/src/deadlines.rs
@@ -1,6 +1,6 @@
 //! All deadlines, in one ordered structure: each thing that can fall due has one time at most.
 
-use bellsill::interface::Nanos;
+use crate::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub struct Deadlines<K> {
--- a/daemon/src/http.rs
+++ b/net/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 as endpoints and discovery speak it: requests out, answers in. Its words end here.
 
+use crate::Nanos;
 use crate::ring::Ring;
-use bellsill::interface::Nanos;
 
 /// The most that the head of an answer, or a line of a chunked body, may take.
 pub const HEAD_MOST: usize = 16 * 1024;
@@ -203,7 +203,12 @@
 
 /// The request for a watch on the list of endpoints.
 pub fn watch(host: std::net::SocketAddr, since: u64) -> String {
-    format!("GET /api/targets?follow=1&since={since} HTTP/1.1\r\nHost: {host}\r\n\r\n")
+    get(host, &format!("/api/targets?follow=1&since={since}"))
+}
+
+/// A request for a target, which is a path with its query.
+pub fn get(host: std::net::SocketAddr, target: &str) -> String {
+    format!("GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n")
 }
 
 /// A request that carries notices.
--- a/daemon/src/backoff.rs
+++ b/watch/src/backoff.rs
@@ -1,7 +1,7 @@
 //! How long something that failed rests before it is asked again: ever longer up to a bound, and out of step with other
 //! dispatchers. Pure: the same seed and the same calls give the same rests.
 
-use bellsill::interface::Nanos;
+use bellsill_net::Nanos;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- /dev/null
+++ b/watch/src/lib.rs
@@ -0,0 +1,20 @@
+//! A dispatcher's watch on its configuration: a state machine without sockets, clock or threads. It is told what happened to
+//! its connections and timers, and answers with [`Command`]s for whoever has the sockets.
+//!
+//! [`Watch::plain`] follows one discovery and the whole list of endpoints. [`Watch::scoped`] follows one of several control
+//! processes, and with it the buckets of one dispatcher, kept in a [`ScopedList`]; `docs/configuration.md` has the contract.
+#![forbid(unsafe_code)]
+
+pub mod backoff;
+pub mod call;
+pub mod cell_cache;
+pub mod documents;
+pub mod scoped_list;
+pub mod server_order;
+pub mod state_file;
+pub mod watch;
+
+pub use call::CallId;
+pub use scoped_list::{Applied, BucketMap, Knowledge, ListCounters, ScopedLineError, ScopedList};
+pub use state_file::StateFileError;
+pub use watch::{Command, Counters, Received, ScopedOptions, Timer, Watch};
--- /dev/null
+++ b/watch/tests/calls.rs
@@ -0,0 +1,183 @@
+//! The calls of a watch, told what happened to them and asked for its commands.
+
+mod common;
+
+use bellsill_net::Nanos;
+use bellsill_net::ring::Ring;
+use bellsill_watch::backoff::{Backoff, FIRST_LINE_WITHIN, SILENT_FOR, UP_WITHIN};
+use bellsill_watch::watch::{KEPT_FOR, LONGEST_SCOPED_LINE, SCOPED_SILENT_FOR};
+use bellsill_watch::{CallId, Command, Received, ScopedOptions, Timer, Watch};
+use common::*;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+const SECOND: Nanos = 1_000_000_000;
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn plain() -> Watch {
+    Watch::plain(address(1), Backoff::new(7, 3))
+}
+
+fn scoped(seed: u64) -> Watch {
+    let servers = (1..=9).map(address).collect();
+    Watch::scoped(ScopedOptions { dispatcher: "d1".into(), servers, seed }, empty_list(4))
+}
+
+/// The call that is connected, with its address and request.
+fn connects(commands: &[Command]) -> Option<(CallId, SocketAddr, String)> {
+    commands.iter().find_map(|command| match command {
+        Command::Connect { call, address, request } => {
+            Some((*call, *address, String::from_utf8(request.clone()).unwrap()))
+        }
+        _ => None,
+    })
+}
+
+fn timer(commands: &[Command], which: Timer) -> Option<Nanos> {
+    commands.iter().find_map(|command| match command {
+        Command::SetTimer(timer, at) if *timer == which => Some(*at),
+        _ => None,
+    })
+}
+
+/// Has the first call of a watch made.
+fn begin(watch: &mut Watch) -> (CallId, SocketAddr, String) {
+    connects(&watch.start(0, 0)).expect("with no grace the call is made at once")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn receives(watch: &mut Watch, now: Nanos, call: CallId, text: &str) -> Received {
+    let mut input = Ring::new(text.len().max(1));
+    assert!(input.push(text.as_bytes()));
+    watch.received(now, call, &mut input, false)
+}
+
+#[test]
+fn a_plain_watch_asks_with_the_bytes_of_old_and_after_the_version_told_last() {
+    let mut watch = plain();
+    let (call, at, request) = begin(&mut watch);
+    assert_eq!(at, address(1));
+    assert_eq!(request, "GET /api/targets?follow=1&since=0 HTTP/1.1\r\nHost: 127.0.0.1:1\r\n\r\n");
+    watch.told(41);
+    let commands = watch.broken(SECOND, call);
+    let rested = timer(&commands, Timer::Reconnect).unwrap();
+    let (_, _, request) = connects(&watch.timer_fired(rested, Timer::Reconnect)).unwrap();
+    assert!(request.starts_with("GET /api/targets?follow=1&since=41 HTTP/1.1\r\n"));
+}
+
+#[test]
+fn a_plain_call_whose_first_line_is_late_is_kept_and_the_first_to_speak_serves() {
+    let mut watch = plain();
+    let (first, ..) = begin(&mut watch);
+    let up = watch.connected(SECOND, first);
+    assert_eq!(timer(&up, Timer::Call(first)), Some(SECOND + FIRST_LINE_WITHIN));
+    let late = watch.timer_fired(SECOND + FIRST_LINE_WITHIN, Timer::Call(first));
+    assert_eq!(timer(&late, Timer::Call(first)), Some(KEPT_FOR), "counted from when it was made");
+    assert!(!late.contains(&Command::Close(first)));
+    let rested = timer(&late, Timer::Reconnect).unwrap();
+    let (second, ..) = connects(&watch.timer_fired(rested, Timer::Reconnect)).unwrap();
+    let received = receives(&mut watch, rested, first, &format!("{HEAD}{}", chunk("\n")));
+    assert!(received.documents.is_empty());
+    assert!(received.commands.contains(&Command::Close(second)));
+    assert_eq!(timer(&received.commands, Timer::Call(first)), Some(rested + SILENT_FOR));
+}
+
+#[test]
+fn a_plain_call_that_does_not_come_up_is_given_up() {
+    let mut watch = plain();
+    let (first, ..) = begin(&mut watch);
+    let commands = watch.timer_fired(UP_WITHIN, Timer::Call(first));
+    assert!(commands.contains(&Command::Close(first)) && timer(&commands, Timer::Reconnect).is_some());
+    assert_eq!(watch.counters().timed_out, 1);
+    assert!(watch.broken(UP_WITHIN, first).is_empty(), "it is gone");
+}
+
+#[test]
+fn a_plain_watch_moves_at_once_and_from_the_beginning() {
+    let mut watch = plain();
+    let (first, ..) = begin(&mut watch);
+    watch.told(41);
+    assert!(watch.relocate(SECOND, address(1)).is_empty(), "it is there already");
+    let commands = watch.relocate(SECOND, address(2));
+    assert!(commands.contains(&Command::Close(first)));
+    let (_, at, request) = connects(&commands).unwrap();
+    assert!(at == address(2) && request.contains("since=0 "));
+}
+
+#[test]
+fn bytes_that_end_no_line_do_not_show_that_a_watch_is_alive() {
+    let mut watch = plain();
+    let (call, ..) = begin(&mut watch);
+    let received = receives(&mut watch, SECOND, call, &format!("{HEAD}{}", chunk("{\"version\":")));
+    assert_eq!(received, Received::default());
+    let received = receives(&mut watch, SECOND, call, &chunk("3}\n{\"a\":\n1}\n"));
+    assert_eq!(received.documents, [b"{\"version\":3}".to_vec(), b"{\"a\":\n1}".to_vec()]);
+}
+
+#[test]
+fn an_answer_other_than_200_fails_the_call() {
+    let mut watch = scoped(1);
+    let (call, ..) = begin(&mut watch);
+    let received = receives(&mut watch, SECOND, call, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    assert!(received.commands.contains(&Command::Close(call)));
+    assert_eq!((watch.counters().refused, watch.counters().failed), (1, 1));
+}
+
+#[test]
+fn a_scoped_watch_asks_for_what_its_list_lacks() {
+    let mut watch = scoped(1);
+    let (call, at, request) = begin(&mut watch);
+    assert_eq!(
+        request,
+        format!("GET /api/targets?follow=1&since=0&dispatcher=d1 HTTP/1.1\r\nHost: {at}\r\n\r\n")
+    );
+    let text = r#"{"version":4,"full":false,"log":"c0ffee","gained":[1],"filled":[1],"servers":[]}"#;
+    let received = receives(&mut watch, SECOND, call, &format!("{HEAD}{}", chunk(&format!("{text}\n\n"))));
+    assert_eq!(timer(&received.commands, Timer::Call(call)), Some(SECOND + SCOPED_SILENT_FOR));
+    assert_eq!(received.documents, [text.as_bytes()]);
+    watch.apply(&received.documents[0]).unwrap();
+    let commands = watch.timer_fired(SECOND + SCOPED_SILENT_FOR, Timer::Call(call));
+    let rested = timer(&commands, Timer::Reconnect).unwrap();
+    assert!(rested <= SECOND + SCOPED_SILENT_FOR + SECOND / 2);
+    let (_, next, request) = connects(&watch.timer_fired(rested, Timer::Reconnect)).unwrap();
+    assert_ne!(next, at);
+    assert!(request.contains("since=4&log=c0ffee&dispatcher=d1&buckets=1 HTTP"));
+}
+
+#[test]
+fn each_server_is_tried_once_before_one_is_tried_again_in_an_order_of_the_dispatcher_s_own() {
+    let order = |seed: u64| -> Vec<SocketAddr> {
+        let mut watch = scoped(seed);
+        let mut tried = vec![begin(&mut watch)];
+        let mut now = 0;
+        for _ in 1..18 {
+            let commands = watch.broken(now, tried.last().unwrap().0);
+            now = timer(&commands, Timer::Reconnect).unwrap();
+            tried.push(connects(&watch.timer_fired(now, Timer::Reconnect)).unwrap());
+        }
+        tried.into_iter().map(|(_, at, _)| at).collect()
+    };
+    let first = order(1);
+    assert_eq!(first[..9].iter().collect::<BTreeSet<_>>().len(), 9);
+    assert_eq!(first[..9], first[9..]);
+    assert_eq!(order(1), first);
+    assert!((2..12).any(|seed| order(seed)[0] != first[0]));
+}
+
+#[test]
+fn a_line_of_a_scoped_watch_that_is_too_long_fails_the_call() {
+    for text in ["x".repeat(LONGEST_SCOPED_LINE + 1), format!("{}\n", "x".repeat(LONGEST_SCOPED_LINE + 1))] {
+        let mut watch = scoped(1);
+        let (call, ..) = begin(&mut watch);
+        let received = receives(&mut watch, SECOND, call, &format!("{HEAD}{}", chunk(&text)));
+        assert!(received.documents.is_empty() && received.commands.contains(&Command::Close(call)));
+        assert_eq!(watch.counters().overlong_lines, 1);
+    }
+}
--- /dev/null
+++ b/watch/tests/scoped_list.rs
@@ -0,0 +1,205 @@
+//! What a dispatcher keeps of the scoped configuration, against lines as control processes write them.
+
+mod common;
+
+use bellsill_directory::line::{ScopedLine, Version};
+use bellsill_watch::{Knowledge, ScopedLineError, ScopedList, StateFileError};
+use common::*;
+use quickcheck::{Gen, QuickCheck};
+use std::sync::Arc;
+
+/// A list with bucket 1 complete: `a` of 11 and `b` of 12, at version 5.
+fn started() -> ScopedList {
+    let mut list = empty_list(2);
+    let gained = buckets(&[1]);
+    list.apply(ScopedLine { log: "c0ffee".into(), gained, ..line(5, vec![]) }).unwrap();
+    let filled = buckets(&[1]);
+    list.apply(ScopedLine { filled, ..line(5, vec![entry("a", 11, 3), entry("b", 12, 4)]) }).unwrap();
+    list
+}
+
+fn nothing_in_use(_: u64) -> bool {
+    false
+}
+
+#[test]
+fn a_first_start_asks_for_everything_and_then_from_where_it_is() {
+    assert_eq!(empty_list(2).query("d1"), "since=0&dispatcher=d1");
+    let mut list = started();
+    assert_eq!(list.query("d1"), "since=5&log=c0ffee&dispatcher=d1&buckets=1");
+    list.want(47, &nothing_in_use);
+    assert_eq!(list.query("d1"), "since=5&log=c0ffee&dispatcher=d1&buckets=1", "it is not known yet");
+    list.apply_lookup(&[47], line(5, vec![entry("x", 47, 2)])).unwrap();
+    assert_eq!(list.query("d1"), "since=5&log=c0ffee&dispatcher=d1&buckets=1&cells=47");
+}
+
+#[test]
+fn an_entry_that_is_older_or_equal_is_counted_and_never_applied() {
+    let mut list = started();
+    let same = list.apply(line(6, vec![entry("a", 11, 3)])).unwrap();
+    let older = list.apply(line(6, vec![entry("b", 12, 3)])).unwrap();
+    assert!(same.changed.is_empty() && older.changed.is_empty());
+    assert_eq!((list.counters().duplicate_entries, list.counters().stale_entries), (1, 1));
+    let newer = list.apply(line(7, vec![entry("a", 11, 7)])).unwrap();
+    assert_eq!(newer.changed, [entry("a", 11, 7)]);
+}
+
+#[test]
+fn a_removed_endpoint_does_not_come_back_by_an_answer_that_was_asked_for_before() {
+    let mut list = started();
+    list.want(47, &nothing_in_use);
+    list.apply(line(9, vec![removed("x", 47, 9)])).unwrap();
+    let late = list.apply_lookup(&[47], line(8, vec![entry("x", 47, 8), entry("y", 47, 2)])).unwrap();
+    assert_eq!(late.changed, [entry("y", 47, 2)]);
+    assert_eq!((names(&list), list.counters().stale_entries), (vec!["a", "b", "y"], 1));
+    assert_eq!(list.version(), Version(9), "the answer's version is not that of the watch");
+}
+
+#[test]
+fn a_bucket_told_anew_loses_what_is_not_told_when_it_is_filled() {
+    let mut list = started();
+    list.apply(ScopedLine { log: "c0ffee".into(), gained: buckets(&[1]), ..line(9, vec![]) }).unwrap();
+    assert_eq!(names(&list), ["a", "b"], "served until it is told anew");
+    assert_eq!(list.query("d1"), "since=9&log=c0ffee&dispatcher=d1");
+    list.apply(line(9, vec![entry("b", 12, 4), entry("c", 13, 8)])).unwrap();
+    let filled = list.apply(ScopedLine { filled: buckets(&[1]), ..line(9, vec![]) }).unwrap();
+    assert_eq!((filled.dropped, names(&list)), (vec![entry("a", 11, 3)], vec!["b", "c"]));
+    assert_eq!(list.counters().swept_entries, 1);
+}
+
+#[test]
+fn a_lost_bucket_is_dropped_and_one_that_was_being_told_is_lost_unless_named_again() {
+    let mut list = started();
+    let lost = list.apply(ScopedLine { lost: buckets(&[1]), ..line(6, vec![]) }).unwrap();
+    assert_eq!(lost.dropped.len(), 2);
+    assert!(list.is_empty());
+    list.apply(ScopedLine { gained: buckets(&[2, 3]), ..line(6, vec![entry("p", 20, 1)]) }).unwrap();
+    list.apply(line(6, vec![entry("q", 30, 1)])).unwrap();
+    let next = ScopedLine { log: "c0ffee".into(), gained: buckets(&[3]), ..line(6, vec![]) };
+    assert_eq!(list.apply(next).unwrap().dropped, [entry("p", 20, 1)]);
+    assert_eq!(names(&list), ["q"]);
+}
+
+#[test]
+fn another_log_begins_from_nothing_and_what_is_held_serves_until_it_is_told_anew() {
+    let mut list = started();
+    list.want(47, &nothing_in_use);
+    list.apply_lookup(&[47], line(5, vec![entry("x", 47, 4), entry("y", 47, 4)])).unwrap();
+    let first = ScopedLine { log: "beef".into(), gained: buckets(&[1]), ..line(2, vec![entry("x", 47, 1)]) };
+    list.apply(first).unwrap();
+    assert_eq!(names(&list), ["a", "b", "x"], "the cache has only what was told");
+    list.apply(ScopedLine { filled: buckets(&[1]), ..line(2, vec![entry("a", 11, 1)]) }).unwrap();
+    assert_eq!((names(&list), list.counters().other_logs), (vec!["a", "x"], 1));
+    assert_eq!(list.query("d1"), "since=2&log=beef&dispatcher=d1&buckets=1&cells=47");
+}
+
+#[test]
+fn a_line_that_goes_back_or_is_a_whole_list_is_refused_and_nothing_of_it_is_applied() {
+    let mut list = started();
+    let back = list.apply(line(4, vec![entry("c", 13, 4)]));
+    assert!(matches!(back, Err(ScopedLineError::VersionWentBack { .. })));
+    let full = list.apply(ScopedLine { full: true, ..line(6, vec![entry("c", 13, 6)]) });
+    assert!(matches!(full, Err(ScopedLineError::FullList)));
+    assert!(matches!(list.apply_document(b"{\"version\":"), Err(ScopedLineError::NotALine(_))));
+    assert_eq!((names(&list), list.counters().refused_lines), (vec!["a", "b"], 3));
+}
+
+#[test]
+fn the_destination_used_longest_ago_gives_way_unless_it_is_in_use() {
+    let mut list = started();
+    for destination in [41, 42] {
+        list.want(destination, &nothing_in_use);
+        let name = format!("e{destination}");
+        list.apply_lookup(&[destination], line(5, vec![entry(&name, destination, 1)])).unwrap();
+    }
+    list.touch(41);
+    let evicted = list.want(43, &nothing_in_use);
+    assert_eq!(evicted.dropped, [entry("e42", 42, 1)]);
+    assert_eq!((list.to_forget(), list.cached()), (vec![42], 2));
+    let evicted = list.want(44, &|destination| destination == 41);
+    assert!(evicted.dropped.is_empty(), "43 had no entries yet");
+    assert_eq!(list.knowledge(41), Knowledge::Cached);
+    let target = ScopedList::lookup_target("d1", &[44], &list.to_forget());
+    assert_eq!(target, "/api/targets?dispatcher=d1&cells=44&forget=42,43");
+    list.forgot(&[42, 43]);
+    assert!(list.to_forget().is_empty());
+    // Entries that come for what gave way are passed over.
+    list.apply(line(6, vec![entry("e42", 42, 6)])).unwrap();
+    assert_eq!(list.counters().entries_out_of_scope, 1);
+    assert_eq!(list.knowledge(42), Knowledge::Unknown);
+}
+
+#[test]
+fn what_is_known_of_a_destination() {
+    let mut list = started();
+    assert_eq!(list.knowledge(19), Knowledge::Held, "its bucket is complete: there is none");
+    assert_eq!(list.knowledge(47), Knowledge::Unknown);
+    list.want(47, &nothing_in_use);
+    assert_eq!(list.knowledge(47), Knowledge::Pending);
+    list.apply_lookup(&[47], line(5, vec![])).unwrap();
+    assert_eq!(list.knowledge(47), Knowledge::Cached);
+    list.apply(ScopedLine { gained: buckets(&[4]), ..line(6, vec![entry("p", 41, 6)]) }).unwrap();
+    assert_eq!((list.knowledge(41), list.knowledge(42)), (Knowledge::Held, Knowledge::Unknown));
+    list.apply(ScopedLine { filled: buckets(&[4]), ..line(6, vec![]) }).unwrap();
+    assert_eq!((list.knowledge(47), list.cached()), (Knowledge::Held, 0));
+}
+
+#[test]
+fn a_saved_list_is_the_same_after_a_restart() {
+    let mut list = started();
+    list.want(47, &nothing_in_use);
+    list.apply_lookup(&[47], line(5, vec![entry("x", 47, 4)])).unwrap();
+    list.want(48, &nothing_in_use);
+    let bytes = list.to_bytes("d1");
+    let again = ScopedList::from_bytes(&bytes, "d1", Arc::new(TensLayout), 2).unwrap();
+    assert_eq!((names(&again), again.query("d1")), (names(&list), list.query("d1")));
+    assert_eq!(again.to_bytes("d1"), bytes);
+    let other = ScopedList::from_bytes(&bytes, "d2", Arc::new(TensLayout), 2);
+    assert!(matches!(other, Err(StateFileError::OtherDispatcher(_))));
+}
+
+#[test]
+fn a_saved_list_that_is_torn_or_flipped_anywhere_is_refused() {
+    let bytes = started().to_bytes("d1");
+    let read = |bytes: &[u8]| ScopedList::from_bytes(bytes, "d1", Arc::new(TensLayout), 2);
+    for end in 0..bytes.len() {
+        assert!(read(&bytes[..end]).is_err(), "torn after {end} bytes");
+    }
+    for place in 0..bytes.len() * 8 {
+        let mut flipped = bytes.clone();
+        flipped[place / 8] ^= 1 << (place % 8);
+        assert!(read(&flipped).is_err(), "bit {place} flipped");
+    }
+}
+
+/// Changes in any order of delivery, repeated at will, end in the newest of each endpoint.
+#[test]
+fn whatever_is_told_twice_or_late_the_newest_of_each_endpoint_stays() {
+    fn property(told: Vec<(u8, u8, bool)>) -> bool {
+        let mut list = started();
+        let mut newest = std::collections::BTreeMap::new();
+        for (name, version, up) in told {
+            // Endpoints `0` to `7` of bucket 1; a version says all of an endpoint.
+            let (name, version) = (name % 8, u64::from(version) + 6);
+            let up = up && !version.is_multiple_of(3);
+            let up = *newest.entry((name, version)).or_insert(up);
+            let id = name.to_string();
+            let told = match up {
+                true => entry(&id, 11, version),
+                false => removed(&id, 11, version),
+            };
+            list.apply(line(1_000, vec![told])).unwrap();
+        }
+        // In the order of versions: of each name the last one stays.
+        let last: std::collections::BTreeMap<u8, bool> =
+            newest.iter().map(|((name, _), up)| (*name, *up)).collect();
+        let expected: Vec<String> =
+            last.into_iter().filter(|(_, up)| *up).map(|(name, _)| name.to_string()).collect();
+        let kept: Vec<&str> = names(&list).into_iter().filter(|name| name.parse::<u8>().is_ok()).collect();
+        kept == expected
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 20_261_202))
+        .tests(500)
+        .quickcheck(property as fn(Vec<(u8, u8, bool)>) -> bool);
+}
