Daemon: the watch is `Watch::plain`; discovery.rs only carries out its commands

Cause: discovery, endpoints, event_loop, mails, mgmt and notices imported one another in a circle (discovery.rs: `crate::event_loop`, `crate::mails`, and mails.rs: `crate::discovery`), so the watch could be run and tested only within the whole daemon. Change: discovery.rs opens, closes and sets deadlines as `Watch` commands, over `Conns` and `Deadlines` of whatever key; it imports `conns` alone. The JSON of a list is read in endpoint_list.rs, which imports nothing of the daemon, and applied in endpoints.rs. The circle has five files. A document is checked for being JSON by `watch` and read by the daemon; a number that JSON allows and a double does not hold is logged one step later than before, with the same words.

--- /dev/null
+++ b/daemon/src/endpoint_list.rs
@@ -0,0 +1,90 @@
+//! A list of endpoints as discovery writes it: the words of its JSON end here.
+
+use bellsill_boot::Names;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// An endpoint as a list names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedEndpoint {
+    pub name: String,
+    /// Where it listens; none where that is absent or cannot be read.
+    pub addr: Option<SocketAddr>,
+    pub zone: String,
+    pub kind: String,
+    pub destination: u64,
+    /// False when it drains or is gone.
+    pub serving: bool,
+    /// As [`Names::rate`] says.
+    pub rate: f64,
+}
+
+/// A list, whole or of changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointList {
+    pub version: u64,
+    /// What it does not name is gone.
+    pub whole: bool,
+    pub endpoints: Vec<ListedEndpoint>,
+}
+
+/// Reads a list. One with no version or no servers is logged and skipped, and so is an entry that cannot be read.
+pub fn read(json: &Value, names: &Names) -> Option<EndpointList> {
+    let (version, servers) = (json.get("version").and_then(Value::as_u64), json.get("servers"));
+    let (Some(version), Some(servers)) = (version, servers.and_then(Value::as_array)) else {
+        log::warn!("discovery: a line with no version or no servers was skipped");
+        return None;
+    };
+    let whole = json.get("full").and_then(Value::as_bool).unwrap_or(false);
+    let mut endpoints = Vec::with_capacity(servers.len());
+    let id = |server: &Value| server.get("id").and_then(Value::as_str).map(str::to_string);
+    let drains =
+        |server: &&Value| matches!(server.get("state").and_then(Value::as_str), Some("draining" | "removed"));
+    let draining: BTreeSet<String> = servers.iter().filter(drains).filter_map(id).collect();
+    let mut named = BTreeSet::new();
+    for server in servers {
+        // A whole list names each once. Of two that differ the one that serves is not believed: nothing new may go to
+        // one that drains. Changes may tell of one endpoint twice, the later change last.
+        if whole && let Some(id) = id(server) {
+            let believed = drains(&server) || !draining.contains(&id);
+            if !believed || !named.insert(id.clone()) {
+                log::warn!("discovery: an entry was skipped, its id {id:?} is in the list twice");
+                continue;
+            }
+        }
+        match read_endpoint(server, names) {
+            Ok(endpoint) => endpoints.push(endpoint),
+            Err(what) => warn_of_entry(what),
+        }
+    }
+    Some(EndpointList { version, whole, endpoints })
+}
+
+/// Logs that an entry was skipped for what its field says.
+pub fn warn_of_entry(field: &str) {
+    log::warn!("discovery: an entry was skipped, its {field} cannot be read");
+}
+
+/// Reads an entry, or says which of its fields cannot be read.
+fn read_endpoint(server: &Value, names: &Names) -> Result<ListedEndpoint, &'static str> {
+    let word = |field: &'static str| server.get(field).and_then(Value::as_str).ok_or(field);
+    let (name, zone, kind, state) = (word("id")?, word("zone")?, word("kind")?, word("state")?);
+    let serving = match state {
+        "up" => true,
+        "draining" | "removed" => false,
+        _ => return Err("state"),
+    };
+    let weight = server.get("weight").map(|w| w.as_f64().ok_or("weight")).transpose()?;
+    let rate = names.rate(weight).ok_or("weight")?;
+    let destination = server.get("cell").and_then(Value::as_u64).ok_or("cell")?;
+    Ok(ListedEndpoint {
+        name: name.to_string(),
+        addr: word("addr").ok().and_then(|addr| addr.parse().ok()),
+        zone: zone.to_string(),
+        kind: kind.to_string(),
+        destination,
+        serving,
+        rate,
+    })
+}
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoints: their connections, idle ones kept for the next call, and the calls on them.
 
 use crate::conns::{ConnId, Role};
+use crate::endpoint_list::{self, EndpointList, ListedEndpoint};
 use crate::event_loop::Daemon;
 use crate::http::{self, Head};
 use crate::mails::{Due, Hands, MailSlot};
@@ -341,3 +342,78 @@
         }
     }
 }
+
+impl Daemon {
+    /// Applies a list, whole or of changes.
+    pub fn apply_list(&mut self, list: &EndpointList) {
+        let hands = &mut self.hands;
+        let mut entries = Vec::with_capacity(list.endpoints.len());
+        for listed in &list.endpoints {
+            match hands.entry(listed) {
+                Ok(entry) => entries.extend(entry),
+                Err(what) => endpoint_list::warn_of_entry(what),
+            }
+        }
+        hands.discovery.told(list.version);
+        // By their ids: asked of each endpoint, a list of thousands would stop all else for seconds.
+        let told: BTreeMap<EndpointId, bool> = entries.iter().map(|e| (e.endpoint, e.serving)).collect();
+        for id in hands.endpoints.ids() {
+            let serving = told.get(&id).copied().unwrap_or(hands.endpoints[id].serving && !list.whole);
+            hands.endpoints[id].serving = serving;
+            if !serving {
+                hands.hang_up(id);
+            }
+        }
+        // Held out by hand, whatever the list says: the decisions know before they hear of it.
+        let held: Vec<EndpointId> =
+            hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
+        for id in held {
+            self.dispatcher.hold_out(hands.now, id, true, hands);
+        }
+        let scope = if list.whole { ListScope::Whole } else { ListScope::Update };
+        self.dispatcher.list_news(hands.now, scope, &entries, hands);
+    }
+}
+
+impl Hands {
+    /// What the decisions are told of a listed endpoint; nothing of one that never served and does not now, since nothing
+    /// hangs on it. Else the field that cannot be read.
+    fn entry(&mut self, listed: &ListedEndpoint) -> Result<Option<ListEntry>, &'static str> {
+        let known = self.endpoints.find(&listed.name);
+        let addr = match (listed.addr, known) {
+            (Some(addr), _) => addr,
+            (None, Some(id)) if !listed.serving => self.endpoints[id].addr,
+            _ => return Err("addr"),
+        };
+        if known.is_none() && !listed.serving {
+            return Ok(None);
+        }
+        let endpoint = self.endpoints.know(&listed.name, addr, &listed.zone, listed.destination);
+        if self.endpoints[endpoint].addr != addr {
+            self.move_endpoint(endpoint, addr);
+        }
+        let names = self.discovery.names();
+        let find = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        Ok(Some(ListEntry {
+            endpoint,
+            destination: DestinationId(listed.destination),
+            zone: ZoneId(find(&names.zones, &listed.zone)),
+            kind: KindId(find(&names.kinds, &listed.kind)),
+            serving: listed.serving,
+            rate: listed.rate,
+        }))
+    }
+
+    /// An endpoint listens elsewhere from now on.
+    fn move_endpoint(&mut self, endpoint: EndpointId, addr: SocketAddr) {
+        self.hang_up(endpoint);
+        self.endpoints[endpoint].addr = addr;
+        // What still comes up at the old address would be somebody else's by then.
+        let rises =
+            |id: &ConnId| self.conns.get(*id).is_some_and(|c| c.rising && c.role == Role::Endpoint(endpoint));
+        let calls = self.endpoints.calls.iter().filter(|(id, _)| rises(id));
+        for slot in calls.map(|(_, slot)| *slot).collect::<Vec<_>>() {
+            self.break_call(slot, Outcome::Unsent(false));
+        }
+    }
+}
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -3,7 +3,8 @@
 use crate::backoff::Backoff;
 use crate::conns::{ConnId, Conns, Role, Seen};
 use crate::deadlines::Deadlines;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, WatchTimer};
+use crate::endpoint_list;
 use crate::endpoints::Endpoints;
 use crate::mail_journal::{Kept, MailJournal};
 use crate::mails::{Due, Hands, Stage};
@@ -12,6 +13,7 @@
 use crate::start::{self, Source, Start};
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
+use bellsill_watch::Watch;
 use serde_json::Value;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::{BTreeMap, VecDeque};
@@ -170,9 +172,8 @@
                 slots: BTreeMap::new(),
                 endpoints: Endpoints::default(),
                 discovery: Discovery::new(
-                    start.discovery,
+                    Watch::plain(start.discovery, Backoff::new(facts.seed, facts.dispatchers)),
                     names,
-                    Backoff::new(facts.seed, facts.dispatchers),
                 ),
                 notices: Notices::new(start.discovery),
                 journal,
@@ -205,7 +206,8 @@
             daemon.hands.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
         }
         daemon.list(&known);
-        daemon.hands.watch_first(boot.drain_grace);
+        let (discovery, mut io) = daemon.hands.watch();
+        discovery.start(&mut io, boot.drain_grace);
         daemon.recover(kept);
         daemon.hands.deadlines.set(Due::Standing, now + STANDING);
         if others_held {
@@ -217,6 +219,26 @@
         Ok(daemon)
     }
 
+    /// Something happened on a connection of the watch.
+    fn watch_ready(&mut self, id: ConnId) {
+        let (discovery, mut io) = self.hands.watch();
+        for document in discovery.conn_ready(&mut io, id) {
+            match serde_json::from_slice::<Value>(&document) {
+                Ok(json) => self.list(&json),
+                Err(e) => log::warn!("discovery: a line that is no JSON was skipped: {e}"),
+            }
+        }
+        let (discovery, mut io) = self.hands.watch();
+        discovery.go_on(&mut io, id);
+    }
+
+    /// A list as discovery writes it.
+    fn list(&mut self, json: &Value) {
+        if let Some(list) = endpoint_list::read(json, self.hands.discovery.names()) {
+            self.apply_list(&list);
+        }
+    }
+
     /// Mails go back to the decisions with their past; notices are owed until they are answered.
     fn recover(&mut self, kept: Kept) {
         for (id, ending) in kept.owed {
@@ -328,14 +350,14 @@
                     Some(&slot) => hands.break_call(slot, Outcome::Unconnected),
                     None => hands.drop_idle(id),
                 },
-                Some(Role::Watch) => hands.watch_overdue(id),
+                Some(Role::Watch) => hands.watch_timer(WatchTimer::Conn(id)),
                 Some(Role::Notices) => hands.notices_broke(),
                 Some(Role::Caller) => hands.hang_up_caller(id),
                 Some(Role::Client) => self.client_overdue(id),
                 None => {}
             },
             Due::Read(id) => self.ready(id),
-            Due::Watch => hands.watch(),
+            Due::Watch => hands.watch_timer(WatchTimer::Reconnect),
             Due::Notices => hands.notices_rested(),
             Due::Accept => drop(self.let_in()),
             Due::Leave => self.leave_on(),
@@ -393,7 +415,8 @@
             }
         }
         log::info!("the configuration was read again, discovery is at {}", new.discovery);
-        self.hands.watch_at(new.discovery);
+        let (discovery, mut io) = self.hands.watch();
+        discovery.relocate(&mut io, new.discovery);
         self.hands.notify_at(new.discovery);
     }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,13 +11,14 @@
 pub mod event_loop;
 
 pub mod clients;
-pub mod discovery;
 pub mod endpoints;
 pub mod mails;
 pub mod mgmt;
 pub mod notices;
 
 pub mod conns;
+pub mod discovery;
+pub mod endpoint_list;
 pub mod logger;
 pub mod mail_journal;
 pub mod resp;
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -3,7 +3,7 @@
 
 use crate::conns::{ConnId, Conns};
 use crate::deadlines::Deadlines;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, WatchIo, WatchTimer};
 use crate::endpoints::Endpoints;
 use crate::event_loop::Daemon;
 use crate::mail_journal::{Ending, KeptConnect, KeptMail, MailJournal};
@@ -54,6 +54,15 @@
     HeldOut,
 }
 
+impl From<WatchTimer> for Due {
+    fn from(timer: WatchTimer) -> Due {
+        match timer {
+            WatchTimer::Reconnect => Due::Watch,
+            WatchTimer::Conn(conn) => Due::Conn(conn),
+        }
+    }
+}
+
 /// Where a mail stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -127,6 +136,18 @@
 }
 
 impl Hands {
+    /// The watch, and what it works with.
+    pub fn watch(&mut self) -> (&mut Discovery, WatchIo<'_, Due>) {
+        let io = WatchIo { now: self.now, conns: &mut self.conns, deadlines: &mut self.deadlines };
+        (&mut self.discovery, io)
+    }
+
+    /// A deadline of the watch has come.
+    pub fn watch_timer(&mut self, timer: WatchTimer) {
+        let (discovery, mut io) = self.watch();
+        discovery.timer_fired(&mut io, timer);
+    }
+
     /// Holds a mail that is new to the journal. False: there is no room.
     fn take(&mut self, mail: KeptMail) -> bool {
         if self.journal.taken(&mail).is_err() {
