Watch: an entry's bucket is that of its zone's region, and a destination without entries is looked up

Buckets that a connection begins with may need several lines, and those named on the second one were dropped at the first. Change: buckets by zone and destination, entry by entry; a bucket that was being told is lost at the first line that gains none; an answer of another log than the watch's is refused.

--- a/watch/src/scoped_list.rs
+++ b/watch/src/scoped_list.rs
@@ -17,8 +17,8 @@
 
 /// Says which bucket a destination is in; the layout of the installation.
 pub trait BucketMap: Send + Sync {
-    /// None for a destination of no region.
-    fn bucket_of(&self, destination: u64) -> Option<BucketId>;
+    /// The bucket of a destination in the region of this zone; none where the zone is of no region.
+    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId>;
 }
 
 /// Why a line of the watch cannot be applied. Nothing of it is.
@@ -32,6 +32,8 @@
         known: Version,
         told: Version,
     },
+    /// The answer to a lookup is of another history than the watch.
+    OtherLog(String),
 }
 
 impl std::fmt::Display for ScopedLineError {
@@ -47,6 +49,9 @@
             ScopedLineError::VersionWentBack { known, told } => {
                 write!(f, "its version {} is before {}, which was told already", told.0, known.0)
             }
+            ScopedLineError::OtherLog(log) => {
+                write!(f, "it is of the log {log}, the watch is of another one")
+            }
         }
     }
 }
@@ -69,7 +74,7 @@
 /// What a dispatcher knows of a destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Knowledge {
-    /// It is of a bucket that is held; if that bucket is complete, none of its endpoints is unknown.
+    /// Its endpoints are kept with the bucket that they are in.
     Held,
     /// It is in the cache, with all of its endpoints.
     Cached,
@@ -112,6 +117,7 @@
 #[derive(Clone, Debug)]
 struct Kept {
     entry: EndpointEntry,
+    bucket: Option<BucketId>,
     /// It was told since its bucket was gained last; what was not when the bucket is filled is gone.
     confirmed: bool,
 }
@@ -124,8 +130,10 @@
     version: Version,
     epoch: Option<Epoch>,
     buckets: BTreeMap<BucketId, BucketState>,
-    /// The destinations of which entries are kept, by their buckets.
-    members: BTreeMap<BucketId, BTreeSet<u64>>,
+    /// The names of the endpoints that are kept, by their buckets.
+    members: BTreeMap<BucketId, BTreeSet<String>>,
+    /// Buckets that were being told when the last connection broke, and that this one has not named yet.
+    unnamed: BTreeSet<BucketId>,
     /// The endpoints of each destination, by their names.
     destinations: BTreeMap<u64, BTreeMap<String, Kept>>,
     destination_of: BTreeMap<String, u64>,
@@ -151,6 +159,7 @@
             epoch: None,
             buckets: BTreeMap::new(),
             members: BTreeMap::new(),
+            unnamed: BTreeSet::new(),
             destinations: BTreeMap::new(),
             destination_of: BTreeMap::new(),
             cache: CellCache::default(),
@@ -223,15 +232,11 @@
     }
 
     pub fn knowledge(&self, destination: u64) -> Knowledge {
-        let bucket = self.layout.bucket_of(destination).and_then(|bucket| self.buckets.get(&bucket));
-        match (bucket, self.cache.state(destination)) {
-            (Some(BucketState::Complete), _) => Knowledge::Held,
-            (_, Some(CellState::Known)) => Knowledge::Cached,
-            (_, Some(CellState::Pending)) => Knowledge::Pending,
-            (Some(BucketState::Filling), None) if self.destinations.contains_key(&destination) => {
-                Knowledge::Held
-            }
-            _ => Knowledge::Unknown,
+        match self.cache.state(destination) {
+            Some(CellState::Known) => Knowledge::Cached,
+            Some(CellState::Pending) => Knowledge::Pending,
+            None if self.destinations.contains_key(&destination) => Knowledge::Held,
+            None => Knowledge::Unknown,
         }
     }
 
@@ -270,9 +275,7 @@
         if other_log {
             self.begin_log(&line.log, &mut applied);
         }
-        if !line.log.is_empty() {
-            self.begin_connection(&line.gained, &mut applied);
-        }
+        self.heed_unnamed(&line, &mut applied);
         if line.epoch.is_some() && line.epoch != self.epoch {
             self.epoch = line.epoch;
             self.revision += 1;
@@ -324,20 +327,25 @@
         cached.into_iter().for_each(|destination| self.drop_destination(destination, applied));
     }
 
-    /// The first line of a connection names all that is assigned and was not complete: a bucket that was being told when the
-    /// last connection broke, and is not named, is lost.
-    fn begin_connection(&mut self, gained: &[BucketId], applied: &mut Applied) {
-        let lost: Vec<BucketId> = self.filling_buckets().filter(|bucket| !gained.contains(bucket)).collect();
-        lost.into_iter().for_each(|bucket| self.lose_bucket(bucket, applied));
+    /// A connection begins with the buckets that are assigned and were not complete, on as many lines as they need. One that
+    /// was being told when the last connection broke, and is not named, is lost.
+    fn heed_unnamed(&mut self, line: &ScopedLine, applied: &mut Applied) {
+        if !line.log.is_empty() {
+            self.unnamed = self.filling_buckets().collect();
+        }
+        self.unnamed.retain(|bucket| !line.gained.contains(bucket));
+        if line.gained.is_empty() {
+            for bucket in std::mem::take(&mut self.unnamed) {
+                self.lose_bucket(bucket, applied);
+            }
+        }
     }
 
     fn gain_bucket(&mut self, bucket: BucketId) {
         self.revision += 1;
         self.buckets.insert(bucket, BucketState::Filling);
-        let Some(members) = self.members.get(&bucket) else { return };
-        for destination in members {
-            let endpoints = self.destinations.get_mut(destination).into_iter().flatten();
-            endpoints.for_each(|(_, kept)| kept.confirmed = false);
+        for name in self.members_of(bucket) {
+            self.kept_mut(&name).into_iter().for_each(|kept| kept.confirmed = false);
         }
     }
 
@@ -346,10 +354,10 @@
             return;
         }
         self.revision += 1;
-        let members = self.members.get(&bucket).cloned().unwrap_or_default();
-        for destination in members {
-            if self.cache.state(destination).is_none() {
-                self.drop_destination(destination, applied);
+        for name in self.members_of(bucket) {
+            let destination = self.destination_of.get(&name);
+            if destination.is_none_or(|destination| self.cache.state(*destination).is_none()) {
+                applied.dropped.extend(self.take_entry(&name));
             }
         }
     }
@@ -361,23 +369,23 @@
         }
         self.revision += 1;
         self.buckets.insert(bucket, BucketState::Complete);
-        let members = self.members.get(&bucket).cloned().unwrap_or_default();
-        let endpoints = members.iter().filter_map(|destination| self.destinations.get(destination));
-        let unconfirmed =
-            endpoints.flat_map(|endpoints| endpoints.iter().filter(|(_, kept)| !kept.confirmed));
-        let swept: Vec<String> = unconfirmed.map(|(name, _)| name.clone()).collect();
-        for name in swept {
-            self.counters.swept_entries += 1;
-            applied.dropped.extend(self.take_entry(&name));
-        }
-        let cached: Vec<u64> =
-            self.cache.by_use().filter(|d| self.layout.bucket_of(*d) == Some(bucket)).collect();
-        for destination in cached {
-            self.cache.remove(destination);
-            self.forgotten.insert(destination);
+        for name in self.members_of(bucket) {
+            if self.kept_mut(&name).is_some_and(|kept| !kept.confirmed) {
+                self.counters.swept_entries += 1;
+                applied.dropped.extend(self.take_entry(&name));
+            } else if let Some(destination) = self.destination_of.get(&name).copied()
+                && self.cache.remove(destination)
+            {
+                self.forgotten.insert(destination);
+            }
         }
     }
 
+    /// The names of the endpoints of a bucket.
+    fn members_of(&self, bucket: BucketId) -> Vec<String> {
+        self.members.get(&bucket).into_iter().flatten().cloned().collect()
+    }
+
     /// Takes an entry in, if it is newer than what is known.
     fn apply_entry(&mut self, mut entry: EndpointEntry, line_version: Version, applied: &mut Applied) {
         if entry.version == Version(0) {
@@ -393,7 +401,7 @@
             Some(version) if entry.version == version => return self.counters.duplicate_entries += 1,
             _ => {}
         }
-        let in_scope = self.in_scope(entry.destination);
+        let in_scope = self.in_scope(&entry);
         if !in_scope || entry.state == EndpointState::Removed {
             applied.dropped.extend(self.take_entry(&entry.id));
             match in_scope {
@@ -412,11 +420,11 @@
         self.put_entry(entry, true);
     }
 
-    /// Whether entries of a destination are kept.
-    fn in_scope(&self, destination: u64) -> bool {
-        let bucket = self.layout.bucket_of(destination);
+    /// Whether an entry is kept.
+    fn in_scope(&self, entry: &EndpointEntry) -> bool {
+        let bucket = self.layout.bucket_of(&entry.zone, entry.destination);
         bucket.is_some_and(|bucket| self.buckets.contains_key(&bucket))
-            || self.cache.state(destination).is_some()
+            || self.cache.state(entry.destination).is_some()
     }
 
     fn kept_mut(&mut self, name: &str) -> Option<&mut Kept> {
@@ -425,41 +433,47 @@
     }
 
     pub(crate) fn put_entry(&mut self, entry: EndpointEntry, confirmed: bool) {
+        // It may have been in another zone or of another destination.
+        self.take_entry(&entry.id);
         let destination = entry.destination;
+        let bucket = self.layout.bucket_of(&entry.zone, destination);
         self.removed.remove(&entry.id);
         self.destination_of.insert(entry.id.clone(), destination);
-        if let Some(bucket) = self.layout.bucket_of(destination) {
-            self.members.entry(bucket).or_default().insert(destination);
+        if let Some(bucket) = bucket {
+            self.members.entry(bucket).or_default().insert(entry.id.clone());
         }
         let endpoints = self.destinations.entry(destination).or_default();
-        endpoints.insert(entry.id.clone(), Kept { entry, confirmed });
+        endpoints.insert(entry.id.clone(), Kept { entry, bucket, confirmed });
     }
 
     fn take_entry(&mut self, name: &str) -> Option<EndpointEntry> {
         let destination = self.destination_of.remove(name)?;
         let endpoints = self.destinations.get_mut(&destination)?;
-        let kept = endpoints.remove(name);
-        self.revision += 1;
+        let kept = endpoints.remove(name)?;
         if endpoints.is_empty() {
             self.destinations.remove(&destination);
-            self.leave_bucket(destination);
         }
-        kept.map(|kept| kept.entry)
+        self.revision += 1;
+        if let Some(bucket) = kept.bucket {
+            self.leave_bucket(bucket, name);
+        }
+        Some(kept.entry)
     }
 
-    fn leave_bucket(&mut self, destination: u64) {
-        let Some(bucket) = self.layout.bucket_of(destination) else { return };
+    fn leave_bucket(&mut self, bucket: BucketId, name: &str) {
         let Some(members) = self.members.get_mut(&bucket) else { return };
-        members.remove(&destination);
+        members.remove(name);
         if members.is_empty() {
             self.members.remove(&bucket);
         }
     }
 
-    /// Drops all entries of a destination.
+    /// Drops the entries of a destination, except those of buckets that are held.
     fn drop_destination(&mut self, destination: u64, applied: &mut Applied) {
+        let held = |kept: &Kept| kept.bucket.is_some_and(|bucket| self.buckets.contains_key(&bucket));
+        let endpoints = self.destinations.get(&destination).into_iter().flatten();
         let names: Vec<String> =
-            self.destinations.get(&destination).into_iter().flat_map(|e| e.keys().cloned()).collect();
+            endpoints.filter(|(_, kept)| !held(kept)).map(|(name, _)| name.clone()).collect();
         for name in names {
             applied.dropped.extend(self.take_entry(&name));
         }
@@ -511,10 +525,7 @@
         self.revision += 1;
         self.cache.remove(destination);
         self.forgotten.insert(destination);
-        let bucket = self.layout.bucket_of(destination);
-        if !bucket.is_some_and(|bucket| self.buckets.contains_key(&bucket)) {
-            self.drop_destination(destination, applied);
-        }
+        self.drop_destination(destination, applied);
     }
 
     /// The destinations that have to be looked up, by number.
@@ -556,6 +567,10 @@
             self.counters.refused_lines += 1;
             return Err(ScopedLineError::FullList);
         }
+        if line.log != self.log {
+            self.counters.refused_lines += 1;
+            return Err(ScopedLineError::OtherLog(line.log));
+        }
         let mut applied = Applied::default();
         for entry in line.servers {
             self.apply_entry(entry, line.version, &mut applied);
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -272,6 +272,7 @@
             Source::Scoped(source) => {
                 let address = source.servers.current();
                 let query = source.list.query(&source.dispatcher);
+                source.list.asked_anew();
                 let request = http::get(address, &format!("/api/targets?follow=1&{query}"));
                 (address, request, DocumentReader::Lines)
             }
