Watch: destinations that are not held are looked up, one request at a time

Cause: a scoped watch had no way to ask for a destination outside of its buckets (docs/configuration.md, "A destination that is not held"). Change: `Watch::want` has it asked for where the watch is served, with all that is wanted meanwhile in the next request; what gave way in the cache is named in `forget`. A lookup ends with its watch, since the next control process has to be asked. `ScopedList::adopt` takes in a list that comes from no control process, until the first line.

--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum WatchTimer {
     Reconnect,
+    LookUp,
     Conn(ConnId),
 }
 
@@ -79,6 +80,7 @@
     {
         let timer = match timer {
             WatchTimer::Reconnect => Timer::Reconnect,
+            WatchTimer::LookUp => Timer::LookUp,
             WatchTimer::Conn(conn) => match self.call_of(conn) {
                 Some(call) => Timer::Call(call),
                 None => return,
@@ -171,6 +173,7 @@
     fn key<K: From<WatchTimer>>(&self, timer: Timer) -> Option<K> {
         Some(K::from(match timer {
             Timer::Reconnect => WatchTimer::Reconnect,
+            Timer::LookUp => WatchTimer::LookUp,
             Timer::Call(call) => WatchTimer::Conn(self.conn_of(call)?),
         }))
     }
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -358,6 +358,7 @@
             },
             Due::Read(id) => self.ready(id),
             Due::Watch => hands.watch_timer(WatchTimer::Reconnect),
+            Due::LookUp => hands.watch_timer(WatchTimer::LookUp),
             Due::Notices => hands.notices_rested(),
             Due::Accept => drop(self.let_in()),
             Due::Leave => self.leave_on(),
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -52,12 +52,15 @@
     Adopt,
     /// The list of endpoints held out may have been written by a process beside this one.
     HeldOut,
+    /// Destinations are to be looked up again.
+    LookUp,
 }
 
 impl From<WatchTimer> for Due {
     fn from(timer: WatchTimer) -> Due {
         match timer {
             WatchTimer::Reconnect => Due::Watch,
+            WatchTimer::LookUp => Due::LookUp,
             WatchTimer::Conn(conn) => Due::Conn(conn),
         }
     }
--- a/watch/src/lib.rs
+++ b/watch/src/lib.rs
@@ -9,12 +9,13 @@
 pub mod call;
 pub mod cell_cache;
 pub mod documents;
+pub mod lookup;
 pub mod scoped_list;
 pub mod server_order;
 pub mod state_file;
 pub mod watch;
 
 pub use call::CallId;
-pub use scoped_list::{Applied, BucketMap, Knowledge, ListCounters, ScopedLineError, ScopedList};
+pub use scoped_list::{Applied, BucketMap, CacheFull, Knowledge, ListCounters, ScopedLineError, ScopedList};
 pub use state_file::StateFileError;
 pub use watch::{Command, Counters, Received, ScopedOptions, Timer, Watch};
--- a/watch/src/scoped_list.rs
+++ b/watch/src/scoped_list.rs
@@ -10,6 +10,8 @@
 
 /// How many destinations outside of a dispatcher's buckets are kept, unless it is told otherwise.
 pub const CACHE_DESTINATIONS: usize = 1_024;
+/// The most destinations that a control process tells beside a dispatcher's buckets; the cache is never larger.
+pub const MOST_CELLS: usize = 4_096;
 /// How many removed endpoints are remembered by their versions: what was asked for before a removal may be answered after it.
 const REMOVED_REMEMBERED: usize = 4_096;
 /// The most destinations that one request names in `forget`.
@@ -84,6 +86,10 @@
     Unknown,
 }
 
+/// There is no room for one more destination outside of the buckets: all that are cached are in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CacheFull;
+
 /// What has happened to the list, counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListCounters {
@@ -497,19 +503,39 @@
     }
 
     /// Has a destination looked up that is neither held nor cached. Where the cache is full the one used longest ago gives
-    /// way, of those that are not in use; what is dropped with it is answered.
-    pub fn want(&mut self, destination: u64, in_use: &dyn Fn(u64) -> bool) -> Applied {
+    /// way, of those that are not in use; what is dropped with it is answered. Where all are in use the cache grows, up to
+    /// [`MOST_CELLS`].
+    pub fn want(&mut self, destination: u64, in_use: &dyn Fn(u64) -> bool) -> Result<Applied, CacheFull> {
         let mut applied = Applied::default();
+        while self.cache.len() >= self.cache_destinations {
+            let Some(evicted) = self.cache.oldest_unused(in_use) else { break };
+            self.counters.evicted_destinations += 1;
+            self.forget_cell(evicted, &mut applied);
+        }
+        if self.cache.len() >= MOST_CELLS {
+            return Err(CacheFull);
+        }
         self.revision += 1;
         self.cache.touch(destination);
         self.forgotten.remove(&destination);
-        while self.cache.len() > self.cache_destinations {
-            let busy = |other: u64| other == destination || in_use(other);
-            let Some(evicted) = self.cache.oldest_unused(&busy) else { break };
-            self.counters.evicted_destinations += 1;
-            self.forget_cell(evicted, &mut applied);
+        Ok(applied)
+    }
+
+    /// Takes in a list that comes from no control process, as if it had been looked up: the first line of a watch drops what
+    /// it does not tell. As many destinations as the cache may hold.
+    pub fn adopt(&mut self, entries: impl IntoIterator<Item = EndpointEntry>) {
+        for entry in entries {
+            if self.cache.state(entry.destination).is_none() && self.cache.len() >= self.cache_destinations {
+                log::warn!(
+                    "configuration: endpoint {} is passed over, there are too many destinations",
+                    entry.id
+                );
+                continue;
+            }
+            self.cache.touch(entry.destination);
+            self.cache.mark_known(entry.destination);
+            self.put_entry(EndpointEntry { version: Version(0), ..entry }, false);
         }
-        applied
     }
 
     /// A destination that was wanted is so no longer, and was not told.
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -3,7 +3,8 @@
 use crate::backoff::{Backoff, FIRST_LINE_WITHIN, SILENT_FOR, UP_WITHIN};
 use crate::call::{Call, CallFailure, CallId, LineLimit, OverlongLine};
 use crate::documents::DocumentReader;
-use crate::scoped_list::{Applied, ScopedLineError, ScopedList};
+use crate::lookup::{ANSWER_WITHIN, DESTINATIONS_EACH, LookupCall, LookupRest};
+use crate::scoped_list::{Applied, CacheFull, ScopedLineError, ScopedList};
 use crate::server_order::ServerOrder;
 use bellsill_directory::line::LONGEST_LINE;
 use bellsill_net::ring::Ring;
@@ -29,6 +30,8 @@
     Reconnect,
     /// A call has had its time: to come up, to its first line, or to the next one.
     Call(CallId),
+    /// Destinations are to be looked up again, after a lookup has failed.
+    LookUp,
 }
 
 /// What the watch has done by whoever has the sockets.
@@ -48,11 +51,21 @@
 }
 
 /// What came of bytes that were received.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Received {
     /// Whole JSON documents, in their order.
     pub documents: Vec<Vec<u8>>,
     pub commands: Vec<Command>,
+    /// What a lookup has changed in the list of a scoped watch.
+    pub looked_up: Applied,
+}
+
+/// What came of a destination that is to be looked up.
+#[derive(Debug, Default, PartialEq)]
+pub struct Wanted {
+    /// What gave way to it.
+    pub applied: Applied,
+    pub commands: Vec<Command>,
 }
 
 /// Who watches, and the control processes that can be asked.
@@ -81,6 +94,9 @@
     pub refused: u64,
     /// Lines longer than [`LONGEST_SCOPED_LINE`].
     pub overlong_lines: u64,
+    /// Lookups made, and those of them that failed.
+    pub lookups: u64,
+    pub failed_lookups: u64,
 }
 
 /// The one discovery of a plain watch.
@@ -96,6 +112,10 @@
     dispatcher: String,
     servers: ServerOrder,
     list: ScopedList,
+    lookup: Option<LookupCall>,
+    lookup_rest: LookupRest,
+    /// A lookup has failed, and [`Timer::LookUp`] is set.
+    lookup_rests: bool,
 }
 
 enum Source {
@@ -120,9 +140,14 @@
 
     /// A watch on what one dispatcher keeps of the configuration, beginning from `list`.
     pub fn scoped(options: ScopedOptions, list: ScopedList) -> Watch {
-        let servers = ServerOrder::new(options.servers, options.seed);
-        let dispatcher = options.dispatcher;
-        Watch::new(Source::Scoped(Box::new(ScopedSource { dispatcher, servers, list })))
+        Watch::new(Source::Scoped(Box::new(ScopedSource {
+            dispatcher: options.dispatcher,
+            servers: ServerOrder::new(options.servers, options.seed),
+            list,
+            lookup: None,
+            lookup_rest: LookupRest::new(options.seed),
+            lookup_rests: false,
+        })))
     }
 
     fn new(source: Source) -> Watch {
@@ -177,6 +202,7 @@
             Source::Plain(_) => FIRST_LINE_WITHIN,
             Source::Scoped(_) => SCOPED_SILENT_FOR,
         };
+        // A lookup has one time for all of it.
         let Some(found) = self.calls.iter_mut().find(|c| c.id == call) else { return Vec::new() };
         found.connected = true;
         vec![Command::SetTimer(Timer::Call(call), now + wait)]
@@ -184,6 +210,9 @@
 
     /// A call has failed: it could not be made, its connection broke, or what it said cannot be used.
     pub fn broken(&mut self, now: Nanos, call: CallId) -> Vec<Command> {
+        if self.is_lookup(call) {
+            return self.lookup_failed(now);
+        }
         let Some(found) = self.calls.iter().find(|c| c.id == call) else { return Vec::new() };
         let (alive_at, late) = (found.alive_at, found.late);
         match found.serves {
@@ -191,6 +220,8 @@
             false => self.counters.failed += 1,
         }
         let mut commands = self.close_calls(|c| c.id == call);
+        // The next watch asks for what is known by now; what is not yet is looked up where that one is.
+        commands.extend(self.close_lookup());
         if !late {
             commands.push(self.reconnect_later(now, alive_at));
         }
@@ -200,7 +231,14 @@
     pub fn timer_fired(&mut self, now: Nanos, timer: Timer) -> Vec<Command> {
         match timer {
             Timer::Reconnect => self.connect(now),
+            Timer::Call(call) if self.is_lookup(call) => self.lookup_failed(now),
             Timer::Call(call) => self.call_overdue(now, call),
+            Timer::LookUp => {
+                if let Source::Scoped(source) = &mut self.source {
+                    source.lookup_rests = false;
+                }
+                self.look_up(now)
+            }
         }
     }
 
@@ -222,13 +260,16 @@
     /// Takes what was received on a call; `ended` says that nothing comes after it. The commands may be carried out before
     /// the documents are applied.
     pub fn received(&mut self, now: Nanos, call: CallId, input: &mut Ring, ended: bool) -> Received {
+        if self.is_lookup(call) {
+            return self.lookup_received(now, input, ended);
+        }
         let limit = self.line_limit();
         let Some(found) = self.calls.iter_mut().find(|c| c.id == call) else { return Received::default() };
         let read = match found.read(input, ended, limit) {
             Ok(read) => read,
             Err(failure) => {
                 self.count_failure(failure);
-                return Received { documents: Vec::new(), commands: self.broken(now, call) };
+                return Received { commands: self.broken(now, call), ..Received::default() };
             }
         };
         let documents = read.lines.iter().filter_map(|line| found.documents.line(line)).collect();
@@ -240,7 +281,20 @@
         if read.last {
             commands.extend(self.broken(now, call));
         }
-        Received { documents, commands }
+        Received { documents, commands, looked_up: Applied::default() }
+    }
+
+    /// Has a destination looked up that the list of a scoped watch has not; `in_use` says which of the cached ones must not
+    /// give way to it.
+    pub fn want(
+        &mut self,
+        now: Nanos,
+        destination: u64,
+        in_use: &dyn Fn(u64) -> bool,
+    ) -> Result<Wanted, CacheFull> {
+        let Source::Scoped(source) = &mut self.source else { return Ok(Wanted::default()) };
+        let applied = source.list.want(destination, in_use)?;
+        Ok(Wanted { applied, commands: self.look_up(now) })
     }
 
     /// A document of a plain watch has been applied, of that version.
@@ -324,9 +378,86 @@
         for found in &mut self.calls {
             (found.serves, found.late, found.alive_at) = (true, false, now);
         }
+        commands.extend(self.look_up(now));
+        commands
+    }
+
+    fn is_lookup(&self, call: CallId) -> bool {
+        match &self.source {
+            Source::Plain(_) => false,
+            Source::Scoped(source) => source.lookup.as_ref().is_some_and(|lookup| lookup.id == call),
+        }
+    }
+
+    /// Makes a lookup of what is wanted, where the watch is served and no other lookup is under way.
+    fn look_up(&mut self, now: Nanos) -> Vec<Command> {
+        let Some((_, address)) = self.serving() else { return Vec::new() };
+        let Source::Scoped(source) = &mut self.source else { return Vec::new() };
+        if source.lookup.is_some() || source.lookup_rests {
+            return Vec::new();
+        }
+        let destinations: Vec<u64> = source.list.pending().take(DESTINATIONS_EACH).collect();
+        if destinations.is_empty() {
+            return Vec::new();
+        }
+        let forget = source.list.to_forget();
+        let target = ScopedList::lookup_target(&source.dispatcher, &destinations, &forget);
+        let request = http::get(address, &target).into_bytes();
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.counters.lookups += 1;
+        source.lookup = Some(LookupCall::new(call, destinations, forget));
+        vec![
+            Command::Connect { call, address, request },
+            Command::SetTimer(Timer::Call(call), now + ANSWER_WITHIN),
+        ]
+    }
+
+    fn lookup_received(&mut self, now: Nanos, input: &mut Ring, ended: bool) -> Received {
+        let Source::Scoped(source) = &mut self.source else { return Received::default() };
+        let Some(lookup) = &mut source.lookup else { return Received::default() };
+        let line = match lookup.read(input, ended) {
+            Ok(Some(line)) => line,
+            Ok(None) => return Received::default(),
+            Err(failure) => {
+                log::debug!("configuration: a lookup failed: {failure:?}");
+                return Received { commands: self.lookup_failed(now), ..Received::default() };
+            }
+        };
+        let applied = source.list.apply_lookup(&lookup.destinations, line);
+        match applied {
+            Ok(looked_up) => {
+                source.list.forgot(&lookup.forget);
+                source.lookup_rest.answered();
+                let mut commands = self.close_lookup();
+                commands.extend(self.look_up(now));
+                Received { documents: Vec::new(), commands, looked_up }
+            }
+            Err(error) => {
+                log::warn!("configuration: the answer to a lookup was not taken: {error}");
+                Received { commands: self.lookup_failed(now), ..Received::default() }
+            }
+        }
+    }
+
+    /// The lookup under way has failed, and is made again after a rest.
+    fn lookup_failed(&mut self, now: Nanos) -> Vec<Command> {
+        self.counters.failed_lookups += 1;
+        let mut commands = self.close_lookup();
+        if let Source::Scoped(source) = &mut self.source {
+            source.lookup_rests = true;
+            let rest = source.lookup_rest.failed();
+            commands.push(Command::SetTimer(Timer::LookUp, now + rest));
+        }
         commands
     }
 
+    fn close_lookup(&mut self) -> Vec<Command> {
+        let Source::Scoped(source) = &mut self.source else { return Vec::new() };
+        let Some(lookup) = source.lookup.take() else { return Vec::new() };
+        vec![Command::ClearTimer(Timer::Call(lookup.id)), Command::Close(lookup.id)]
+    }
+
     fn close_calls(&mut self, which: impl Fn(&Call) -> bool) -> Vec<Command> {
         let mut commands = Vec::new();
         self.calls.retain(|call| {
--- a/watch/tests/calls.rs
+++ b/watch/tests/calls.rs
@@ -181,3 +181,98 @@
         assert_eq!(watch.counters().overlong_lines, 1);
     }
 }
+
+/// A scoped watch that is served, with the call and the address that serve it.
+fn served() -> (Watch, CallId, SocketAddr) {
+    let mut watch = scoped(1);
+    let (call, at, _) = begin(&mut watch);
+    let text = r#"{"version":4,"full":false,"log":"c0ffee","servers":[]}"#;
+    let received = receives(&mut watch, SECOND, call, &format!("{HEAD}{}", chunk(&format!("{text}\n"))));
+    watch.apply(&received.documents[0]).unwrap();
+    (watch, call, at)
+}
+
+fn lookup_answer(servers: &str) -> String {
+    let text = format!(r#"{{"version":4,"full":false,"log":"c0ffee","servers":[{servers}]}}"#);
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
+const ENTRY: &str = r#"{"id":"x","addr":"10.0.0.1:9000","zone":"z","kind":"k","cell":47,"state":"up","v":2}"#;
+
+fn nothing_in_use(_: u64) -> bool {
+    false
+}
+
+#[test]
+fn what_is_wanted_is_asked_for_where_the_watch_is_and_together() {
+    let (mut watch, _, at) = served();
+    let first = watch.want(SECOND, 47, &nothing_in_use).unwrap();
+    let (lookup, asked, request) = connects(&first.commands).unwrap();
+    assert_eq!(asked, at);
+    assert!(request.starts_with("GET /api/targets?dispatcher=d1&cells=47 HTTP/1.1\r\n"));
+    // What is wanted meanwhile waits for the answer, and is then asked for in one request.
+    assert!(watch.want(SECOND, 48, &nothing_in_use).unwrap().commands.is_empty());
+    assert!(watch.want(SECOND, 49, &nothing_in_use).unwrap().commands.is_empty());
+    let received = receives(&mut watch, SECOND, lookup, &lookup_answer(ENTRY));
+    assert_eq!(received.looked_up.changed.len(), 1);
+    assert!(received.commands.contains(&Command::Close(lookup)));
+    let (_, _, request) = connects(&received.commands).unwrap();
+    assert!(request.contains("&cells=48,49 "));
+}
+
+#[test]
+fn what_is_wanted_before_a_watch_is_served_is_asked_for_then() {
+    let mut watch = scoped(1);
+    let (call, ..) = begin(&mut watch);
+    assert!(watch.want(0, 47, &nothing_in_use).unwrap().commands.is_empty());
+    let received = receives(&mut watch, SECOND, call, &format!("{HEAD}{}", chunk("\n")));
+    assert!(connects(&received.commands).unwrap().2.contains("&cells=47 "));
+}
+
+#[test]
+fn a_lookup_that_fails_is_made_again_after_a_rest() {
+    let answers = [
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+    ];
+    for answer in answers {
+        let (mut watch, ..) = served();
+        let wanted = watch.want(SECOND, 47, &nothing_in_use).unwrap();
+        let (lookup, ..) = connects(&wanted.commands).unwrap();
+        let received = receives(&mut watch, SECOND, lookup, answer);
+        assert!(received.commands.contains(&Command::Close(lookup)));
+        let rested = timer(&received.commands, Timer::LookUp).unwrap();
+        assert!(watch.want(SECOND, 48, &nothing_in_use).unwrap().commands.is_empty(), "it rests");
+        let again = watch.timer_fired(rested, Timer::LookUp);
+        assert!(connects(&again).unwrap().2.contains("&cells=47,48 "));
+        assert_eq!((watch.counters().lookups, watch.counters().failed_lookups), (2, 1));
+    }
+}
+
+#[test]
+fn a_lookup_ends_with_its_watch_and_is_made_where_the_next_one_is() {
+    let (mut watch, call, at) = served();
+    let wanted = watch.want(SECOND, 47, &nothing_in_use).unwrap();
+    let (lookup, ..) = connects(&wanted.commands).unwrap();
+    let broken = watch.broken(SECOND, call);
+    assert!(broken.contains(&Command::Close(lookup)));
+    assert_eq!(receives(&mut watch, SECOND, lookup, &lookup_answer(ENTRY)), Received::default());
+    let rested = timer(&broken, Timer::Reconnect).unwrap();
+    let (next, elsewhere, request) = connects(&watch.timer_fired(rested, Timer::Reconnect)).unwrap();
+    assert!(elsewhere != at && !request.contains("cells"));
+    let received = receives(&mut watch, rested, next, &format!("{HEAD}{}", chunk("\n")));
+    let (_, asked, request) = connects(&received.commands).unwrap();
+    assert!(asked == elsewhere && request.contains("&cells=47 "));
+}
+
+#[test]
+fn what_gave_way_is_named_in_the_next_lookup() {
+    let (mut watch, ..) = served();
+    for destination in 41..=45 {
+        let wanted = watch.want(SECOND, destination, &nothing_in_use).unwrap();
+        let (lookup, _, request) = connects(&wanted.commands).unwrap();
+        assert_eq!(request.contains("&cells=45&forget=41 "), destination == 45, "{request}");
+        receives(&mut watch, SECOND, lookup, &lookup_answer(""));
+    }
+    assert!(watch.list().unwrap().to_forget().is_empty());
+}
--- a/watch/tests/scoped_list.rs
+++ b/watch/tests/scoped_list.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use bellsill_directory::line::{EndpointEntry, ScopedLine, Version};
+use bellsill_watch::scoped_list::MOST_CELLS;
 use bellsill_watch::{Knowledge, ScopedLineError, ScopedList, StateFileError};
 use common::*;
 use quickcheck::{Gen, QuickCheck};
@@ -32,7 +33,7 @@
     assert_eq!(empty_list(2).query("d1"), "since=0&dispatcher=d1");
     let mut list = started();
     assert_eq!(list.query("d1"), "since=5&log=c0ffee&dispatcher=d1&buckets=1");
-    list.want(47, &nothing_in_use);
+    list.want(47, &nothing_in_use).unwrap();
     assert_eq!(list.query("d1"), "since=5&log=c0ffee&dispatcher=d1&buckets=1", "it is not known yet");
     list.apply_lookup(&[47], answer(5, vec![entry("x", 47, 2)])).unwrap();
     assert_eq!(list.query("d1"), "since=5&log=c0ffee&dispatcher=d1&buckets=1&cells=47");
@@ -52,7 +53,7 @@
 #[test]
 fn a_removed_endpoint_does_not_come_back_by_an_answer_that_was_asked_for_before() {
     let mut list = started();
-    list.want(47, &nothing_in_use);
+    list.want(47, &nothing_in_use).unwrap();
     list.apply(line(9, vec![removed("x", 47, 9)])).unwrap();
     let late = list.apply_lookup(&[47], answer(8, vec![entry("x", 47, 8), entry("y", 47, 2)])).unwrap();
     assert_eq!(late.changed, [entry("y", 47, 2)]);
@@ -89,7 +90,7 @@
 #[test]
 fn another_log_begins_from_nothing_and_what_is_held_serves_until_it_is_told_anew() {
     let mut list = started();
-    list.want(47, &nothing_in_use);
+    list.want(47, &nothing_in_use).unwrap();
     list.apply_lookup(&[47], answer(5, vec![entry("x", 47, 4), entry("y", 47, 4)])).unwrap();
     let first = ScopedLine { log: "beef".into(), gained: buckets(&[1]), ..line(2, vec![entry("x", 47, 1)]) };
     list.apply(first).unwrap();
@@ -114,15 +115,15 @@
 fn the_destination_used_longest_ago_gives_way_unless_it_is_in_use() {
     let mut list = started();
     for destination in [41, 42] {
-        list.want(destination, &nothing_in_use);
+        list.want(destination, &nothing_in_use).unwrap();
         let name = format!("e{destination}");
         list.apply_lookup(&[destination], answer(5, vec![entry(&name, destination, 1)])).unwrap();
     }
     list.touch(41);
-    let evicted = list.want(43, &nothing_in_use);
+    let evicted = list.want(43, &nothing_in_use).unwrap();
     assert_eq!(evicted.dropped, [entry("e42", 42, 1)]);
     assert_eq!((list.to_forget(), list.cached()), (vec![42], 2));
-    let evicted = list.want(44, &|destination| destination == 41);
+    let evicted = list.want(44, &|destination| destination == 41).unwrap();
     assert!(evicted.dropped.is_empty(), "43 had no entries yet");
     assert_eq!(list.knowledge(41), Knowledge::Cached);
     let target = ScopedList::lookup_target("d1", &[44], &list.to_forget());
@@ -141,11 +142,11 @@
     assert_eq!(list.knowledge(11), Knowledge::Held);
     assert_eq!(list.knowledge(19), Knowledge::Unknown, "it may be of another region");
     assert_eq!(list.knowledge(47), Knowledge::Unknown);
-    list.want(47, &nothing_in_use);
+    list.want(47, &nothing_in_use).unwrap();
     assert_eq!(list.knowledge(47), Knowledge::Pending);
     list.apply_lookup(&[47], answer(5, vec![])).unwrap();
     assert_eq!(list.knowledge(47), Knowledge::Cached);
-    list.want(48, &nothing_in_use);
+    list.want(48, &nothing_in_use).unwrap();
     list.apply_lookup(&[48], answer(5, vec![entry("p", 48, 3)])).unwrap();
     list.apply(ScopedLine { gained: buckets(&[4]), ..line(6, vec![]) }).unwrap();
     list.apply(ScopedLine { filled: buckets(&[4]), ..line(6, vec![entry("p", 48, 3)]) }).unwrap();
@@ -153,10 +154,28 @@
     assert_eq!(list.to_forget(), [48]);
 }
 
+#[test]
+fn with_all_in_use_the_cache_grows_as_far_as_a_control_process_tells() {
+    let mut list = started();
+    let grown = (100..).take_while(|destination| list.want(*destination, &|_| true).is_ok()).count();
+    assert_eq!((grown, list.cached()), (MOST_CELLS, MOST_CELLS));
+    assert!(list.want(9_999, &nothing_in_use).is_ok() && list.cached() == 2);
+}
+
+#[test]
+fn a_list_of_no_control_process_serves_until_the_first_line() {
+    let mut list = empty_list(2);
+    list.adopt([entry("x", 47, 3), entry("y", 47, 0), entry("z", 48, 0), entry("w", 49, 0)]);
+    assert_eq!(names(&list), ["x", "y", "z"], "the cache has room for two destinations");
+    assert_eq!(list.query("d1"), "since=0&dispatcher=d1&cells=47,48");
+    let first = list.apply(ScopedLine { log: "c0ffee".into(), ..line(2, vec![entry("y", 47, 1)]) }).unwrap();
+    assert_eq!((first.dropped.len(), names(&list)), (3, vec!["y"]));
+}
+
 #[test]
 fn an_answer_of_another_log_than_the_watch_s_is_refused() {
     let mut list = started();
-    list.want(47, &nothing_in_use);
+    list.want(47, &nothing_in_use).unwrap();
     let other = ScopedLine { log: "beef".into(), ..line(5, vec![entry("x", 47, 4)]) };
     assert!(matches!(list.apply_lookup(&[47], other), Err(ScopedLineError::OtherLog(_))));
     assert_eq!((list.knowledge(47), list.counters().refused_lines), (Knowledge::Pending, 1));
@@ -165,9 +184,9 @@
 #[test]
 fn a_saved_list_is_the_same_after_a_restart() {
     let mut list = started();
-    list.want(47, &nothing_in_use);
+    list.want(47, &nothing_in_use).unwrap();
     list.apply_lookup(&[47], answer(5, vec![entry("x", 47, 4)])).unwrap();
-    list.want(48, &nothing_in_use);
+    list.want(48, &nothing_in_use).unwrap();
     let bytes = list.to_bytes("d1");
     let again = ScopedList::from_bytes(&bytes, "d1", Arc::new(TensLayout), 2).unwrap();
     assert_eq!((names(&again), again.query("d1")), (names(&list), list.query("d1")));
