Endpoints by destination and by name, each found at once

Cause: `Endpoints::serve` looked through all rows for each message handed in, `forget` through all names for each endpoint forgotten, and an update of the list through all endpoints (endpoints.rs). A dispatcher that knows many destinations paid for all of them with each message. Change: a count of endpoints by destination; a row holds its name; an update touches the endpoints that it names, a whole list all.

--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -12,6 +12,8 @@
 use std::ops::{Index, IndexMut};
 
 pub struct Endpoint {
+    /// Its name in the list; empty once it is forgotten.
+    name: String,
     pub addr: SocketAddr,
     pub zone: String,
     pub serving: bool,
@@ -27,6 +29,8 @@
     /// Rows of endpoints that are forgotten, for the next ones.
     free: Vec<EndpointId>,
     by_name: BTreeMap<String, EndpointId>,
+    /// How many endpoints are known of each destination.
+    by_destination: BTreeMap<u64, usize>,
     /// The connects that connections carry or rise for.
     pub calls: BTreeMap<ConnId, MailSlot>,
     /// Answers to calls that have begun to come.
@@ -66,8 +70,15 @@
         if let Some(id) = self.find(name) {
             return id;
         }
-        let destination = Some(destination);
-        let row = Endpoint { addr, zone: zone.to_string(), serving: false, destination, idle: vec![] };
+        *self.by_destination.entry(destination).or_default() += 1;
+        let row = Endpoint {
+            name: name.to_string(),
+            addr,
+            zone: zone.to_string(),
+            serving: false,
+            destination: Some(destination),
+            idle: vec![],
+        };
         let id = match self.free.pop() {
             Some(id) => {
                 self[id] = row;
@@ -85,14 +96,25 @@
     /// Endpoints come under new names for as long as a dispatcher runs: one that the decisions have forgotten gives its
     /// row to the next one.
     pub fn forget(&mut self, id: EndpointId) {
-        self.by_name.retain(|_, known| *known != id);
-        self[id].destination = None;
+        let name = std::mem::take(&mut self[id].name);
+        self.by_name.remove(&name);
+        if let Some(destination) = self[id].destination.take() {
+            self.forget_one_of(destination);
+        }
         self.free.push(id);
     }
 
+    fn forget_one_of(&mut self, destination: u64) {
+        let Some(known) = self.by_destination.get_mut(&destination) else { return };
+        *known -= 1;
+        if *known == 0 {
+            self.by_destination.remove(&destination);
+        }
+    }
+
     /// Whether any endpoint is known of that destination, gone ones too: news of the next one may be late.
     pub fn serve(&self, destination: u64) -> bool {
-        self.rows.iter().any(|row| row.destination == Some(destination))
+        self.by_destination.contains_key(&destination)
     }
 
     pub fn find(&self, name: &str) -> Option<EndpointId> {
@@ -357,13 +379,14 @@
         hands.discovery.told(list.version);
         // By their ids: asked of each endpoint, a list of thousands would stop all else for seconds.
         let told: BTreeMap<EndpointId, bool> = entries.iter().map(|e| (e.endpoint, e.serving)).collect();
-        for id in hands.endpoints.ids() {
-            let serving = told.get(&id).copied().unwrap_or(hands.endpoints[id].serving && !list.whole);
-            hands.endpoints[id].serving = serving;
-            if !serving {
-                hands.hang_up(id);
+        if list.whole {
+            for id in hands.endpoints.ids().filter(|id| !told.contains_key(id)) {
+                hands.set_serving(id, false);
             }
         }
+        for (id, serving) in told {
+            hands.set_serving(id, serving);
+        }
         // Held out by hand, whatever the list says: the decisions know before they hear of it.
         let held: Vec<EndpointId> =
             hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
@@ -404,6 +427,14 @@
         }))
     }
 
+    /// Whether an endpoint takes mails; the idle connections to one that does not are closed.
+    fn set_serving(&mut self, endpoint: EndpointId, serving: bool) {
+        self.endpoints[endpoint].serving = serving;
+        if !serving {
+            self.hang_up(endpoint);
+        }
+    }
+
     /// An endpoint listens elsewhere from now on.
     fn move_endpoint(&mut self, endpoint: EndpointId, addr: SocketAddr) {
         self.hang_up(endpoint);
