A connection of a call that was out while its endpoint moved is closed after the call

Cause: found by a trial of the scoped watch: an endpoint's address changed while a call was out; `Hands::pool` (endpoints.rs) kept the call's connection for the next one, and with one message after another all went on to the old address. `entry` closes idle and rising connections only. Change: a connection knows where it was opened to, and is kept only while its endpoint is there.

--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -49,6 +49,8 @@
 pub struct Conn {
     stream: TcpStream,
     pub role: Role,
+    /// Where it was opened to; none where the other side came.
+    pub opened_to: Option<SocketAddr>,
     pub input: Ring,
     pub output: Ring,
     /// Its handshake is still out.
@@ -275,7 +277,9 @@
             }
             _ => {}
         }
-        self.admit(socket.into(), role, bounds, true)
+        let id = self.admit(socket.into(), role, bounds, true)?;
+        self.get_mut(id).into_iter().for_each(|conn| conn.opened_to = Some(to));
+        Ok(id)
     }
 
     fn admit(
@@ -291,6 +295,7 @@
         let id = self.slots.add(|_| Conn {
             stream,
             role,
+            opened_to: None,
             input: Ring::new(bounds.0),
             output: Ring::new(bounds.1),
             rising,
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -166,7 +166,10 @@
     pub fn pool(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get(id) else { return };
         let Role::Endpoint(endpoint) = conn.role else { return };
-        if conn.ended || !conn.input.is_empty() || !self.endpoints[endpoint].serving {
+        let row = &self.endpoints[endpoint];
+        // An endpoint that has moved while the call was out is elsewhere now.
+        let there = conn.opened_to == Some(row.addr);
+        if conn.ended || !conn.input.is_empty() || !row.serving || !there {
             self.conns.close(id);
             return;
         }
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -63,6 +63,29 @@
     assert_eq!(first.calls().len(), 0);
 }
 
+/// Seen with a scoped configuration: the connection of a call that was out when its endpoint moved was kept for the next call,
+/// and with one message after another all went to the old address.
+#[test]
+fn the_connection_of_a_call_that_was_out_while_its_endpoint_moved_is_not_used_again() {
+    let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), Endpoint::start(OK));
+    let mut rig = Rig::new(&[]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    rig.json["known"]["servers"] = vec![up("e0", &old.local_addr().unwrap().to_string(), 7)].into();
+    rig.start();
+    let mut client = rig.client();
+    client.mail("notice", 7, 8000, "out");
+    let mut out = accept(&old);
+    request(&mut out).unwrap();
+    let moved = vec![new.entry("e0", 7, "up"), new.entry("e1", 8, "up")];
+    rig.platform.tell(&format!("{}\n", json!({"version": 5, "full": false, "servers": moved})));
+    wait_for("the list", || rig.figure("members") == 2);
+    out.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+    let mut end = [0];
+    assert_eq!(out.read(&mut end).unwrap(), 0, "it is closed, and nothing more comes on it");
+    client.mail("notice", 7, 8000, "after");
+    wait_for("the message at the new address", || new.calls().len() == 1);
+}
+
 #[test]
 fn a_watch_that_falls_silent_is_asked_for_anew_from_where_it_was() {
     let mut rig = Rig::new(&[]);
