--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoints: their connections, idle ones kept for the next call, and the calls on them.
 
 use crate::conns::{ConnId, Role};
+use crate::endpoint_list::{self, EndpointList, ListedEndpoint};
 use crate::event_loop::Daemon;
 use crate::http::{self, Head};
 use crate::mails::{Due, Hands, MailSlot};
@@ -11,6 +12,8 @@
 use std::ops::{Index, IndexMut};
 
 pub struct Endpoint {
+    /// Its name in the list; empty once it is forgotten.
+    name: String,
     pub addr: SocketAddr,
     pub zone: String,
     pub serving: bool,
@@ -26,6 +29,8 @@
     /// Rows of endpoints that are forgotten, for the next ones.
     free: Vec<EndpointId>,
     by_name: BTreeMap<String, EndpointId>,
+    /// How many endpoints are known of each destination.
+    by_destination: BTreeMap<u64, usize>,
     /// The connects that connections carry or rise for.
     pub calls: BTreeMap<ConnId, MailSlot>,
     /// Answers to calls that have begun to come.
@@ -65,8 +70,15 @@
         if let Some(id) = self.find(name) {
             return id;
         }
-        let destination = Some(destination);
-        let row = Endpoint { addr, zone: zone.to_string(), serving: false, destination, idle: vec![] };
+        *self.by_destination.entry(destination).or_default() += 1;
+        let row = Endpoint {
+            name: name.to_string(),
+            addr,
+            zone: zone.to_string(),
+            serving: false,
+            destination: Some(destination),
+            idle: vec![],
+        };
         let id = match self.free.pop() {
             Some(id) => {
                 self[id] = row;
@@ -84,14 +96,25 @@
     /// Endpoints come under new names for as long as a dispatcher runs: one that the decisions have forgotten gives its
     /// row to the next one.
     pub fn forget(&mut self, id: EndpointId) {
-        self.by_name.retain(|_, known| *known != id);
-        self[id].destination = None;
+        let name = std::mem::take(&mut self[id].name);
+        self.by_name.remove(&name);
+        if let Some(destination) = self[id].destination.take() {
+            self.forget_one_of(destination);
+        }
         self.free.push(id);
     }
 
+    fn forget_one_of(&mut self, destination: u64) {
+        let Some(known) = self.by_destination.get_mut(&destination) else { return };
+        *known -= 1;
+        if *known == 0 {
+            self.by_destination.remove(&destination);
+        }
+    }
+
     /// Whether any endpoint is known of that destination, gone ones too: news of the next one may be late.
     pub fn serve(&self, destination: u64) -> bool {
-        self.rows.iter().any(|row| row.destination == Some(destination))
+        self.by_destination.contains_key(&destination)
     }
 
     pub fn find(&self, name: &str) -> Option<EndpointId> {
@@ -143,7 +166,10 @@
     pub fn pool(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get(id) else { return };
         let Role::Endpoint(endpoint) = conn.role else { return };
-        if conn.ended || !conn.input.is_empty() || !self.endpoints[endpoint].serving {
+        let row = &self.endpoints[endpoint];
+        // An endpoint that has moved while the call was out is elsewhere now.
+        let there = conn.opened_to == Some(row.addr);
+        if conn.ended || !conn.input.is_empty() || !row.serving || !there {
             self.conns.close(id);
             return;
         }
@@ -341,3 +367,87 @@
         }
     }
 }
+
+impl Daemon {
+    /// Applies a list, whole or of changes.
+    pub fn apply_list(&mut self, list: &EndpointList) {
+        let hands = &mut self.hands;
+        let mut entries = Vec::with_capacity(list.endpoints.len());
+        for listed in &list.endpoints {
+            match hands.entry(listed) {
+                Ok(entry) => entries.extend(entry),
+                Err(what) => endpoint_list::warn_of_entry(what),
+            }
+        }
+        hands.discovery.told(list.version);
+        // By their ids: asked of each endpoint, a list of thousands would stop all else for seconds.
+        let told: BTreeMap<EndpointId, bool> = entries.iter().map(|e| (e.endpoint, e.serving)).collect();
+        if list.whole {
+            for id in hands.endpoints.ids().filter(|id| !told.contains_key(id)) {
+                hands.set_serving(id, false);
+            }
+        }
+        for (id, serving) in told {
+            hands.set_serving(id, serving);
+        }
+        // Held out by hand, whatever the list says: the decisions know before they hear of it.
+        let held: Vec<EndpointId> =
+            hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
+        for id in held {
+            self.dispatcher.hold_out(hands.now, id, true, hands);
+        }
+        let scope = if list.whole { ListScope::Whole } else { ListScope::Update };
+        self.dispatcher.list_news(hands.now, scope, &entries, hands);
+    }
+}
+
+impl Hands {
+    /// What the decisions are told of a listed endpoint; nothing of one that never served and does not now, since nothing
+    /// hangs on it. Else the field that cannot be read.
+    fn entry(&mut self, listed: &ListedEndpoint) -> Result<Option<ListEntry>, &'static str> {
+        let known = self.endpoints.find(&listed.name);
+        let addr = match (listed.addr, known) {
+            (Some(addr), _) => addr,
+            (None, Some(id)) if !listed.serving => self.endpoints[id].addr,
+            _ => return Err("addr"),
+        };
+        if known.is_none() && !listed.serving {
+            return Ok(None);
+        }
+        let endpoint = self.endpoints.know(&listed.name, addr, &listed.zone, listed.destination);
+        if self.endpoints[endpoint].addr != addr {
+            self.move_endpoint(endpoint, addr);
+        }
+        let names = self.discovery.names();
+        let find = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        Ok(Some(ListEntry {
+            endpoint,
+            destination: DestinationId(listed.destination),
+            zone: ZoneId(find(&names.zones, &listed.zone)),
+            kind: KindId(find(&names.kinds, &listed.kind)),
+            serving: listed.serving,
+            rate: listed.rate,
+        }))
+    }
+
+    /// Whether an endpoint takes mails; the idle connections to one that does not are closed.
+    fn set_serving(&mut self, endpoint: EndpointId, serving: bool) {
+        self.endpoints[endpoint].serving = serving;
+        if !serving {
+            self.hang_up(endpoint);
+        }
+    }
+
+    /// An endpoint listens elsewhere from now on.
+    fn move_endpoint(&mut self, endpoint: EndpointId, addr: SocketAddr) {
+        self.hang_up(endpoint);
+        self.endpoints[endpoint].addr = addr;
+        // What still comes up at the old address would be somebody else's by then.
+        let rises =
+            |id: &ConnId| self.conns.get(*id).is_some_and(|c| c.rising && c.role == Role::Endpoint(endpoint));
+        let calls = self.endpoints.calls.iter().filter(|(id, _)| rises(id));
+        for slot in calls.map(|(_, slot)| *slot).collect::<Vec<_>>() {
+            self.break_call(slot, Outcome::Unsent(false));
+        }
+    }
+}
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -3,7 +3,7 @@
 
 use crate::conns::{ConnId, Conns};
 use crate::deadlines::Deadlines;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, WatchIo, WatchTimer};
 use crate::endpoints::Endpoints;
 use crate::event_loop::Daemon;
 use crate::mail_journal::{Ending, KeptConnect, KeptMail, MailJournal};
@@ -52,6 +52,18 @@
     Adopt,
     /// The list of endpoints held out may have been written by a process beside this one.
     HeldOut,
+    /// Destinations are to be looked up again.
+    LookUp,
+}
+
+impl From<WatchTimer> for Due {
+    fn from(timer: WatchTimer) -> Due {
+        match timer {
+            WatchTimer::Reconnect => Due::Watch,
+            WatchTimer::LookUp => Due::LookUp,
+            WatchTimer::Conn(conn) => Due::Conn(conn),
+        }
+    }
 }
 
 /// Where a mail stands.
@@ -127,6 +139,18 @@
 }
 
 impl Hands {
+    /// The watch, and what it works with.
+    pub fn watch(&mut self) -> (&mut Discovery, WatchIo<'_, Due>) {
+        let io = WatchIo { now: self.now, conns: &mut self.conns, deadlines: &mut self.deadlines };
+        (&mut self.discovery, io)
+    }
+
+    /// A deadline of the watch has come.
+    pub fn watch_timer(&mut self, timer: WatchTimer) {
+        let (discovery, mut io) = self.watch();
+        discovery.timer_fired(&mut io, timer);
+    }
+
     /// Holds a mail that is new to the journal. False: there is no room.
     fn take(&mut self, mail: KeptMail) -> bool {
         if self.journal.taken(&mail).is_err() {
