The decisions in thirteen files of one job each, their records in src/state/

Change: src/control/ has mod.rs, admission, discovery, endings, idle, outcomes, pacing, ranking, sending, suspension, suspicion, timeouts and wakes, each with its own constants; src/state/ holds the records. Functions that got the clock beside a dispatcher that has it take it from there. Nothing is decided otherwise. deploy/balancer.toml lists the files; design, README and the other pages name them.

Formatter, linter and all tests pass.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod chance;
 pub mod control;
 pub mod interface;
+mod state;
