Directory: the configuration's state, its records, and what each watcher is told

Cause: docs/configuration.md describes the watch, directory/ had only the types of its lines (directory/src/line.rs). A control process needs the state behind them, found by endpoint, destination and bucket, and one cursor for each watcher that never goes back. Ruled out: a log of changes for resuming dispatchers (an entry has the version that made it so: the entries of the watcher's buckets after `since` are the changes, and only removals have to be remembered); asking every watcher at each change (found by the bucket's holders and by the destinations looked up).

--- /dev/null
+++ b/directory/src/entry.rs
@@ -0,0 +1,121 @@
+//! One endpoint of the configuration, checked: what records hold and lines tell.
+
+use crate::line::{EndpointEntry, EndpointState, Version};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The longest name of an endpoint, a zone or a kind.
+pub const LONGEST_NAME: usize = 128;
+/// The longest name of a dispatcher.
+pub const LONGEST_MEMBER_NAME: usize = 64;
+/// The heaviest weight that makes sense.
+pub const HEAVIEST_WEIGHT: f64 = 1e9;
+/// An upper bound on what an entry takes on a line beside its names: field names, punctuation and numbers.
+const BYTES_BESIDE_NAMES: usize = 200;
+
+/// An endpoint of a destination, without the version that made it so.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Endpoint {
+    pub id: String,
+    pub address: Option<SocketAddr>,
+    pub zone: String,
+    pub kind: String,
+    pub destination: u64,
+    pub state: EndpointState,
+    pub weight: Option<f64>,
+}
+
+/// Why an entry is not taken.
+#[derive(Clone, Debug, PartialEq)]
+pub enum InvalidEntry {
+    /// The named field is no name: empty, too long, or with characters other than visible ASCII.
+    Name(&'static str),
+    /// The address is not one such as `10.0.0.1:9000`.
+    Address(String),
+    /// An endpoint that is not removed has no address.
+    AddressMissing,
+    Weight(f64),
+}
+
+impl std::fmt::Display for InvalidEntry {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            InvalidEntry::Name(field) => {
+                write!(f, "{field}: expected 1 to {LONGEST_NAME} visible ASCII characters without quotes")
+            }
+            InvalidEntry::Address(address) => {
+                write!(f, "addr: expected an address such as 10.0.0.1:9000, not {address:?}")
+            }
+            InvalidEntry::AddressMissing => {
+                write!(f, "addr: expected an address, as the state is not removed")
+            }
+            InvalidEntry::Weight(weight) => {
+                write!(f, "weight: expected a number from 0 to {HEAVIEST_WEIGHT}, not {weight}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for InvalidEntry {}
+
+/// Whether this can be a name: it needs no escaping in JSON or in a request, so its length on a line is known.
+pub fn is_name(name: &str) -> bool {
+    let visible = |byte: u8| byte.is_ascii_graphic() && byte != b'"' && byte != b'\\';
+    (1..=LONGEST_NAME).contains(&name.len()) && name.bytes().all(visible)
+}
+
+/// Whether this can be the name of a dispatcher: it stands in requests as it is.
+pub fn is_member_name(name: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    (1..=LONGEST_MEMBER_NAME).contains(&name.len()) && name.bytes().all(plain)
+}
+
+impl TryFrom<EndpointEntry> for Endpoint {
+    type Error = InvalidEntry;
+
+    fn try_from(entry: EndpointEntry) -> Result<Endpoint, InvalidEntry> {
+        for (field, name) in [("id", &entry.id), ("zone", &entry.zone), ("kind", &entry.kind)] {
+            if !is_name(name) {
+                return Err(InvalidEntry::Name(field));
+            }
+        }
+        if let Some(weight) = entry.weight.filter(|weight| !(0.0..=HEAVIEST_WEIGHT).contains(weight)) {
+            return Err(InvalidEntry::Weight(weight));
+        }
+        let address = match entry.addr {
+            Some(text) => Some(text.parse().map_err(|_| InvalidEntry::Address(text))?),
+            None if entry.state == EndpointState::Removed => None,
+            None => return Err(InvalidEntry::AddressMissing),
+        };
+        Ok(Endpoint {
+            id: entry.id,
+            address,
+            zone: entry.zone,
+            kind: entry.kind,
+            destination: entry.destination,
+            state: entry.state,
+            weight: entry.weight,
+        })
+    }
+}
+
+impl Endpoint {
+    /// The entry of a line, with the version of the change that made the endpoint what it is.
+    pub fn into_entry(self, version: Version) -> EndpointEntry {
+        EndpointEntry {
+            id: self.id,
+            addr: self.address.map(|address| address.to_string()),
+            zone: self.zone,
+            kind: self.kind,
+            destination: self.destination,
+            state: self.state,
+            weight: self.weight,
+            version,
+        }
+    }
+}
+
+/// An upper bound on the bytes that the entry takes on a line.
+pub fn longest_on_line(entry: &EndpointEntry) -> usize {
+    BYTES_BESIDE_NAMES + entry.id.len() + entry.zone.len() + entry.kind.len()
+}
--- /dev/null
+++ b/directory/src/feed.rs
@@ -0,0 +1,172 @@
+//! What one watcher is told: a cursor over the configuration that yields the lines to write next.
+
+use crate::line::Version;
+use crate::member_scope::MemberScope;
+use crate::pace::{Nanos, PaceLimits, TokenBucket};
+use crate::request::{RequestedScope, WatchRequest};
+use crate::state::Directory;
+use crate::whole_scope::WholeScope;
+use serde::Serialize;
+
+/// An empty line comes after so long without another one.
+pub const EMPTY_LINE_AFTER: Nanos = 500_000_000;
+/// A watcher that nothing concerns is told the current version this often, so that its `since` stays in memory.
+pub const VERSION_TOLD_EVERY: Nanos = 5_000_000_000;
+/// What fillings take of a dispatcher's network, unless configured otherwise: its budget for configuration is 17 KB/s.
+pub const FILL_PACE: PaceLimits = PaceLimits { bytes_per_second: 8 * 1024, burst_bytes: 16 * 1024 };
+/// What the transfer to another control process takes.
+pub const TRANSFER_PACE: PaceLimits =
+    PaceLimits { bytes_per_second: 8 * 1024 * 1024, burst_bytes: 1024 * 1024 };
+
+/// What a line is for; figures count them apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineKind {
+    Change,
+    Filling,
+    Empty,
+}
+
+/// A line to write, its end included.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FeedLine {
+    pub kind: LineKind,
+    pub bytes: Vec<u8>,
+}
+
+/// The cursor of one watcher.
+pub struct Feed {
+    /// A watcher that knows more than this process waits until it has caught up.
+    waiting: Option<WatchRequest>,
+    pub(crate) scope: Scope,
+    pace: TokenBucket,
+    last_line: Nanos,
+    last_version_line: Nanos,
+}
+
+/// What a watcher is told of, and how far.
+pub(crate) enum Scope {
+    Member(Box<MemberScope>),
+    Whole(WholeScope),
+}
+
+impl Feed {
+    /// Begins with what the request says is known.
+    pub fn start(request: WatchRequest, directory: &Directory, fill_pace: PaceLimits, now: Nanos) -> Feed {
+        let scope = Scope::start(&request, directory);
+        let limits = match scope {
+            Scope::Member(_) => fill_pace,
+            Scope::Whole(_) => TRANSFER_PACE,
+        };
+        let ahead = request.log.as_ref() == Some(directory.log()) && request.since > directory.version();
+        Feed {
+            waiting: Some(request).filter(|_| ahead),
+            scope,
+            pace: TokenBucket::new(limits, now),
+            last_line: now,
+            last_version_line: now,
+        }
+    }
+
+    /// Whether the watcher knows more than this process has.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.is_some()
+    }
+
+    /// The next line to write, where there is one now. Changes come first, fillings when all changes have been told, and
+    /// an empty line when there was nothing for a while.
+    pub fn next_line(&mut self, directory: &Directory, now: Nanos) -> Option<FeedLine> {
+        self.end_waiting(directory);
+        let line = self.next_news(directory, now).or_else(|| self.empty_line(directory, now))?;
+        self.last_line = now;
+        Some(line)
+    }
+
+    fn end_waiting(&mut self, directory: &Directory) {
+        let reached = |request: &WatchRequest| request.since <= directory.version();
+        if self.waiting.as_ref().is_some_and(reached)
+            && let Some(request) = self.waiting.take()
+        {
+            self.scope = Scope::start(&request, directory);
+        }
+    }
+
+    fn next_news(&mut self, directory: &Directory, now: Nanos) -> Option<FeedLine> {
+        if self.is_waiting() {
+            return None;
+        }
+        if let Some(bytes) = self.scope.next_changes(directory) {
+            self.last_version_line = now;
+            return Some(FeedLine { kind: LineKind::Change, bytes });
+        }
+        if !self.pace.is_open(now) {
+            return None;
+        }
+        let bytes = self.scope.next_filling(directory)?;
+        self.pace.take(bytes.len());
+        self.last_version_line = now;
+        Some(FeedLine { kind: LineKind::Filling, bytes })
+    }
+
+    fn empty_line(&mut self, directory: &Directory, now: Nanos) -> Option<FeedLine> {
+        if now < self.last_line + EMPTY_LINE_AFTER {
+            return None;
+        }
+        let version_due = now >= self.last_version_line + VERSION_TOLD_EVERY;
+        if version_due && !self.is_waiting() && self.scope.told() < directory.version() {
+            self.last_version_line = now;
+            return Some(FeedLine { kind: LineKind::Change, bytes: self.scope.version_line(directory) });
+        }
+        Some(FeedLine { kind: LineKind::Empty, bytes: b"\n".to_vec() })
+    }
+}
+
+impl Scope {
+    fn start(request: &WatchRequest, directory: &Directory) -> Scope {
+        match &request.scope {
+            RequestedScope::Member { name, buckets, cells } => {
+                let known = directory.remembers(request.log.as_ref(), request.since);
+                let same_log = request.log.as_ref() == Some(directory.log());
+                let since = if same_log { request.since } else { Version(0) };
+                let scope = MemberScope::start(name, since, known, buckets, cells, directory);
+                Scope::Member(Box::new(scope))
+            }
+            RequestedScope::Whole => {
+                Scope::Whole(WholeScope::start(request.log.as_ref(), request.since, directory))
+            }
+        }
+    }
+
+    fn told(&self) -> Version {
+        match self {
+            Scope::Member(scope) => scope.told(),
+            Scope::Whole(scope) => scope.told(),
+        }
+    }
+
+    fn next_changes(&mut self, directory: &Directory) -> Option<Vec<u8>> {
+        match self {
+            Scope::Member(scope) => scope.next_changes(directory).map(|line| encode(&line)),
+            Scope::Whole(scope) => scope.next_changes(directory).map(|line| encode(&line)),
+        }
+    }
+
+    fn next_filling(&mut self, directory: &Directory) -> Option<Vec<u8>> {
+        match self {
+            Scope::Member(scope) => scope.next_filling(directory).map(|line| encode(&line)),
+            Scope::Whole(scope) => scope.next_piece(directory).map(|line| encode(&line)),
+        }
+    }
+
+    fn version_line(&mut self, directory: &Directory) -> Vec<u8> {
+        match self {
+            Scope::Member(scope) => encode(&scope.version_line(directory)),
+            Scope::Whole(scope) => encode(&scope.version_line(directory)),
+        }
+    }
+}
+
+fn encode(line: &impl Serialize) -> Vec<u8> {
+    let mut bytes = serde_json::to_vec(line).expect("lines have no maps");
+    bytes.push(b'\n');
+    bytes
+}
--- /dev/null
+++ b/directory/src/snapshot.rs
@@ -0,0 +1,152 @@
+//! The whole configuration as a snapshot keeps it: parts, each encoded by itself, from a first one to a last one.
+
+use crate::line::EndpointEntry;
+use crate::record::{self, InvalidRecord};
+use crate::state::{ApplyError, Directory, Keeping, Restore, RestorePoint};
+use bellsill_placement::{AssignmentTable, Layout, Member};
+use serde::{Deserialize, Serialize};
+
+/// The format of the parts; another one gets another number.
+const FORMAT: u32 = 1;
+/// The most endpoints in one part.
+const MOST_ENDPOINTS_IN_PART: usize = 1000;
+
+/// One part of a snapshot.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SnapshotPart {
+    /// The first part.
+    Head { format: u32, point: RestorePoint, layout: Layout },
+    /// All members, then the assignment of buckets to them.
+    Members { members: Vec<Member>, table: AssignmentTable },
+    /// Some endpoints, with the versions that made them so.
+    Endpoints(Vec<EndpointEntry>),
+    /// The last part.
+    End { endpoints: usize },
+}
+
+/// Why a snapshot cannot be taken; nothing of it is in force.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SnapshotError {
+    Part(InvalidRecord),
+    UnknownFormat(u32),
+    OtherLayout,
+    /// Parts are missing, or in another order than they were written in.
+    OutOfOrder,
+    /// The last part is missing, or counts other endpoints than there are.
+    Incomplete,
+    Apply(ApplyError),
+}
+
+impl std::fmt::Display for SnapshotError {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            SnapshotError::Part(error) => write!(f, "a part cannot be read: {error}"),
+            SnapshotError::UnknownFormat(format) => {
+                write!(
+                    f,
+                    "its format is {format}, this program reads {FORMAT}; run the program that wrote it"
+                )
+            }
+            SnapshotError::OtherLayout => write!(
+                f,
+                "its zones or buckets_per_region are others than those configured; set them as they were, \
+                 or begin with an empty state directory"
+            ),
+            SnapshotError::OutOfOrder => write!(f, "its parts are out of order: it is damaged"),
+            SnapshotError::Incomplete => write!(f, "its end is missing: it is damaged"),
+            SnapshotError::Apply(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for SnapshotError {}
+
+/// The parts of a snapshot, encoded, in their order.
+pub fn encoded_parts(directory: &Directory) -> impl Iterator<Item = Vec<u8>> {
+    let head = SnapshotPart::Head {
+        format: FORMAT,
+        point: RestorePoint {
+            log: directory.log().clone(),
+            version: directory.version(),
+            forgotten: directory.forgotten(),
+        },
+        layout: directory.layout().clone(),
+    };
+    let members = SnapshotPart::Members {
+        members: directory.members().to_vec(),
+        table: directory.assignment().to_table(),
+    };
+    let end = SnapshotPart::End { endpoints: directory.entries().len() };
+    let parts = [head, members].into_iter().chain(endpoint_parts(directory)).chain([end]);
+    parts.map(|part| record::encode(&part))
+}
+
+fn endpoint_parts(directory: &Directory) -> impl Iterator<Item = SnapshotPart> {
+    let entries = directory.entries();
+    let mut indexes = entries.after(None);
+    std::iter::from_fn(move || {
+        let some = indexes.by_ref().take(MOST_ENDPOINTS_IN_PART);
+        let part: Vec<EndpointEntry> = some.filter_map(|index| entries.entry(index)).collect();
+        (!part.is_empty()).then_some(SnapshotPart::Endpoints(part))
+    })
+}
+
+/// Reads a snapshot part by part.
+pub struct SnapshotReader {
+    layout: Layout,
+    keeping: Keeping,
+    restore: Option<Restore>,
+    has_members: bool,
+    endpoints: usize,
+    ended: bool,
+}
+
+impl SnapshotReader {
+    pub fn new(layout: Layout, keeping: Keeping) -> SnapshotReader {
+        SnapshotReader { layout, keeping, restore: None, has_members: false, endpoints: 0, ended: false }
+    }
+
+    /// Takes in the next part.
+    pub fn part(&mut self, bytes: &[u8]) -> Result<(), SnapshotError> {
+        let part: SnapshotPart = record::decode(bytes).map_err(SnapshotError::Part)?;
+        if self.ended {
+            return Err(SnapshotError::OutOfOrder);
+        }
+        match (part, &mut self.restore) {
+            (SnapshotPart::Head { format, point, layout }, None) => {
+                if format != FORMAT {
+                    return Err(SnapshotError::UnknownFormat(format));
+                }
+                if layout != self.layout {
+                    return Err(SnapshotError::OtherLayout);
+                }
+                self.restore = Some(Restore::begin(layout, point, self.keeping));
+                Ok(())
+            }
+            (SnapshotPart::Members { members, table }, Some(restore)) if !self.has_members => {
+                self.has_members = true;
+                restore.members(members).map_err(SnapshotError::Apply)?;
+                restore.assignment(&table).map_err(SnapshotError::Apply)
+            }
+            (SnapshotPart::Endpoints(entries), Some(restore)) if self.has_members => {
+                self.endpoints += entries.len();
+                entries
+                    .into_iter()
+                    .try_for_each(|entry| restore.endpoint(entry))
+                    .map_err(SnapshotError::Apply)
+            }
+            (SnapshotPart::End { endpoints }, Some(_)) if self.has_members => {
+                self.ended = true;
+                if endpoints == self.endpoints { Ok(()) } else { Err(SnapshotError::Incomplete) }
+            }
+            _ => Err(SnapshotError::OutOfOrder),
+        }
+    }
+
+    /// The directory, once the last part has been taken in.
+    pub fn finish(self) -> Result<Directory, SnapshotError> {
+        let restore = self.restore.filter(|_| self.ended);
+        restore.map(Restore::finish).ok_or(SnapshotError::Incomplete)
+    }
+}
--- /dev/null
+++ b/directory/src/watchers.rs
@@ -0,0 +1,229 @@
+//! All watchers of one control process, found by what concerns them.
+
+use crate::entries::EntryIndex;
+use crate::feed::{Feed, FeedLine, Scope};
+use crate::member_scope::{MOST_CELLS, MemberScope};
+use crate::pace::{Nanos, PaceLimits};
+use crate::request::{LookUpRequest, RequestedScope, WatchRequest};
+use crate::state::{Applied, Directory};
+use bellsill_placement::MemberName;
+use std::collections::{BTreeSet, HashMap};
+
+/// Names a watcher; never used for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WatcherId(u64);
+
+/// Why a watch is not begun, or a destination not told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRefused {
+    /// The dispatcher is not a declared member.
+    NotMember,
+    /// The dispatcher has no watch here.
+    NoWatch,
+    /// The watch would have too many destinations beside its buckets.
+    TooManyCells,
+    /// The watch knows more than this process has: an answer might be older than what the dispatcher had before.
+    Behind,
+}
+
+/// A watch that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opened {
+    pub id: WatcherId,
+    /// The same dispatcher's watch before, which is no more.
+    pub replaced: Option<WatcherId>,
+}
+
+/// The watchers, with indexes by dispatcher and by destination.
+pub struct Watchers {
+    feeds: HashMap<WatcherId, Feed>,
+    by_member: HashMap<MemberName, WatcherId>,
+    by_destination: HashMap<u64, BTreeSet<WatcherId>>,
+    whole: BTreeSet<WatcherId>,
+    /// Those that have something new to be told.
+    ready: BTreeSet<WatcherId>,
+    last_id: u64,
+    fill_pace: PaceLimits,
+}
+
+impl Watchers {
+    /// No watchers; each one's buckets will be filled at this pace.
+    pub fn new(fill_pace: PaceLimits) -> Watchers {
+        Watchers {
+            feeds: HashMap::new(),
+            by_member: HashMap::new(),
+            by_destination: HashMap::new(),
+            whole: BTreeSet::new(),
+            ready: BTreeSet::new(),
+            last_id: 0,
+            fill_pace,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.feeds.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.feeds.is_empty()
+    }
+
+    pub fn get(&self, id: WatcherId) -> Option<&Feed> {
+        self.feeds.get(&id)
+    }
+
+    /// The watchers, in no order.
+    pub fn ids(&self) -> impl Iterator<Item = WatcherId> {
+        self.feeds.keys().copied()
+    }
+
+    /// The dispatchers that have a watch here.
+    pub fn members(&self) -> impl Iterator<Item = &MemberName> {
+        self.by_member.keys()
+    }
+
+    /// Begins a watch.
+    pub fn open(
+        &mut self,
+        request: WatchRequest,
+        directory: &Directory,
+        now: Nanos,
+    ) -> Result<Opened, WatchRefused> {
+        if let RequestedScope::Member { name, cells, .. } = &request.scope {
+            directory.member(name).ok_or(WatchRefused::NotMember)?;
+            if cells.len() > MOST_CELLS {
+                return Err(WatchRefused::TooManyCells);
+            }
+        }
+        self.last_id += 1;
+        let id = WatcherId(self.last_id);
+        let feed = Feed::start(request, directory, self.fill_pace, now);
+        let replaced = match &feed.scope {
+            Scope::Member(scope) => {
+                for cell in scope.cells() {
+                    self.by_destination.entry(*cell).or_default().insert(id);
+                }
+                self.by_member.insert(scope.name().clone(), id)
+            }
+            Scope::Whole(_) => {
+                self.whole.insert(id);
+                None
+            }
+        };
+        self.feeds.insert(id, feed);
+        self.ready.insert(id);
+        if let Some(replaced) = replaced {
+            self.close(replaced);
+        }
+        Ok(Opened { id, replaced })
+    }
+
+    /// Ends a watch.
+    pub fn close(&mut self, id: WatcherId) {
+        let Some(feed) = self.feeds.remove(&id) else { return };
+        self.whole.remove(&id);
+        self.ready.remove(&id);
+        let Scope::Member(scope) = feed.scope else { return };
+        if self.by_member.get(scope.name()) == Some(&id) {
+            self.by_member.remove(scope.name());
+        }
+        scope.cells().iter().for_each(|cell| self.forget_cell(*cell, id));
+    }
+
+    /// Has the changes of destinations told to a dispatcher's watch from now on.
+    pub fn change_cells(&mut self, request: &LookUpRequest) -> Result<(), WatchRefused> {
+        let id = *self.by_member.get(&request.dispatcher).ok_or(WatchRefused::NoWatch)?;
+        if self.feeds.get(&id).is_some_and(Feed::is_waiting) {
+            return Err(WatchRefused::Behind);
+        }
+        let scope = self.member_scope(id).ok_or(WatchRefused::NoWatch)?;
+        let kept = scope.cells().iter().filter(|cell| !request.forget.contains(cell));
+        let added = request
+            .cells
+            .iter()
+            .filter(|cell| !scope.cells().contains(cell) || request.forget.contains(cell));
+        if kept.count() + added.count() > MOST_CELLS {
+            return Err(WatchRefused::TooManyCells);
+        }
+        scope.change_cells(&request.cells, &request.forget);
+        request.forget.iter().for_each(|cell| self.forget_cell(*cell, id));
+        for cell in &request.cells {
+            self.by_destination.entry(*cell).or_default().insert(id);
+        }
+        Ok(())
+    }
+
+    /// Tells the watchers that a change concerns; call after each record that the directory has applied.
+    pub fn applied(&mut self, applied: &Applied, directory: &Directory) {
+        match applied {
+            Applied::Endpoints(indexes) => {
+                indexes.iter().for_each(|index| self.entry_changed(*index, directory));
+            }
+            Applied::Members => {}
+            Applied::Assignment(affected) => {
+                affected.iter().for_each(|member| self.reassigned(member, directory));
+            }
+        }
+        self.ready.extend(&self.whole);
+    }
+
+    /// A watcher can be told more now.
+    pub fn mark_ready(&mut self, id: WatcherId) {
+        self.ready.insert(id);
+    }
+
+    /// Time has passed: any watcher may have something to be told.
+    pub fn mark_all_ready(&mut self) {
+        self.ready.extend(self.feeds.keys());
+    }
+
+    /// The watchers that have something new to be told, each once.
+    pub fn take_ready(&mut self) -> BTreeSet<WatcherId> {
+        std::mem::take(&mut self.ready)
+    }
+
+    /// The next line for a watcher, where there is one now.
+    pub fn next_line(&mut self, id: WatcherId, directory: &Directory, now: Nanos) -> Option<FeedLine> {
+        self.feeds.get_mut(&id)?.next_line(directory, now)
+    }
+
+    fn entry_changed(&mut self, index: EntryIndex, directory: &Directory) {
+        let entries = directory.entries();
+        let (Some(bucket), Some(destination)) = (entries.bucket(index), entries.destination(index)) else {
+            return;
+        };
+        let holders = directory.assignment().holders(bucket).into_iter().flatten();
+        let mut concerned: BTreeSet<WatcherId> =
+            holders.filter_map(|member| self.by_member.get(member).copied()).collect();
+        concerned.extend(self.by_destination.get(&destination).into_iter().flatten());
+        for id in concerned {
+            if let Some(scope) = self.member_scope(id) {
+                scope.entry_changed(index);
+                self.ready.insert(id);
+            }
+        }
+    }
+
+    fn reassigned(&mut self, member: &MemberName, directory: &Directory) {
+        let Some(id) = self.by_member.get(member).copied() else { return };
+        if let Some(scope) = self.member_scope(id) {
+            scope.reassigned(directory);
+            self.ready.insert(id);
+        }
+    }
+
+    fn member_scope(&mut self, id: WatcherId) -> Option<&mut MemberScope> {
+        match self.feeds.get_mut(&id)? {
+            Feed { scope: Scope::Member(scope), .. } => Some(scope),
+            _ => None,
+        }
+    }
+
+    fn forget_cell(&mut self, cell: u64, id: WatcherId) {
+        let Some(ids) = self.by_destination.get_mut(&cell) else { return };
+        ids.remove(&id);
+        if ids.is_empty() {
+            self.by_destination.remove(&cell);
+        }
+    }
+}
--- /dev/null
+++ b/directory/tests/common/mod.rs
@@ -0,0 +1,155 @@
+//! A small installation: two regions of two zones each, and watchers that read every line.
+#![allow(dead_code)]
+
+use bellsill_directory::entry::Endpoint;
+use bellsill_directory::feed::{FILL_PACE, LineKind};
+use bellsill_directory::line::{EndpointState, LONGEST_LINE, ScopedLine, Version};
+use bellsill_directory::record::{LoggedRecord, Record};
+use bellsill_directory::request::{TargetsRequest, WatchRequest};
+use bellsill_directory::state::{Directory, Keeping, LogId};
+use bellsill_directory::watchers::{WatcherId, Watchers};
+use bellsill_placement::{BucketId, Layout, Member, RegionName, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+
+pub const BUCKETS_PER_REGION: u32 = 8;
+pub const SECOND: u64 = 1_000_000_000;
+
+pub fn layout() -> Layout {
+    let zones = [("north-1", "north"), ("north-2", "north"), ("south-1", "south"), ("south-2", "south")];
+    let zones = zones.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)));
+    Layout::new(zones, BUCKETS_PER_REGION).expect("a layout")
+}
+
+pub fn member(name: &str, zone: &str) -> Member {
+    Member { name: name.into(), zone: zone.into(), weight: 1.0, present: true }
+}
+
+pub fn endpoint(number: u64, state: EndpointState) -> Endpoint {
+    let port = 1000 + (number % 60_000) as u16;
+    Endpoint {
+        id: format!("endpoint-{number}"),
+        address: Some(([10, 0, 0, 1], port).into()),
+        zone: "north-1".into(),
+        kind: "plain".into(),
+        destination: number,
+        state,
+        weight: None,
+    }
+}
+
+/// A directory with its watchers, as a control process has them.
+pub struct Control {
+    pub directory: Directory,
+    pub watchers: Watchers,
+    pub now: u64,
+}
+
+impl Control {
+    /// Four members, two in each region, among which the buckets are assigned.
+    pub fn new(keeping: Keeping) -> Control {
+        let log = LogId("feed".into());
+        let directory = Directory::new(layout(), log, keeping);
+        let mut control = Control { directory, watchers: Watchers::new(FILL_PACE), now: 0 };
+        control.write(Record::MembersChanged(vec![
+            member("north-a", "north-1"),
+            member("north-b", "north-2"),
+            member("south-a", "south-1"),
+            member("south-b", "south-2"),
+        ]));
+        control.assign();
+        control
+    }
+
+    pub fn write(&mut self, record: Record) -> Version {
+        let version = Version(self.directory.version().0 + 1);
+        let applied = self.directory.apply(&LoggedRecord { version, record }).expect("a good record");
+        self.watchers.applied(&applied, &self.directory);
+        version
+    }
+
+    pub fn write_endpoint(&mut self, number: u64, state: EndpointState) -> Version {
+        self.write(Record::EndpointsChanged(vec![endpoint(number, state)]))
+    }
+
+    pub fn write_endpoints(&mut self, numbers: Range<u64>, state: EndpointState) {
+        for number in numbers {
+            self.write_endpoint(number, state);
+        }
+    }
+
+    pub fn assign(&mut self) {
+        let change = self.directory.plan().expect("a plan").expect("a change");
+        self.write(Record::AssignmentChanged(change));
+    }
+
+    pub fn open(&mut self, query: &str) -> Watcher {
+        let opened = self.watchers.open(watch(query), &self.directory, self.now).expect("a watch");
+        Watcher { id: opened.id, version: Version(0), held: BTreeSet::new(), entries: BTreeMap::new() }
+    }
+
+    /// Has the watcher read all lines that it is told until nothing but an empty line comes.
+    pub fn read(&mut self, watcher: &mut Watcher) -> Vec<ScopedLine> {
+        let mut lines = Vec::new();
+        loop {
+            match self.watchers.next_line(watcher.id, &self.directory, self.now) {
+                Some(line) if line.kind == LineKind::Empty => return lines,
+                Some(line) => {
+                    assert!(line.bytes.len() <= LONGEST_LINE, "a line of {} bytes", line.bytes.len());
+                    lines.push(watcher.read_line(&line.bytes));
+                }
+                None => self.now += SECOND / 10,
+            }
+        }
+    }
+}
+
+pub fn watch(query: &str) -> WatchRequest {
+    match TargetsRequest::parse(query).expect("a request") {
+        TargetsRequest::Watch(request) => request,
+        TargetsRequest::LookUp(_) => panic!("not a watch: {query}"),
+    }
+}
+
+/// What a dispatcher knows from the lines that it was told.
+pub struct Watcher {
+    pub id: WatcherId,
+    pub version: Version,
+    /// Buckets of which all is known.
+    pub held: BTreeSet<BucketId>,
+    pub entries: BTreeMap<String, (EndpointState, Version)>,
+}
+
+impl Watcher {
+    pub fn read_line(&mut self, bytes: &[u8]) -> ScopedLine {
+        let line: ScopedLine = serde_json::from_slice(bytes).expect("a line");
+        assert!(
+            line.version >= self.version,
+            "the version went back from {:?} to {:?}",
+            self.version,
+            line.version
+        );
+        assert!(!line.full);
+        self.version = line.version;
+        line.gained.iter().chain(&line.lost).for_each(|bucket| {
+            self.held.remove(bucket);
+        });
+        self.held.extend(&line.filled);
+        for entry in &line.servers {
+            let known = self.entries.insert(entry.id.clone(), (entry.state, entry.version));
+            assert_ne!(known, Some((entry.state, entry.version)), "{} was told twice", entry.id);
+        }
+        line
+    }
+
+    /// The query by which the dispatcher asks again, with what it knows.
+    pub fn again(&self, name: &str, log: &str) -> String {
+        let buckets: Vec<String> = self.held.iter().map(|bucket| bucket.0.to_string()).collect();
+        let (since, buckets) = (self.version.0, buckets.join(","));
+        format!("follow=1&since={since}&log={log}&dispatcher={name}&buckets={buckets}")
+    }
+}
+
+pub fn entries_told(lines: &[ScopedLine]) -> Vec<String> {
+    lines.iter().flat_map(|line| line.servers.iter().map(|entry| entry.id.clone())).collect()
+}
--- /dev/null
+++ b/directory/tests/feed.rs
@@ -0,0 +1,315 @@
+//! What watchers are told: first lines, changes, fillings, and what moves between them.
+
+mod common;
+
+use bellsill_directory::entry::Endpoint;
+use bellsill_directory::feed::{FILL_PACE, LineKind};
+use bellsill_directory::line::{EndpointState, Version};
+use bellsill_directory::record::Record;
+use bellsill_directory::request::{LookUpRequest, TargetsRequest};
+use bellsill_directory::state::Keeping;
+use bellsill_directory::watchers::{WatchRefused, Watchers};
+use bellsill_directory::whole_line::{TransferStep, WholeLine};
+use common::*;
+use std::collections::BTreeSet;
+
+const FIRST: &str = "follow=1&since=0&dispatcher=north-a";
+
+fn control() -> Control {
+    let mut control = Control::new(Keeping::default());
+    control.write_endpoints(0..40, EndpointState::Up);
+    control
+}
+
+#[test]
+fn a_first_start_gains_and_fills_every_bucket_of_the_dispatcher() {
+    let mut control = control();
+    let mut watcher = control.open(FIRST);
+    let lines = control.read(&mut watcher);
+    assert_eq!(lines[0].log, "feed");
+    assert_eq!(lines[0].epoch, Some(control.directory.epoch()));
+    assert_eq!(lines[0].gained.len(), BUCKETS_PER_REGION as usize);
+    assert!(lines[0].servers.is_empty(), "entries come by fillings");
+    assert_eq!(watcher.held, control.directory.held_by(&"north-a".into()));
+    assert_eq!(watcher.entries.len(), 40);
+    assert_eq!(watcher.version, control.directory.version());
+}
+
+#[test]
+fn a_dispatcher_of_another_region_is_told_none_of_it() {
+    let mut control = control();
+    let mut watcher = control.open("follow=1&since=0&dispatcher=south-a");
+    let lines = control.read(&mut watcher);
+    assert_eq!(entries_told(&lines), Vec::<String>::new());
+    control.write_endpoint(7, EndpointState::Draining);
+    assert!(entries_told(&control.read(&mut watcher)).is_empty());
+}
+
+#[test]
+fn a_change_is_told_once_and_before_fillings() {
+    let mut control = control();
+    let mut watcher = control.open(FIRST);
+    control.write_endpoint(7, EndpointState::Draining);
+    let lines = control.read(&mut watcher);
+    let change = lines.iter().position(|line| entries_told(std::slice::from_ref(line)) == ["endpoint-7"]);
+    let filling = lines.iter().position(|line| !line.filled.is_empty());
+    assert!(change < filling, "{change:?} {filling:?}");
+    assert_eq!(entries_told(&lines).len(), 40, "the filling leaves out what was told as a change");
+    control.write_endpoint(8, EndpointState::Removed);
+    assert_eq!(entries_told(&control.read(&mut watcher)), ["endpoint-8"]);
+    assert!(control.read(&mut watcher).is_empty());
+}
+
+#[test]
+fn a_watch_goes_on_by_since_without_a_whole_list() {
+    let mut control = control();
+    let mut watcher = control.open(FIRST);
+    control.read(&mut watcher);
+    control.watchers.close(watcher.id);
+    control.write_endpoint(3, EndpointState::Draining);
+    control.write_endpoint(3, EndpointState::Removed);
+    control.write_endpoint(50, EndpointState::Up);
+    let mut again = control.open(&watcher.again("north-a", "feed"));
+    let lines = control.read(&mut again);
+    assert!(lines[0].gained.is_empty() && lines[0].lost.is_empty());
+    assert_eq!(entries_told(&lines), ["endpoint-3", "endpoint-50"]);
+    assert_eq!(again.entries["endpoint-3"].0, EndpointState::Removed);
+}
+
+#[test]
+fn a_watch_that_broke_while_buckets_were_filled_has_only_the_rest_filled() {
+    let mut control = Control::new(Keeping::default());
+    control.write_endpoints(0..900, EndpointState::Up);
+    let mut watcher = control.open(FIRST);
+    while watcher.held.len() < 4 {
+        let line = control.watchers.next_line(watcher.id, &control.directory, control.now);
+        match line.filter(|line| line.kind != LineKind::Empty) {
+            Some(line) => drop(watcher.read_line(&line.bytes)),
+            None => control.now += SECOND / 10,
+        }
+    }
+    let filled = watcher.held.clone();
+    let mut again = control.open(&watcher.again("north-a", "feed"));
+    let lines = control.read(&mut again);
+    let gained: BTreeSet<_> = lines[0].gained.iter().copied().collect();
+    assert!(gained.is_disjoint(&filled));
+    assert_eq!(gained.len() + filled.len(), BUCKETS_PER_REGION as usize);
+}
+
+#[test]
+fn another_history_is_told_anew_and_foreign_buckets_are_lost() {
+    let mut control = control();
+    let beside = Endpoint { zone: "south-1".into(), ..endpoint(70, EndpointState::Up) };
+    control.write(Record::EndpointsChanged(vec![beside]));
+    let mut watcher =
+        control.open("follow=1&since=90000&log=another&dispatcher=north-a&buckets=0,1,15&cells=70");
+    let lines = control.read(&mut watcher);
+    assert_eq!(lines[0].gained.len(), BUCKETS_PER_REGION as usize);
+    assert_eq!(lines[0].lost.iter().map(|bucket| bucket.0).collect::<Vec<_>>(), [15]);
+    assert_eq!(entries_told(&lines[..1]), ["endpoint-70"], "the cell is told at once");
+    assert_eq!(watcher.held.len(), BUCKETS_PER_REGION as usize);
+}
+
+#[test]
+fn moved_buckets_are_lost_gained_and_filled() {
+    let mut control = control();
+    let mut keeper = control.open("follow=1&since=0&dispatcher=north-a");
+    let mut newcomer_mate = control.open("follow=1&since=0&dispatcher=north-b");
+    control.read(&mut keeper);
+    control.read(&mut newcomer_mate);
+    control.write(Record::MembersChanged(vec![member("north-c", "north-1")]));
+    control.assign();
+    let mut newcomer = control.open("follow=1&since=0&dispatcher=north-c");
+    let lines = control.read(&mut keeper);
+    assert_eq!(lines.len(), 1);
+    assert!(!lines[0].lost.is_empty() && lines[0].gained.is_empty());
+    assert_eq!(lines[0].epoch, Some(control.directory.epoch()));
+    control.read(&mut newcomer);
+    assert_eq!(newcomer.held, lines[0].lost.iter().copied().collect());
+    // The newcomer leaves: what it held comes back, and is filled with what changed meanwhile.
+    let moved = control.directory.entries().in_bucket(lines[0].lost[0])[0];
+    let number = control.directory.entries().destination(moved).expect("an endpoint");
+    let changed = control.write_endpoint(number, EndpointState::Draining);
+    let gone = bellsill_placement::Member { present: false, ..member("north-c", "north-1") };
+    control.write(Record::MembersChanged(vec![gone]));
+    control.assign();
+    let id = format!("endpoint-{number}");
+    keeper.entries.clear();
+    let lines = control.read(&mut keeper);
+    assert!(!lines[0].gained.is_empty() && lines[0].lost.is_empty());
+    assert_eq!(keeper.entries[&id], (EndpointState::Draining, changed));
+    assert_eq!(keeper.held, control.directory.held_by(&"north-a".into()));
+}
+
+#[test]
+fn a_change_in_a_bucket_that_is_lost_before_it_was_told_is_not_told() {
+    let mut control = control();
+    let mut keeper = control.open(FIRST);
+    control.read(&mut keeper);
+    control.write_endpoints(0..40, EndpointState::Draining);
+    control.write(Record::MembersChanged(vec![member("north-c", "north-1")]));
+    control.assign();
+    let held = control.directory.held_by(&"north-a".into());
+    let told = entries_told(&control.read(&mut keeper));
+    assert!(!told.is_empty() && told.len() < 40);
+    for id in told {
+        let index = control.directory.entries().find(&id).expect("an endpoint");
+        assert!(held.contains(&control.directory.entries().bucket(index).expect("a bucket")), "{id}");
+    }
+}
+
+#[test]
+fn changes_that_are_no_longer_kept_are_told_anew() {
+    let mut control = Control::new(Keeping { changes: 10, removed: 5 });
+    control.write_endpoints(0..40, EndpointState::Up);
+    let mut watcher = control.open(FIRST);
+    control.read(&mut watcher);
+    control.watchers.close(watcher.id);
+    control.write_endpoints(0..10, EndpointState::Removed);
+    assert!(control.directory.forgotten() > watcher.version);
+    let mut again = control.open(&watcher.again("north-a", "feed"));
+    let lines = control.read(&mut again);
+    assert_eq!(lines[0].gained.len(), BUCKETS_PER_REGION as usize);
+    assert_eq!(again.entries.len(), 30);
+}
+
+#[test]
+fn a_slow_watcher_whose_removals_are_forgotten_is_told_anew() {
+    let mut control = Control::new(Keeping { changes: 10, removed: 5 });
+    control.write_endpoints(0..40, EndpointState::Up);
+    let mut watcher = control.open(FIRST);
+    control.read(&mut watcher);
+    control.write_endpoints(0..10, EndpointState::Removed);
+    watcher.entries.clear();
+    let lines = control.read(&mut watcher);
+    assert_eq!(lines[0].gained.len(), BUCKETS_PER_REGION as usize);
+    assert_eq!(watcher.entries.len(), 30);
+}
+
+#[test]
+fn a_clump_of_changes_is_told_in_bounded_lines_with_rising_versions() {
+    let mut control = control();
+    let mut watcher = control.open(FIRST);
+    control.read(&mut watcher);
+    control.write_endpoints(0..6000, EndpointState::Draining);
+    let lines = control.read(&mut watcher);
+    assert!(lines.len() > 10);
+    assert_eq!(entries_told(&lines).len(), 6000);
+    assert!(lines.windows(2).all(|pair| pair[0].version < pair[1].version));
+    assert_eq!(watcher.version, control.directory.version());
+}
+
+#[test]
+fn fillings_keep_to_their_pace() {
+    let mut control = Control::new(Keeping::default());
+    control.write_endpoints(0..2000, EndpointState::Up);
+    let watcher = control.open(FIRST);
+    let (mut bytes, start) = (0, control.now);
+    while control.now < start + 10 * SECOND {
+        while let Some(line) = control.watchers.next_line(watcher.id, &control.directory, control.now) {
+            bytes += if line.kind == LineKind::Filling { line.bytes.len() as u64 } else { 0 };
+        }
+        control.now += SECOND / 10;
+    }
+    let most = FILL_PACE.burst_bytes + 10 * FILL_PACE.bytes_per_second + 16 * 1024;
+    assert!(bytes <= most, "{bytes} bytes");
+    assert!(bytes >= 10 * FILL_PACE.bytes_per_second, "{bytes} bytes");
+}
+
+#[test]
+fn a_destination_that_is_looked_up_is_told_from_then_on() {
+    let mut control = control();
+    let mut watcher = control.open("follow=1&since=0&dispatcher=south-a");
+    control.read(&mut watcher);
+    let look_up = |query: &str| -> LookUpRequest {
+        match TargetsRequest::parse(query).expect("a request") {
+            TargetsRequest::LookUp(request) => request,
+            TargetsRequest::Watch(_) => panic!("a watch"),
+        }
+    };
+    assert_eq!(control.directory.look_up(&[17]).len(), 1);
+    control.watchers.change_cells(&look_up("dispatcher=south-a&cells=17")).expect("a lookup");
+    control.write_endpoint(17, EndpointState::Draining);
+    control.write_endpoint(18, EndpointState::Draining);
+    assert_eq!(entries_told(&control.read(&mut watcher)), ["endpoint-17"]);
+    control.watchers.change_cells(&look_up("dispatcher=south-a&cells=18&forget=17")).expect("a lookup");
+    control.write_endpoint(17, EndpointState::Up);
+    control.write_endpoint(18, EndpointState::Up);
+    assert_eq!(entries_told(&control.read(&mut watcher)), ["endpoint-18"]);
+    // The cell goes along when the watch is begun again.
+    let query = format!("{}&cells=18", watcher.again("south-a", "feed"));
+    control.write_endpoint(18, EndpointState::Removed);
+    let mut again = control.open(&query);
+    assert_eq!(entries_told(&control.read(&mut again)), ["endpoint-18"]);
+    let nobody = look_up("dispatcher=north-b&cells=17");
+    assert_eq!(control.watchers.change_cells(&nobody), Err(WatchRefused::NoWatch));
+    let many: Vec<String> = (0..5000).map(|cell: u32| cell.to_string()).collect();
+    let many = look_up(&format!("dispatcher=south-a&cells={}", many.join(",")));
+    assert_eq!(control.watchers.change_cells(&many), Err(WatchRefused::TooManyCells));
+}
+
+#[test]
+fn who_is_no_member_has_no_watch() {
+    let mut control = control();
+    let refused = control.watchers.open(watch("follow=1&dispatcher=nobody"), &control.directory, 0);
+    assert_eq!(refused, Err(WatchRefused::NotMember));
+}
+
+#[test]
+fn a_second_watch_of_a_dispatcher_replaces_the_first() {
+    let mut control = control();
+    let first = control.open(FIRST);
+    let opened = control.watchers.open(watch(FIRST), &control.directory, 0).expect("a watch");
+    assert_eq!(opened.replaced, Some(first.id));
+    assert_eq!(control.watchers.len(), 1);
+}
+
+#[test]
+fn a_process_that_is_behind_says_empty_lines_until_it_has_caught_up() {
+    let mut control = control();
+    let behind = control.directory.version();
+    let query = format!("follow=1&since={}&log=feed&dispatcher=north-a", behind.0 + 2);
+    let mut watcher = control.open(&query);
+    watcher.version = Version(behind.0 + 2);
+    assert!(control.read(&mut watcher).is_empty());
+    control.write_endpoint(100, EndpointState::Up);
+    assert!(control.read(&mut watcher).is_empty());
+    control.write_endpoint(101, EndpointState::Up);
+    assert!(!control.read(&mut watcher).is_empty());
+    assert_eq!(watcher.entries.len(), 42);
+}
+
+#[test]
+fn a_follower_is_told_every_record_or_all_anew() {
+    let mut control = Control::new(Keeping { changes: 100, removed: 5 });
+    control.write_endpoints(0..40, EndpointState::Up);
+    let lines = |control: &mut Control, query: &str| -> Vec<WholeLine> {
+        let opened = control.watchers.open(watch(query), &control.directory, control.now).expect("a watch");
+        let all =
+            std::iter::from_fn(|| control.watchers.next_line(opened.id, &control.directory, control.now));
+        all.map(|line| serde_json::from_slice(&line.bytes).expect("a line")).collect()
+    };
+    let told = lines(&mut control, "follow=1&since=20&log=feed&scope=all");
+    let records: Vec<_> = told.into_iter().flat_map(|line| line.into_records().expect("records")).collect();
+    let versions: Vec<u64> = records.iter().map(|logged| logged.version.0).collect();
+    assert_eq!(versions, (21..=control.directory.version().0).collect::<Vec<_>>());
+    for query in ["follow=1&since=0&scope=all", "follow=1&since=20&log=other&scope=all"] {
+        let told = lines(&mut control, query);
+        assert_eq!(told[0].transfer, Some(TransferStep::Begin));
+        assert_eq!(told[0].members.len(), 4);
+        assert_eq!(told.last().and_then(|line| line.transfer), Some(TransferStep::End));
+        assert_eq!(told.iter().map(|line| line.servers.len()).sum::<usize>(), 40);
+    }
+}
+
+#[test]
+fn a_change_reaches_only_the_watchers_that_it_concerns() {
+    let mut control = control();
+    for name in ["north-a", "north-b", "south-a", "south-b"] {
+        control.open(&format!("follow=1&dispatcher={name}"));
+    }
+    control.watchers.take_ready();
+    control.write_endpoint(7, EndpointState::Draining);
+    assert_eq!(control.watchers.take_ready().len(), 2);
+    assert!(Watchers::new(FILL_PACE).is_empty());
+}
