--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,24 +2,23 @@
 //! [`event_loop::Daemon`] runs it; `docs/daemon.md` says how the parts fit.
 #![deny(unsafe_code)]
 
-pub mod backoff;
+pub use bellsill_net::{deadlines, http, ring, slots};
+pub use bellsill_watch::backoff;
+
 pub mod command_line;
 pub mod start;
 
 pub mod event_loop;
 
 pub mod clients;
-pub mod discovery;
 pub mod endpoints;
 pub mod mails;
 pub mod mgmt;
 pub mod notices;
 
 pub mod conns;
-pub mod deadlines;
-pub mod http;
+pub mod discovery;
+pub mod endpoint_list;
 pub mod logger;
 pub mod mail_journal;
 pub mod resp;
-pub mod ring;
-pub mod slots;
