--- a/daemon/src/command_line.rs
+++ b/daemon/src/command_line.rs
@@ -14,6 +14,7 @@
 Commands:
   serve      run a dispatcher in the foreground
   check      read the configuration, say what is wrong with it, and end
+  control    run a control process in the foreground
   version    print the version
   help       print this
 
@@ -22,6 +23,8 @@
   --state DIR     the folder that lasts (else RELAY_STATE, else the configuration's `state`)
   --log LEVEL     error, warn, info, debug or off (info)
 
+Options of control: --config FILE (of a control process, see docs/configuration.md) and --log LEVEL.
+
 On SIGHUP serve reads the configuration again, and takes a new `discovery` from it; the log says what else it would need
 a restart for. Ends with 0 when it was told to leave, 1 when it could not go on, 2 on a bad command line or configuration.
 ";
@@ -30,6 +33,7 @@
 enum Command {
     Serve,
     Check,
+    Control,
     Version,
     Help,
 }
@@ -58,6 +62,7 @@
                 command = Some(match word.to_string_lossy().as_ref() {
                     "serve" => Command::Serve,
                     "check" => Command::Check,
+                    "control" => Command::Control,
                     "version" => Command::Version,
                     "help" => Command::Help,
                     _ => return Err(Value(word).unexpected()),
@@ -66,7 +71,7 @@
             _ => return Err(arg.unexpected()),
         }
     }
-    line.command = command.ok_or("a command is missing: serve, check, version or help")?;
+    line.command = command.ok_or("a command is missing: serve, check, control, version or help")?;
     Ok(line)
 }
 
@@ -82,6 +87,7 @@
     match line.command {
         Command::Help => print!("{HELP}"),
         Command::Version => println!("bellsill {}", env!("CARGO_PKG_VERSION")),
+        Command::Control => return control(line),
         Command::Serve | Command::Check => {
             crate::logger::start(line.log);
             // Before anything is read: a signal that comes early is met later, and ends nothing by itself.
@@ -114,3 +120,30 @@
     }
     ExitCode::SUCCESS
 }
+
+/// Runs a control process until a signal ends it.
+fn control(line: Line) -> ExitCode {
+    crate::logger::start(line.log);
+    let Some(file) = line.file else {
+        eprintln!("bellsill: no configuration: give --config");
+        return ExitCode::from(2);
+    };
+    let config = match bellsill_controlplane::Config::read(&file) {
+        Ok(config) => config,
+        Err(e) => {
+            eprintln!("bellsill: configuration: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let run = |told: Told| {
+        let stop = bellsill_controlplane::Stop { wake: told.wake, requested: told.leave };
+        bellsill_controlplane::run(config, stop)
+    };
+    match Told::by_signals().map_err(Into::into).and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("bellsill: {e}");
+            ExitCode::from(1)
+        }
+    }
+}
