--- a/daemon/src/command_line.rs
+++ b/daemon/src/command_line.rs
@@ -21,6 +21,9 @@
 Options of serve and check:
   --config FILE   the configuration (else RELAY_CONFIG)
   --state DIR     the folder that lasts (else RELAY_STATE, else the configuration's `state`)
+  --installation FILE
+                  hold the part of the configuration that the control processes named there tell
+                  (else BELLSILL_INSTALLATION, else everything that discovery tells)
   --log LEVEL     error, warn, info, debug or off (info)
 
 Options of control: --config FILE (of a control process, see docs/configuration.md) and --log LEVEL.
@@ -43,6 +46,7 @@
     command: Command,
     file: Option<PathBuf>,
     state: Option<PathBuf>,
+    installation: Option<PathBuf>,
     log: log::LevelFilter,
 }
 
@@ -50,11 +54,18 @@
     use lexopt::prelude::*;
     let mut parser = lexopt::Parser::from_args(args);
     let mut command = None;
-    let mut line = Line { command: Command::Help, file: None, state: None, log: log::LevelFilter::Info };
+    let mut line = Line {
+        command: Command::Help,
+        file: None,
+        state: None,
+        installation: None,
+        log: log::LevelFilter::Info,
+    };
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => line.file = Some(parser.value()?.into()),
             Long("state") => line.state = Some(parser.value()?.into()),
+            Long("installation") => line.installation = Some(parser.value()?.into()),
             Long("log") => line.log = parser.value()?.parse()?,
             Long("help") | Short('h') => command = Some(Command::Help),
             Long("version") | Short('V') => command = Some(Command::Version),
@@ -103,7 +114,9 @@
                 eprintln!("bellsill: no configuration: give --config or RELAY_CONFIG");
                 return ExitCode::from(2);
             };
-            let start = match start::read(&file, line.state.or_else(|| variable("RELAY_STATE"))) {
+            let state = line.state.or_else(|| variable("RELAY_STATE"));
+            let installation = line.installation.or_else(|| variable("BELLSILL_INSTALLATION"));
+            let start = match start::read_all(&file, state, installation.as_deref()) {
                 Ok(start) => start,
                 Err(e) => {
                     eprintln!("bellsill: {e}");
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -5,7 +5,9 @@
 use crate::deadlines::Deadlines;
 use bellsill_boot::Names;
 use bellsill_net::Nanos;
-use bellsill_watch::{CallId, Command, Timer, Watch};
+use bellsill_watch::{
+    Applied, CacheFull, CallId, Command, Counters, Received, ScopedLineError, ScopedList, Timer, Watch,
+};
 use std::net::SocketAddr;
 
 pub use bellsill_watch::watch::KEPT_FOR;
@@ -50,6 +52,54 @@
         &self.names.zones
     }
 
+    /// What is kept of the scoped configuration; none where discovery tells everything.
+    pub fn scoped_list(&self) -> Option<&ScopedList> {
+        self.watch.list()
+    }
+
+    pub fn counters(&self) -> Counters {
+        self.watch.counters()
+    }
+
+    /// Notes that a destination is used.
+    pub fn touch(&mut self, destination: u64) {
+        self.watch.list_mut().into_iter().for_each(|list| list.touch(destination));
+    }
+
+    /// Has a destination looked up; `in_use` says which ones must not give way to it. What gave way is answered.
+    pub fn want<K>(
+        &mut self,
+        io: &mut WatchIo<K>,
+        destination: u64,
+        in_use: &dyn Fn(u64) -> bool,
+    ) -> Result<Applied, CacheFull>
+    where
+        K: Ord + Copy + From<WatchTimer>,
+    {
+        let wanted = self.watch.want(io.now, destination, in_use)?;
+        self.carry_out(io, wanted.commands);
+        Ok(wanted.applied)
+    }
+
+    /// Applies a document of a scoped watch. One that cannot be applied ends the connection that it came on.
+    pub fn apply<K>(
+        &mut self,
+        io: &mut WatchIo<K>,
+        conn: ConnId,
+        document: &[u8],
+    ) -> Result<Applied, ScopedLineError>
+    where
+        K: Ord + Copy + From<WatchTimer>,
+    {
+        let applied = self.watch.apply(document);
+        if applied.is_err()
+            && let Some(call) = self.call_of(conn)
+        {
+            self.broken(io, call);
+        }
+        applied
+    }
+
     /// A document of the watch has been applied, of that version.
     pub fn told(&mut self, version: u64) {
         self.watch.told(version);
@@ -90,28 +140,29 @@
         self.carry_out(io, commands);
     }
 
-    /// Something happened on a connection of the watch. The documents that have come, to be applied in their order.
-    pub fn conn_ready<K>(&mut self, io: &mut WatchIo<K>, conn: ConnId) -> Vec<Vec<u8>>
+    /// Something happened on a connection of the watch. What has come: a lookup's changes, or documents to be applied in
+    /// their order.
+    pub fn conn_ready<K>(&mut self, io: &mut WatchIo<K>, conn: ConnId) -> Received
     where
         K: Ord + Copy + From<WatchTimer>,
     {
-        let Some(call) = self.call_of(conn) else { return Vec::new() };
+        let Some(call) = self.call_of(conn) else { return Received::default() };
         if io.conns.get(conn).is_some_and(|c| c.rising) {
             if io.conns.risen(conn).is_err() {
                 self.broken(io, call);
-                return Vec::new();
+                return Received::default();
             }
             let commands = self.watch.connected(io.now, call);
             self.carry_out(io, commands);
         }
         if io.conns.fill(conn).is_err() {
             self.broken(io, call);
-            return Vec::new();
+            return Received::default();
         }
-        let Some(from) = io.conns.get_mut(conn) else { return Vec::new() };
-        let received = self.watch.received(io.now, call, &mut from.input, from.ended);
-        self.carry_out(io, received.commands);
-        received.documents
+        let Some(from) = io.conns.get_mut(conn) else { return Received::default() };
+        let mut received = self.watch.received(io.now, call, &mut from.input, from.ended);
+        self.carry_out(io, std::mem::take(&mut received.commands));
+        received
     }
 
     /// Writes what can be written, and waits for more on a connection of the watch.
--- a/daemon/src/endpoint_list.rs
+++ b/daemon/src/endpoint_list.rs
@@ -16,7 +16,8 @@
     pub destination: u64,
     /// False when it drains or is gone.
     pub serving: bool,
-    /// As [`Names::rate`] says.
+    pub weight: Option<f64>,
+    /// What the weight says, by [`Names::rate`].
     pub rate: f64,
 }
 
@@ -85,6 +86,7 @@
         kind: kind.to_string(),
         destination,
         serving,
+        weight,
         rate,
     })
 }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -6,8 +6,10 @@
 use crate::http::{self, Head};
 use crate::mails::{Due, Hands, MailSlot};
 use crate::resp::COMMAND_MOST;
+use crate::scope;
 use bellsill::interface::*;
-use std::collections::BTreeMap;
+use bellsill_watch::Applied;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::{Index, IndexMut};
 
@@ -369,6 +371,21 @@
 }
 
 impl Daemon {
+    /// Applies what has changed in the scoped configuration. A destination that is no longer kept, and for which mails are
+    /// held, is looked up.
+    pub fn apply_changes(&mut self, applied: &Applied) {
+        if applied.changed.is_empty() && applied.dropped.is_empty() {
+            return;
+        }
+        self.apply_list(&scope::list_of(applied, self.hands.discovery.names()));
+        let dropped: BTreeSet<u64> = applied.dropped.iter().map(|entry| entry.destination).collect();
+        for destination in dropped {
+            if self.hands.held_for.contains_key(&destination) && self.look_up(destination).is_err() {
+                log::warn!("destination {destination} cannot be looked up, all in the cache are in use");
+            }
+        }
+    }
+
     /// Applies a list, whole or of changes.
     pub fn apply_list(&mut self, list: &EndpointList) {
         let hands = &mut self.hands;
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -9,11 +9,12 @@
 use crate::mail_journal::{Kept, MailJournal};
 use crate::mails::{Due, Hands, Stage};
 use crate::notices::Notices;
+use crate::scope::{self, SAVE_EVERY, ScopeFile};
 use crate::slots::Slots;
 use crate::start::{self, Source, Start};
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
-use bellsill_watch::Watch;
+use bellsill_watch::{Applied, ScopedList, ScopedOptions, Watch};
 use serde_json::Value;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::{BTreeMap, VecDeque};
@@ -63,6 +64,29 @@
     Ok(socket.into())
 }
 
+/// The watch that a dispatcher keeps, and for a part of the configuration the file in which that lasts.
+fn watch_of(start: &Start) -> (Watch, Option<ScopeFile>) {
+    let facts = &start.boot.facts;
+    let Some(installation) = &start.installation else {
+        let backoff = Backoff::new(facts.seed, facts.dispatchers);
+        return (Watch::plain(start.discovery, backoff), None);
+    };
+    let mut file = ScopeFile::new(&start.state, &installation.dispatcher, start.disk_bytes);
+    let list = file.load(installation).unwrap_or_else(|| {
+        let mut list = ScopedList::new(installation.layout.clone(), installation.cache_destinations);
+        let known = endpoint_list::read(&start.known, &start.boot.names);
+        known.iter().for_each(|known| list.adopt(scope::entries_of(known)));
+        list
+    });
+    log::info!("the configuration of {} destinations is known, version {}", list.len(), list.version().0);
+    let options = ScopedOptions {
+        dispatcher: installation.dispatcher.clone(),
+        servers: installation.control.clone(),
+        seed: facts.seed,
+    };
+    (Watch::scoped(options, list), Some(file))
+}
+
 /// Takes over the journals of the folder that nobody holds any more. True beside: there is one yet to be taken over.
 fn take_over(journal: &mut MailJournal) -> (Kept, bool) {
     journal.adopt().unwrap_or_else(|e| {
@@ -135,6 +159,8 @@
     pub state: std::path::PathBuf,
     /// Of the list of endpoints held out there, as it was read or written last.
     pub held_stamp: Option<(u64, SystemTime)>,
+    /// What is kept of the scoped configuration, where there is one.
+    pub scope_file: Option<ScopeFile>,
 }
 
 impl Daemon {
@@ -142,11 +168,16 @@
     pub fn start(start: Start, told: Told) -> io::Result<Daemon> {
         let clock = Clock::start();
         let now = clock.now();
-        let Start { boot, known, .. } = start;
+        let (watch, scope_file) = watch_of(&start);
+        let boot = start.boot;
         let (facts, names) = (BootFacts { own_door: true, ..boot.facts }, boot.names);
         let class_names = names.classes.clone();
+        let journal_bytes = match scope_file {
+            Some(_) => scope::disk_left(start.disk_bytes),
+            None => start.disk_bytes,
+        };
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
-        let (mut journal, mut kept) = MailJournal::open(&start.state, start.disk_bytes).map_err(in_folder)?;
+        let (mut journal, mut kept) = MailJournal::open(&start.state, journal_bytes).map_err(in_folder)?;
         // What an old process left is taken before clients are answered; one that still runs is looked for again.
         let (adopted, others_held) = take_over(&mut journal);
         kept.mails.extend(adopted.mails);
@@ -170,11 +201,9 @@
                 deadlines: Deadlines::default(),
                 mails: Slots::default(),
                 slots: BTreeMap::new(),
+                held_for: BTreeMap::new(),
                 endpoints: Endpoints::default(),
-                discovery: Discovery::new(
-                    Watch::plain(start.discovery, Backoff::new(facts.seed, facts.dispatchers)),
-                    names,
-                ),
+                discovery: Discovery::new(watch, names),
                 notices: Notices::new(start.discovery),
                 journal,
                 ended: VecDeque::new(),
@@ -197,6 +226,7 @@
             told_to_leave: 0,
             draining: false,
             held_stamp,
+            scope_file,
             state: start.state.clone(),
         };
         if let Some(mgmt) = start.mgmt {
@@ -205,11 +235,14 @@
             log::info!("operators' calls on {mgmt}");
             daemon.hands.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
         }
-        daemon.list(&known);
+        daemon.list_known(&start.known);
         let (discovery, mut io) = daemon.hands.watch();
         discovery.start(&mut io, boot.drain_grace);
         daemon.recover(kept);
         daemon.hands.deadlines.set(Due::Standing, now + STANDING);
+        if daemon.scope_file.is_some() {
+            daemon.hands.deadlines.set(Due::SaveScope, now + SAVE_EVERY);
+        }
         if others_held {
             daemon.hands.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
         }
@@ -222,16 +255,55 @@
     /// Something happened on a connection of the watch.
     fn watch_ready(&mut self, id: ConnId) {
         let (discovery, mut io) = self.hands.watch();
-        for document in discovery.conn_ready(&mut io, id) {
-            match serde_json::from_slice::<Value>(&document) {
-                Ok(json) => self.list(&json),
-                Err(e) => log::warn!("discovery: a line that is no JSON was skipped: {e}"),
+        let received = discovery.conn_ready(&mut io, id);
+        self.apply_changes(&received.looked_up);
+        for document in received.documents {
+            if self.scope_file.is_none() {
+                self.list_document(&document);
+            } else if !self.scoped_document(id, &document) {
+                break;
             }
         }
         let (discovery, mut io) = self.hands.watch();
         discovery.go_on(&mut io, id);
     }
 
+    /// A document of a plain watch.
+    fn list_document(&mut self, document: &[u8]) {
+        match serde_json::from_slice::<Value>(document) {
+            Ok(json) => self.list(&json),
+            Err(e) => log::warn!("discovery: a line that is no JSON was skipped: {e}"),
+        }
+    }
+
+    /// A document of a scoped watch. False: it could not be applied, and the connection is closed.
+    fn scoped_document(&mut self, id: ConnId, document: &[u8]) -> bool {
+        let (discovery, mut io) = self.hands.watch();
+        let applied = discovery.apply(&mut io, id, document);
+        match &applied {
+            Ok(applied) => self.apply_changes(applied),
+            Err(e) => {
+                log::warn!("configuration: a line was not taken, another control process is asked: {e}")
+            }
+        }
+        applied.is_ok()
+    }
+
+    /// The endpoints that are known at the start: of the scoped configuration those that it kept, else those that the
+    /// platform's file names.
+    fn list_known(&mut self, known: &Value) {
+        let Some(list) = self.hands.discovery.scoped_list() else { return self.list(known) };
+        let entries = Applied { changed: list.entries().cloned().collect(), ..Applied::default() };
+        self.apply_changes(&entries);
+    }
+
+    /// Saves what is kept of the scoped configuration.
+    fn save_scope(&mut self) {
+        if let (Some(file), Some(list)) = (&mut self.scope_file, self.hands.discovery.scoped_list()) {
+            file.save(list);
+        }
+    }
+
     /// A list as discovery writes it.
     fn list(&mut self, json: &Value) {
         if let Some(list) = endpoint_list::read(json, self.hands.discovery.names()) {
@@ -250,6 +322,14 @@
         for mail in &kept.mails {
             self.hands.hold(mail.clone());
         }
+        for mail in &kept.mails {
+            if self.look_up(mail.destination).is_err() {
+                log::warn!(
+                    "destination {} cannot be looked up, all in the cache are in use",
+                    mail.destination
+                );
+            }
+        }
         let known = |m: &crate::mail_journal::KeptMail| self.hands.class_of(&m.class).is_some();
         let (known, unknown): (Vec<_>, Vec<_>) = kept.mails.into_iter().partition(known);
         for mail in unknown {
@@ -268,6 +348,7 @@
         while self.leaving != Leaving::Gone {
             self.turn()?;
         }
+        self.save_scope();
         log::info!("left, {} mails held for the next process", self.hands.mails.len());
         Ok(())
     }
@@ -358,6 +439,10 @@
             },
             Due::Read(id) => self.ready(id),
             Due::Watch => hands.watch_timer(WatchTimer::Reconnect),
+            Due::SaveScope => {
+                hands.deadlines.set(Due::SaveScope, now + SAVE_EVERY);
+                self.save_scope();
+            }
             Due::LookUp => hands.watch_timer(WatchTimer::LookUp),
             Due::Notices => hands.notices_rested(),
             Due::Accept => drop(self.let_in()),
--- /dev/null
+++ b/daemon/src/installation.rs
@@ -0,0 +1,167 @@
+//! The file of the installation: which dispatcher this one is, its control processes, and the layout of zones and buckets.
+//! With it a dispatcher holds a part of the configuration (`docs/configuration.md`); without it, all that discovery tells.
+
+use bellsill_directory::entry::is_member_name;
+use bellsill_placement::{BucketId, DEFAULT_BUCKETS_PER_REGION, Layout, LayoutError, RegionName, ZoneName};
+use bellsill_watch::BucketMap;
+use bellsill_watch::scoped_list::{CACHE_DESTINATIONS, MOST_CELLS};
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// The most control processes that make sense.
+const MOST_CONTROL_PROCESSES: usize = 64;
+
+/// What the file says, checked.
+#[derive(Clone, Debug)]
+pub struct Installation {
+    /// The name by which this dispatcher is declared.
+    pub dispatcher: String,
+    /// The zone that it is in.
+    pub zone: ZoneName,
+    /// Where the control processes listen.
+    pub control: Vec<SocketAddr>,
+    pub layout: Arc<InstallationLayout>,
+    /// How many destinations outside of its buckets it keeps.
+    pub cache_destinations: usize,
+}
+
+/// Why a file is not taken.
+#[derive(Debug, Error)]
+pub enum InstallationError {
+    #[error("{path}: cannot be read: {source}")]
+    Unreadable { path: PathBuf, source: std::io::Error },
+    #[error("{path}: not as an installation file has to be: {reason}")]
+    Malformed { path: PathBuf, reason: Box<toml::de::Error> },
+    #[error("{path}: field `{field}`: expected {expected}")]
+    Field { path: PathBuf, field: &'static str, expected: String },
+    #[error("{path}: fields `zones` and `buckets_per_region`: {reason}")]
+    Layout { path: PathBuf, reason: LayoutError },
+}
+
+/// The file as it is written.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct InstallationFile {
+    dispatcher: String,
+    zone: String,
+    control: Vec<SocketAddr>,
+    zones: Vec<ZoneEntry>,
+    #[serde(default = "default_buckets_per_region")]
+    buckets_per_region: u32,
+    #[serde(default = "default_cache_destinations")]
+    cache_destinations: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZoneEntry {
+    name: String,
+    region: String,
+}
+
+fn default_buckets_per_region() -> u32 {
+    DEFAULT_BUCKETS_PER_REGION
+}
+
+fn default_cache_destinations() -> usize {
+    CACHE_DESTINATIONS
+}
+
+/// The layout, as the watch asks for it.
+#[derive(Debug)]
+pub struct InstallationLayout(Layout);
+
+impl BucketMap for InstallationLayout {
+    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
+        let region = self.0.region_of(&ZoneName::from(zone))?;
+        Some(self.0.bucket_of(region, destination))
+    }
+}
+
+impl Installation {
+    /// Reads a file and checks it whole.
+    pub fn read(path: &Path) -> Result<Installation, InstallationError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| InstallationError::Unreadable { path: path.to_path_buf(), source })?;
+        Installation::parse(path, &text)
+    }
+
+    /// Checks the text of the file at `path`.
+    pub fn parse(path: &Path, text: &str) -> Result<Installation, InstallationError> {
+        let file: InstallationFile = toml::from_str(text).map_err(|reason| InstallationError::Malformed {
+            path: path.to_path_buf(),
+            reason: Box::new(reason),
+        })?;
+        file.check().map_err(|bad| bad.in_file(path))
+    }
+}
+
+/// What is wrong with a file, before its path is said.
+enum Invalid {
+    Field(&'static str, String),
+    Layout(LayoutError),
+}
+
+impl Invalid {
+    fn in_file(self, path: &Path) -> InstallationError {
+        let path = path.to_path_buf();
+        match self {
+            Invalid::Field(field, expected) => InstallationError::Field { path, field, expected },
+            Invalid::Layout(reason) => InstallationError::Layout { path, reason },
+        }
+    }
+}
+
+impl InstallationFile {
+    fn check(self) -> Result<Installation, Invalid> {
+        expect(
+            is_member_name(&self.dispatcher),
+            "dispatcher",
+            "the name by which POST /v2/members declares it: letters, digits and - _ . : alone",
+        )?;
+        let distinct: BTreeSet<&SocketAddr> = self.control.iter().collect();
+        expect(
+            (1..=MOST_CONTROL_PROCESSES).contains(&self.control.len()),
+            "control",
+            &format!("1 to {MOST_CONTROL_PROCESSES} addresses of control processes, such as 10.0.0.1:7400"),
+        )?;
+        expect(distinct.len() == self.control.len(), "control", "each address once")?;
+        expect(
+            (1..=MOST_CELLS).contains(&self.cache_destinations),
+            "cache_destinations",
+            &format!("a whole number from 1 to {MOST_CELLS}, as many as a control process tells"),
+        )?;
+        expect(
+            self.zones.iter().all(|zone| is_member_name(&zone.name) && is_member_name(&zone.region)),
+            "zones",
+            "names of letters, digits and - _ . : alone",
+        )?;
+        let zones =
+            self.zones.iter().map(|zone| (ZoneName(zone.name.clone()), RegionName(zone.region.clone())));
+        let layout = Layout::new(zones, self.buckets_per_region).map_err(Invalid::Layout)?;
+        let zone = ZoneName(self.zone);
+        expect(
+            layout.region_of(&zone).is_some(),
+            "zone",
+            "one of the zones under `zones`: the one that this dispatcher runs in",
+        )?;
+        Ok(Installation {
+            dispatcher: self.dispatcher,
+            zone,
+            control: self.control,
+            layout: Arc::new(InstallationLayout(layout)),
+            cache_destinations: self.cache_destinations,
+        })
+    }
+}
+
+fn expect(holds: bool, field: &'static str, expected: &str) -> Result<(), Invalid> {
+    match holds {
+        true => Ok(()),
+        false => Err(Invalid::Field(field, expected.to_string())),
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod conns;
 pub mod discovery;
 pub mod endpoint_list;
+pub mod installation;
 pub mod logger;
 pub mod mail_journal;
 pub mod resp;
+pub mod scope;
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -10,6 +10,7 @@
 use crate::notices::Notices;
 use crate::slots::{SlotId, Slots};
 use bellsill::interface::*;
+use bellsill_watch::{CacheFull, Knowledge};
 use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,6 +55,8 @@
     HeldOut,
     /// Destinations are to be looked up again.
     LookUp,
+    /// What is kept of the scoped configuration is to be saved.
+    SaveScope,
 }
 
 impl From<WatchTimer> for Due {
@@ -103,6 +106,7 @@
 
 pub struct Held {
     pub id: MailId,
+    pub destination: u64,
     /// Its row of the classes; none for one of no class known now.
     pub class: Option<usize>,
     pub tag: String,
@@ -119,6 +123,8 @@
     pub deadlines: Deadlines<Due>,
     pub mails: Slots<MailSlot, Held>,
     pub slots: BTreeMap<MailId, MailSlot>,
+    /// How many mails are held for each destination.
+    pub held_for: BTreeMap<u64, usize>,
     pub endpoints: Endpoints,
     pub discovery: Discovery,
     pub notices: Notices,
@@ -171,6 +177,7 @@
         let class = self.class_of(&mail.class);
         let slot = self.mails.add(|_| Held {
             id: mail.id,
+            destination: mail.destination,
             class,
             tag: mail.tag,
             body: mail.body,
@@ -179,6 +186,16 @@
             call: None,
         });
         self.slots.insert(mail.id, slot);
+        *self.held_for.entry(mail.destination).or_default() += 1;
+    }
+
+    /// A mail for a destination is held no longer.
+    fn release(&mut self, destination: u64) {
+        let Some(held) = self.held_for.get_mut(&destination) else { return };
+        *held -= 1;
+        if *held == 0 {
+            self.held_for.remove(&destination);
+        }
     }
 
     /// The only place where a mail changes its stage: keeps the journal, the notices owed and the tables true.
@@ -209,7 +226,7 @@
             }
         }
         if to.ended() && self.mails.get(slot).is_some_and(|m| m.call.is_none()) {
-            self.mails.remove(slot);
+            self.mails.remove(slot).into_iter().for_each(|gone| self.release(gone.destination));
             self.slots.remove(&id);
         }
     }
@@ -310,6 +327,17 @@
     }
 }
 
+/// Destinations, as far as they are known.
+impl Hands {
+    /// Whether mails for a destination are taken: an endpoint of it is known, or it can be looked up.
+    fn may_serve(&self, destination: u64) -> bool {
+        let Some(list) = self.discovery.scoped_list() else {
+            return self.endpoints.serve(destination);
+        };
+        list.knowledge(destination) != Knowledge::Cached || list.entries_of(destination).next().is_some()
+    }
+}
+
 impl Outlet for Hands {
     fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
         let Some(&slot) = self.slots.get(&mail) else { return };
@@ -401,7 +429,7 @@
         if mail.due > hands.now + facts.lifetime + LIFETIME_SLACK {
             return Err(Refusal::TooLong);
         }
-        if !hands.endpoints.serve(mail.destination) {
+        if !hands.may_serve(mail.destination) {
             return Err(Refusal::UnknownDestination);
         }
         if hands.slots.contains_key(&mail.id) {
@@ -409,7 +437,11 @@
             return Ok(());
         }
         let admitted = self.dispatcher.admits(ClassId(class), DestinationId(mail.destination));
-        if !takes || !admitted || !hands.take(mail.clone()) {
+        if !takes || !admitted || self.look_up(mail.destination).is_err() {
+            return Err(Refusal::NoRoom);
+        }
+        let hands = &mut self.hands;
+        if !hands.take(mail.clone()) {
             return Err(Refusal::NoRoom);
         }
         answer(hands);
@@ -417,6 +449,22 @@
         Ok(())
     }
 
+    /// Has a destination looked up that is not known; with no scoped configuration there is nothing to be done.
+    pub fn look_up(&mut self, destination: u64) -> Result<(), CacheFull> {
+        let hands = &mut self.hands;
+        let Some(list) = hands.discovery.scoped_list() else { return Ok(()) };
+        if list.knowledge(destination) != Knowledge::Unknown {
+            hands.discovery.touch(destination);
+            return Ok(());
+        }
+        let mut io = WatchIo { now: hands.now, conns: &mut hands.conns, deadlines: &mut hands.deadlines };
+        let held_for = &hands.held_for;
+        let in_use = |other: u64| held_for.contains_key(&other);
+        let gave_way = hands.discovery.want(&mut io, destination, &in_use)?;
+        self.apply_changes(&gave_way);
+        Ok(())
+    }
+
     /// Takes mails that are held to the decisions, with what a former process did for them.
     pub fn decide_on(&mut self, mails: &[KeptMail]) {
         let hands = &mut self.hands;
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -4,7 +4,9 @@
 use crate::conns::{CALLERS_MOST, ConnId, Role};
 use crate::event_loop::Daemon;
 use crate::mails::{Due, Hands};
+use crate::scope::ScopeFile;
 use bellsill::interface::Nanos;
+use bellsill_watch::{Counters, ScopedList};
 use std::fmt::Write;
 
 /// The longest call line, its end included; what is longer is answered `FAILURE` and the caller closed.
@@ -163,6 +165,33 @@
     text
 }
 
+/// The lines of `show-stat` on the scoped configuration.
+fn scope_lines(list: &ScopedList, calls: Counters, file: &ScopeFile) -> String {
+    let (counters, unsaved) = (list.counters(), file.lacks(list));
+    let file = file.counters;
+    let lines = [
+        ("version", list.version().0),
+        ("destinations", list.len() as u64),
+        ("complete_buckets", list.complete_buckets().count() as u64),
+        ("filling_buckets", list.filling_buckets().count() as u64),
+        ("cached", list.cached() as u64),
+        ("evicted", counters.evicted_destinations),
+        ("applied_entries", counters.applied_entries),
+        ("stale_entries", counters.stale_entries),
+        ("duplicate_entries", counters.duplicate_entries),
+        ("refused_lines", counters.refused_lines),
+        ("watches", calls.calls),
+        ("broken_watches", calls.broken),
+        ("lookups", calls.lookups),
+        ("failed_lookups", calls.failed_lookups),
+        ("unsaved", u64::from(unsaved)),
+        ("refused_files", file.refused),
+        ("saved_files", file.saved),
+        ("failed_saves", file.failed),
+    ];
+    lines.iter().map(|(name, value)| format!("dispatcher.scope.{name}={value}\n")).collect()
+}
+
 impl Hands {
     /// Closes a caller.
     pub fn hang_up_caller(&mut self, id: ConnId) {
@@ -233,6 +262,14 @@
         hands.deadlines.set(Due::Conn(id), used + CALL_WITHIN);
     }
 
+    /// The answer to `show-stat`, with what there is to say on the scoped configuration.
+    fn with_scope(&self, text: String) -> String {
+        let discovery = &self.hands.discovery;
+        let (Some(list), Some(file)) = (discovery.scoped_list(), &self.scope_file) else { return text };
+        let lines = scope_lines(list, discovery.counters(), file);
+        text.replace("EOT\n", &format!("{lines}EOT\n"))
+    }
+
     /// Does what is asked and says how it went.
     fn call(&mut self, call: Call) -> String {
         let out = matches!(call, Call::Disable(_));
@@ -245,7 +282,8 @@
                     members: self.hands.endpoints.ids().filter(|&e| self.hands.endpoints[e].serving).count(),
                     unavailable: self.dispatcher.avoided(),
                 };
-                render(&self.hands.figures, &self.hands.class_names, &gauges)
+                let text = render(&self.hands.figures, &self.hands.class_names, &gauges);
+                self.with_scope(text)
             }
             Call::Drain => {
                 self.drain(true);
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher is told at its start: the platform's file, and the folder that lasts.
 
+use crate::installation::{Installation, InstallationError};
 use bellsill_boot::{BadField, Boot, Reader};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -18,6 +19,8 @@
     pub known: Value,
     pub boot: Boot,
     pub state: PathBuf,
+    /// Where it holds a part of the configuration alone; none where discovery tells it everything.
+    pub installation: Option<Installation>,
     /// What it was read from, to be read again; none where it came from no file.
     pub source: Option<Source>,
     /// The fields that only a restart takes, as they were read.
@@ -40,6 +43,13 @@
 pub enum BadStart {
     Field(BadField),
     File(PathBuf, String),
+    Installation(InstallationError),
+}
+
+impl From<InstallationError> for BadStart {
+    fn from(bad: InstallationError) -> Self {
+        BadStart::Installation(bad)
+    }
 }
 
 impl From<BadField> for BadStart {
@@ -53,6 +63,7 @@
         match self {
             BadStart::Field(bad) => write!(f, "configuration: {bad}"),
             BadStart::File(path, why) => write!(f, "{}: {why}", path.display()),
+            BadStart::Installation(bad) => write!(f, "{bad}"),
         }
     }
 }
@@ -72,6 +83,13 @@
     Ok(start)
 }
 
+/// Reads the platform's file and that of the installation, if there is one.
+pub fn read_all(path: &Path, state: Option<PathBuf>, installation: Option<&Path>) -> Result<Start, BadStart> {
+    let start = read(path, state)?;
+    let installation = installation.map(Installation::read).transpose()?;
+    Ok(Start { installation, ..start })
+}
+
 pub fn parse(json: &Value, state: Option<PathBuf>) -> Result<Start, BadField> {
     let r = Reader { json, place: "" };
     let address =
@@ -106,6 +124,7 @@
         known: known.clone(),
         boot,
         state,
+        installation: None,
         source: None,
         fixed: FIXED.map(|field| (field, json.get(field).cloned().unwrap_or(Value::Null))).to_vec(),
     })
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test binary has a copy of its own and uses only some of it.
 #![allow(dead_code)]
 
+pub mod control;
+
 use bellsill_daemon::mail_journal::{Kept, MailJournal};
 use rustix::process::Signal;
 use serde_json::{Value, json};
--- /dev/null
+++ b/daemon/tests/scoped.rs
@@ -0,0 +1,252 @@
+//! A dispatcher that holds a part of the configuration, by the lines of a control process in the test's own process.
+
+mod common;
+
+use common::control::{BUCKETS, Control};
+use common::*;
+use std::path::PathBuf;
+use std::process::Command;
+
+/// A dispatcher `d1` of zone `north`; `south` is of another region.
+struct ScopedRig {
+    rig: Rig,
+    installation: PathBuf,
+}
+
+impl ScopedRig {
+    fn new(control: &[&str], cache_destinations: usize) -> ScopedRig {
+        let mut rig = Rig::new(&[]);
+        rig.json["mgmt"] = rig.mgmt_at(0).into();
+        let installation = rig.folder.join("installation.toml");
+        let addresses: Vec<String> = control.iter().map(|addr| format!("{addr:?}")).collect();
+        let text = format!(
+            "dispatcher = \"d1\"\nzone = \"north\"\ncontrol = [{}]\nbuckets_per_region = {BUCKETS}\n\
+             cache_destinations = {cache_destinations}\n\
+             zones = [{{name = \"north\", region = \"a\"}}, {{name = \"south\", region = \"b\"}}]\n",
+            addresses.join(", ")
+        );
+        std::fs::write(&installation, text).unwrap();
+        ScopedRig { rig, installation }
+    }
+
+    fn command(&self) -> Command {
+        let mut command = self.rig.command("serve");
+        command.arg("--installation").arg(&self.installation);
+        command
+    }
+
+    fn start(&mut self) {
+        let command = self.command();
+        self.rig.start_by(command);
+    }
+
+    /// Ends the process as an operator would, so that it saves what it knows.
+    fn stop(&mut self) {
+        self.rig.signal(rustix::process::Signal::TERM);
+        let mut child = self.rig.child.take().unwrap();
+        assert!(child.wait().unwrap().success());
+    }
+
+    /// What the dispatcher's own figures say.
+    fn scope(&self, name: &str) -> u64 {
+        self.rig.figure(&format!("scope.{name}"))
+    }
+}
+
+fn bodies(endpoint: &Endpoint, body: &str) -> usize {
+    endpoint.calls().iter().filter(|call| call.body == body).count()
+}
+
+fn delivered(endpoint: &Endpoint, body: &str) {
+    wait_for(&format!("the message {body:?}"), || bodies(endpoint, body) > 0);
+}
+
+/// Hands in one message after another until one has come to the endpoint, whatever the ones before are answered.
+fn delivered_in_the_end(dispatcher: &ScopedRig, endpoint: &Endpoint, destination: u64, body: &str) {
+    wait_for(&format!("the message {body:?}"), || {
+        let fields = format!("c=payment,d=8000,k=,dest={destination}");
+        dispatcher.rig.client().says(&put(&fresh(), &fields, body));
+        // The room for messages is small.
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        bodies(endpoint, body) > 0
+    });
+}
+
+#[test]
+fn entries_of_its_buckets_are_held_and_changes_are_followed() {
+    let (first, second, control) = (Endpoint::start(OK), Endpoint::start(OK), Control::start());
+    control.write("e0", &first.addr, "north", 7, true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    wait_for("the buckets", || dispatcher.scope("complete_buckets") == u64::from(BUCKETS));
+    let mut client = dispatcher.rig.client();
+    client.mail("notice", 7, 8000, "held");
+    delivered(&first, "held");
+    assert!(control.lookup_queries().is_empty(), "it was known");
+    control.write("e0", &first.addr, "north", 7, false);
+    control.write("e1", &second.addr, "north", 7, true);
+    delivered_in_the_end(&dispatcher, &second, 7, "after the change");
+    assert_eq!(control.watch_queries(), ["follow=1&since=0&dispatcher=d1"]);
+}
+
+#[test]
+fn a_message_for_another_destination_is_taken_and_delivered_once_its_entry_is_known() {
+    let (endpoint, control) = (Endpoint::start(OK), Control::start());
+    control.write("e0", &endpoint.addr, "south", 47, true);
+    control.fail_lookups(true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    let mut client = dispatcher.rig.client();
+    let mut taken = Vec::new();
+    for body in ["first", "second"] {
+        client.mail("notice", 47, 20_000, body);
+        taken.push(body);
+    }
+    wait_for("lookups that fail", || control.lookup_queries().len() > 1);
+    assert!(endpoint.calls().is_empty());
+    control.fail_lookups(false);
+    taken.iter().for_each(|body| delivered(&endpoint, body));
+    // From then on its changes are told.
+    let lookups = control.lookup_queries().len();
+    let other = Endpoint::start(OK);
+    control.write("e0", &other.addr, "south", 47, true);
+    delivered_in_the_end(&dispatcher, &other, 47, "moved");
+    assert_eq!(control.lookup_queries().len(), lookups, "it is asked for once");
+    assert!(control.lookup_queries().iter().all(|query| query == "dispatcher=d1&cells=47"));
+}
+
+#[test]
+fn a_message_for_a_destination_that_there_is_not_ends_by_its_time_and_the_next_one_is_refused() {
+    let control = Control::start();
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    let mut client = dispatcher.rig.client();
+    let id = client.mail("payment", 47, 1000, "to nobody");
+    wait_for("its end", || dispatcher.rig.platform.notice(&id).is_some());
+    assert!(!control.lookup_queries().is_empty());
+    let answer = client.says(&put(&fresh(), "c=payment,d=1000,k=,dest=47", "x"));
+    assert_eq!(answer, "-ERR dest: unknown destination");
+    // One that comes to be is served.
+    let endpoint = Endpoint::start(OK);
+    control.write("e0", &endpoint.addr, "south", 47, true);
+    delivered_in_the_end(&dispatcher, &endpoint, 47, "at last");
+}
+
+#[test]
+fn with_all_control_dead_a_restart_serves_what_was_known() {
+    let (held, cached, control) = (Endpoint::start(OK), Endpoint::start(OK), Control::start());
+    control.write("e0", &held.addr, "north", 7, true);
+    control.write("e1", &cached.addr, "south", 47, true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    let mut client = dispatcher.rig.client();
+    client.mail("notice", 7, 8000, "before");
+    client.mail("notice", 47, 8000, "before");
+    [&held, &cached].into_iter().for_each(|endpoint| delivered(endpoint, "before"));
+    drop(client);
+    dispatcher.stop();
+    // Nobody listens there any more.
+    let dead = ScopedRig::new(&["127.0.0.1:1"], 8);
+    std::fs::copy(&dead.installation, &dispatcher.installation).unwrap();
+    dispatcher.start();
+    let mut client = dispatcher.rig.client();
+    client.mail("notice", 7, 8000, "after");
+    client.mail("notice", 47, 8000, "after");
+    [&held, &cached].into_iter().for_each(|endpoint| delivered(endpoint, "after"));
+    // One that is not known is taken, and ends by its time.
+    let id = client.mail("payment", 48, 1000, "unknown");
+    wait_for("its end", || dispatcher.rig.platform.notice(&id).is_some());
+    // It goes on from where it was when control is back.
+    drop(client);
+    dispatcher.stop();
+    let alive = ScopedRig::new(&[&control.addr], 8);
+    std::fs::copy(&alive.installation, &dispatcher.installation).unwrap();
+    dispatcher.start();
+    let query = control.next_watch(1);
+    assert!(query.contains("since=2&log=c0ffee&dispatcher=d1&buckets=0,1,2,3&cells=47"), "{query}");
+}
+
+#[test]
+fn what_was_saved_and_is_damaged_is_refused_and_told_anew() {
+    let (endpoint, control) = (Endpoint::start(OK), Control::start());
+    control.write("e0", &endpoint.addr, "north", 7, true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    wait_for("the buckets", || dispatcher.scope("complete_buckets") == u64::from(BUCKETS));
+    dispatcher.stop();
+    let file = dispatcher.rig.folder.join("state/scope");
+    let mut bytes = std::fs::read(&file).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    dispatcher.start();
+    assert_eq!(dispatcher.scope("refused_files"), 1);
+    assert_eq!(control.next_watch(1), "follow=1&since=0&dispatcher=d1");
+    delivered_in_the_end(&dispatcher, &endpoint, 7, "anew");
+}
+
+#[test]
+fn a_broken_watch_is_taken_up_from_where_it_was_and_a_full_cache_forgets() {
+    let control = Control::start();
+    let endpoints: Vec<Endpoint> = (0..3).map(|_| Endpoint::start(OK)).collect();
+    for (n, endpoint) in endpoints.iter().enumerate() {
+        control.write(&format!("e{n}"), &endpoint.addr, "south", 40 + n as u64, true);
+    }
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 2);
+    dispatcher.start();
+    let mut client = dispatcher.rig.client();
+    for (n, endpoint) in endpoints.iter().enumerate() {
+        client.mail("notice", 40 + n as u64, 8000, "each");
+        delivered(endpoint, "each");
+    }
+    wait_for("the oldest to be forgotten", || {
+        control.lookup_queries().iter().any(|query| query.contains("cells=42&forget=40"))
+    });
+    assert_eq!((dispatcher.scope("cached"), dispatcher.scope("evicted")), (2, 1));
+    control.end_watches();
+    assert!(control.next_watch(1).ends_with("buckets=0,1,2,3&cells=41,42"));
+    // What gave way is asked for again when it is wanted.
+    client.mail("notice", 40, 8000, "again");
+    delivered(&endpoints[0], "again");
+}
+
+#[test]
+fn the_list_of_the_start_is_used_where_nothing_was_saved() {
+    let endpoint = Endpoint::start(OK);
+    let mut dispatcher = ScopedRig::new(&["127.0.0.1:1"], 8);
+    dispatcher.rig.json["known"]["servers"] = vec![endpoint.entry("e0", 7, "up")].into();
+    dispatcher.start();
+    dispatcher.rig.client().mail("notice", 7, 8000, "by the list of the start");
+    delivered(&endpoint, "by the list of the start");
+}
+
+#[test]
+fn an_installation_file_is_checked_whole_and_what_is_wrong_is_said() {
+    let rig = ScopedRig::new(&["127.0.0.1:7400"], 8);
+    let good = std::fs::read_to_string(&rig.installation).unwrap();
+    let check = |text: &str| {
+        std::fs::write(&rig.installation, text).unwrap();
+        let mut command = rig.rig.command("check");
+        let done = command.arg("--installation").arg(&rig.installation).output().unwrap();
+        (done.status.code().unwrap(), String::from_utf8(done.stderr).unwrap())
+    };
+    assert_eq!(check(&good).0, 0);
+    let cases = [
+        (good.replace("\"d1\"", "\"d 1\""), "field `dispatcher`: expected the name"),
+        (good.replace("zone = \"north\"", "zone = \"east\""), "field `zone`: expected one of the zones"),
+        (good.replace("[\"127.0.0.1:7400\"]", "[]"), "field `control`: expected 1 to 64 addresses"),
+        (
+            good.replace("\"127.0.0.1:7400\"", "\"127.0.0.1:7400\", \"127.0.0.1:7400\""),
+            "field `control`: expected each address once",
+        ),
+        (good.replace("= 8\n", "= 0\n"), "field `cache_destinations`: expected a whole number from 1"),
+        (good.replace("buckets_per_region = 4", "buckets_per_region = 0"), "`buckets_per_region`"),
+        (good.replace("region = \"b\"", "region = \"b 2\""), "field `zones`: expected names"),
+        (format!("{good}colour = 3\n"), "unknown field `colour`"),
+        (good.replace("zone = \"north\"\n", ""), "missing field `zone`"),
+    ];
+    for (text, says) in cases {
+        let (status, said) = check(&text);
+        assert!(status == 2 && said.contains(says), "expected {says}, got {status} with {said}");
+    }
+}
