Tests: three dispatchers and three control processes, killed, stopped, cut off

Cause: the watch, the lookups and the saved list were tried against a stand-in alone. Change: daemon/tests/scoped_processes.rs starts `bellsill serve` and `bellsill control` as processes, with a link between that can be cut. Each test waits for what has to come; none asserts a time: killed and started again, SIGSTOP and SIGCONT of control processes and of a dispatcher, a link cut and healed, all control processes killed and a dispatcher restarted.

--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod control;
+pub mod installation;
 
 use bellsill_daemon::mail_journal::{Kept, MailJournal};
 use rustix::process::Signal;
--- /dev/null
+++ b/daemon/tests/scoped_processes.rs
@@ -0,0 +1,102 @@
+//! Dispatchers and control processes, three and three, each a process of its own: killed, stopped and continued, and cut off.
+//! Each test waits for what has to come, and asserts no times.
+
+mod common;
+
+use common::installation::Installation;
+use common::*;
+use rustix::process::Signal;
+
+/// Some of these are in buckets that a dispatcher holds, the others it looks up.
+const DESTINATIONS: std::ops::Range<u64> = 0..8;
+
+#[test]
+fn every_dispatcher_delivers_to_every_destination_and_follows_what_is_written() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let installation = Installation::start();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "as first written");
+    let looked_up: u64 = installation.dispatchers.iter().map(|d| d.scope("cached")).sum();
+    assert!(looked_up > 0, "some are of buckets of others");
+    installation.write(DESTINATIONS, &second);
+    installation.all_reach(DESTINATIONS, &second, "as written anew");
+}
+
+#[test]
+fn a_control_process_that_is_killed_is_done_without_and_comes_back() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut installation = Installation::start();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "with all three");
+    installation.control[1].kill();
+    installation.write(DESTINATIONS, &second);
+    installation.all_reach(DESTINATIONS, &second, "without one");
+    installation.control[1].start();
+    installation.control[2].kill();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "without the other");
+}
+
+#[test]
+fn a_control_process_that_stands_still_is_left_for_another_one() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let installation = Installation::start();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "with all three");
+    for process in &installation.control[1..] {
+        process.signal(Signal::STOP);
+    }
+    installation.write(DESTINATIONS, &second);
+    installation.all_reach(DESTINATIONS, &second, "with two that stand still");
+    for process in &installation.control[1..] {
+        process.signal(Signal::CONT);
+    }
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "with all three again");
+}
+
+#[test]
+fn a_dispatcher_that_stands_still_goes_on_from_where_it_was() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let installation = Installation::start();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "before");
+    installation.dispatchers[0].rig.signal(Signal::STOP);
+    installation.write(DESTINATIONS, &second);
+    installation.dispatchers[1].reaches(0, &second, "by another one meanwhile");
+    installation.dispatchers[0].rig.signal(Signal::CONT);
+    installation.all_reach(DESTINATIONS, &second, "after");
+}
+
+#[test]
+fn a_dispatcher_that_is_cut_off_serves_what_it_has_and_hears_the_rest_when_it_is_not() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let installation = Installation::start();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "before the cut");
+    let cut_off = &installation.dispatchers[0];
+    cut_off.cut(true);
+    installation.write(DESTINATIONS, &second);
+    installation.dispatchers[1].reaches(0, &second, "by another one");
+    for destination in DESTINATIONS {
+        cut_off.reaches(destination, &first, &format!("cut off for {destination}"));
+    }
+    cut_off.cut(false);
+    installation.all_reach(DESTINATIONS, &second, "after the cut");
+}
+
+#[test]
+fn with_all_control_processes_killed_a_dispatcher_restarts_with_what_it_had() {
+    let (first, second) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut installation = Installation::start();
+    installation.write(DESTINATIONS, &first);
+    installation.all_reach(DESTINATIONS, &first, "before");
+    wait_for("the list to be saved", || installation.dispatchers[0].scope("unsaved") == 0);
+    installation.control.iter_mut().for_each(|process| process.kill());
+    installation.dispatchers[0].rig.kill();
+    installation.dispatchers[0].start();
+    installation.all_reach(DESTINATIONS, &first, "with no control process");
+    installation.control.iter_mut().for_each(|process| process.start());
+    installation.write(DESTINATIONS, &second);
+    installation.all_reach(DESTINATIONS, &second, "with all of them again");
+}
