--- a/daemon/src/command_line.rs
+++ b/daemon/src/command_line.rs
@@ -14,14 +14,20 @@
 Commands:
   serve      run a dispatcher in the foreground
   check      read the configuration, say what is wrong with it, and end
+  control    run a control process in the foreground
   version    print the version
   help       print this
 
 Options of serve and check:
   --config FILE   the configuration (else RELAY_CONFIG)
   --state DIR     the folder that lasts (else RELAY_STATE, else the configuration's `state`)
+  --installation FILE
+                  hold the part of the configuration that the control processes named there tell
+                  (else BELLSILL_INSTALLATION, else everything that discovery tells)
   --log LEVEL     error, warn, info, debug or off (info)
 
+Options of control: --config FILE (of a control process, see docs/configuration.md) and --log LEVEL.
+
 On SIGHUP serve reads the configuration again, and takes a new `discovery` from it; the log says what else it would need
 a restart for. Ends with 0 when it was told to leave, 1 when it could not go on, 2 on a bad command line or configuration.
 ";
@@ -30,6 +36,7 @@
 enum Command {
     Serve,
     Check,
+    Control,
     Version,
     Help,
 }
@@ -39,6 +46,7 @@
     command: Command,
     file: Option<PathBuf>,
     state: Option<PathBuf>,
+    installation: Option<PathBuf>,
     log: log::LevelFilter,
 }
 
@@ -46,11 +54,18 @@
     use lexopt::prelude::*;
     let mut parser = lexopt::Parser::from_args(args);
     let mut command = None;
-    let mut line = Line { command: Command::Help, file: None, state: None, log: log::LevelFilter::Info };
+    let mut line = Line {
+        command: Command::Help,
+        file: None,
+        state: None,
+        installation: None,
+        log: log::LevelFilter::Info,
+    };
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => line.file = Some(parser.value()?.into()),
             Long("state") => line.state = Some(parser.value()?.into()),
+            Long("installation") => line.installation = Some(parser.value()?.into()),
             Long("log") => line.log = parser.value()?.parse()?,
             Long("help") | Short('h') => command = Some(Command::Help),
             Long("version") | Short('V') => command = Some(Command::Version),
@@ -58,6 +73,7 @@
                 command = Some(match word.to_string_lossy().as_ref() {
                     "serve" => Command::Serve,
                     "check" => Command::Check,
+                    "control" => Command::Control,
                     "version" => Command::Version,
                     "help" => Command::Help,
                     _ => return Err(Value(word).unexpected()),
@@ -66,7 +82,7 @@
             _ => return Err(arg.unexpected()),
         }
     }
-    line.command = command.ok_or("a command is missing: serve, check, version or help")?;
+    line.command = command.ok_or("a command is missing: serve, check, control, version or help")?;
     Ok(line)
 }
 
@@ -82,6 +98,7 @@
     match line.command {
         Command::Help => print!("{HELP}"),
         Command::Version => println!("bellsill {}", env!("CARGO_PKG_VERSION")),
+        Command::Control => return control(line),
         Command::Serve | Command::Check => {
             crate::logger::start(line.log);
             // Before anything is read: a signal that comes early is met later, and ends nothing by itself.
@@ -97,7 +114,9 @@
                 eprintln!("bellsill: no configuration: give --config or RELAY_CONFIG");
                 return ExitCode::from(2);
             };
-            let start = match start::read(&file, line.state.or_else(|| variable("RELAY_STATE"))) {
+            let state = line.state.or_else(|| variable("RELAY_STATE"));
+            let installation = line.installation.or_else(|| variable("BELLSILL_INSTALLATION"));
+            let start = match start::read_all(&file, state, installation.as_deref()) {
                 Ok(start) => start,
                 Err(e) => {
                     eprintln!("bellsill: {e}");
@@ -114,3 +133,30 @@
     }
     ExitCode::SUCCESS
 }
+
+/// Runs a control process until a signal ends it.
+fn control(line: Line) -> ExitCode {
+    crate::logger::start(line.log);
+    let Some(file) = line.file else {
+        eprintln!("bellsill: no configuration: give --config");
+        return ExitCode::from(2);
+    };
+    let config = match bellsill_controlplane::Config::read(&file) {
+        Ok(config) => config,
+        Err(e) => {
+            eprintln!("bellsill: configuration: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let run = |told: Told| {
+        let stop = bellsill_controlplane::Stop { wake: told.wake, requested: told.leave };
+        bellsill_controlplane::run(config, stop)
+    };
+    match Told::by_signals().map_err(Into::into).and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("bellsill: {e}");
+            ExitCode::from(1)
+        }
+    }
+}
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -3,6 +3,9 @@
 // Each test binary has a copy of its own and uses only some of it.
 #![allow(dead_code)]
 
+pub mod control;
+pub mod installation;
+
 use bellsill_daemon::mail_journal::{Kept, MailJournal};
 use rustix::process::Signal;
 use serde_json::{Value, json};
