--- /dev/null
+++ b/placement/src/names.rs
@@ -0,0 +1,45 @@
+//! The names of zones, regions and members: one type each, so that none is taken for another.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+macro_rules! name_type {
+    ($(#[$documentation:meta])* $name:ident) => {
+        $(#[$documentation])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self(name.to_owned())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// A zone: what may fail at once, such as a data centre.
+    ZoneName
+}
+name_type! {
+    /// A region: some zones near one another.
+    RegionName
+}
+name_type! {
+    /// A member: one dispatcher.
+    MemberName
+}
