--- /dev/null
+++ b/configlog/src/codec.rs
@@ -0,0 +1,112 @@
+//! The bytes of a log: the header of its files and of its records. All integers are little-endian.
+
+/// The format of logs and snapshots; another one is refused.
+pub const FORMAT_VERSION: u32 = 1;
+
+/// The longest payload of a record, and of a record of a snapshot. A longer one is refused in writing and in reading.
+pub const LONGEST_RECORD: usize = 16 * 1024 * 1024;
+
+/// The first bytes of a log.
+pub(crate) const LOG_MAGIC: [u8; 8] = *b"bsl-log\n";
+/// The first bytes of a snapshot.
+pub(crate) const SNAPSHOT_MAGIC: [u8; 8] = *b"bsl-snp\n";
+
+/// Reads integers one after the other; `None` where the bytes end.
+#[derive(Clone)]
+pub(crate) struct Reader<'a> {
+    bytes: &'a [u8],
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(bytes: &'a [u8]) -> Reader<'a> {
+        Reader { bytes }
+    }
+
+    pub fn take(&mut self, length: usize) -> Option<&'a [u8]> {
+        let (taken, rest) = self.bytes.split_at_checked(length)?;
+        self.bytes = rest;
+        Some(taken)
+    }
+
+    pub fn u32(&mut self) -> Option<u32> {
+        self.array().map(u32::from_le_bytes)
+    }
+
+    pub fn u64(&mut self) -> Option<u64> {
+        self.array().map(u64::from_le_bytes)
+    }
+
+    pub fn array<const LENGTH: usize>(&mut self) -> Option<[u8; LENGTH]> {
+        self.take(LENGTH)?.try_into().ok()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+}
+
+/// The header of a log: what file this is, and the index that its records come after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FileHeader {
+    pub format: u32,
+    pub after: u64,
+}
+
+impl FileHeader {
+    pub const LENGTH: usize = 24;
+
+    pub fn encode(self) -> Vec<u8> {
+        let mut bytes = LOG_MAGIC.to_vec();
+        bytes.extend(self.format.to_le_bytes());
+        bytes.extend(self.after.to_le_bytes());
+        bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
+        bytes
+    }
+
+    pub fn decode(bytes: &[u8]) -> Option<FileHeader> {
+        let mut reader = Reader::new(bytes);
+        let checked = reader.clone().take(Self::LENGTH - 4)?;
+        let magic: [u8; 8] = reader.array()?;
+        let header = FileHeader { format: reader.u32()?, after: reader.u64()? };
+        let intact = magic == LOG_MAGIC && reader.u32()? == crc32fast::hash(checked);
+        intact.then_some(header)
+    }
+}
+
+/// The header of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RecordHeader {
+    pub length: u32,
+    pub index: u64,
+    /// How much of the file was durable when the record was written: damage before that is no torn write.
+    pub durable: u64,
+    pub payload_checksum: u32,
+}
+
+impl RecordHeader {
+    pub const LENGTH: usize = 28;
+
+    pub fn encode(self) -> [u8; Self::LENGTH] {
+        let mut bytes = [0; Self::LENGTH];
+        bytes[..4].copy_from_slice(&self.length.to_le_bytes());
+        bytes[4..12].copy_from_slice(&self.index.to_le_bytes());
+        bytes[12..20].copy_from_slice(&self.durable.to_le_bytes());
+        bytes[20..24].copy_from_slice(&self.payload_checksum.to_le_bytes());
+        let checksum = crc32fast::hash(&bytes[..24]);
+        bytes[24..].copy_from_slice(&checksum.to_le_bytes());
+        bytes
+    }
+
+    /// The header at the beginning of the bytes, where its checksum matches.
+    pub fn decode(bytes: &[u8]) -> Option<RecordHeader> {
+        let mut reader = Reader::new(bytes);
+        let checked = reader.clone().take(Self::LENGTH - 4)?;
+        let header = RecordHeader {
+            length: reader.u32()?,
+            index: reader.u64()?,
+            durable: reader.u64()?,
+            payload_checksum: reader.u32()?,
+        };
+        (reader.u32()? == crc32fast::hash(checked)).then_some(header)
+    }
+}
--- /dev/null
+++ b/configlog/src/snapshot.rs
@@ -0,0 +1,114 @@
+//! A snapshot file, `snapshot.INDEX`: a magic number, the format, the index, the records each with its length, their
+//! number, and the checksum of all of it.
+
+use crate::codec::{FORMAT_VERSION, LONGEST_RECORD, Reader, SNAPSHOT_MAGIC};
+use crate::directory::{Directory, write_all};
+use crate::error::io_error;
+use crate::{LogError, RejectReason};
+use crc32fast::Hasher;
+use std::fs::{self, File};
+use std::io::{BufWriter, Write};
+use std::path::Path;
+
+const CHECKSUM_LENGTH: usize = 4;
+const COUNT_LENGTH: usize = 8;
+
+/// All that the records up to an index lead to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    pub index: u64,
+    pub records: Vec<Vec<u8>>,
+}
+
+/// Writes a snapshot; its file has its name once it is durable.
+pub(crate) fn write(
+    directory: &Directory,
+    index: u64,
+    records: impl Iterator<Item = Vec<u8>>,
+) -> Result<(), LogError> {
+    directory.write_whole(&directory.snapshot_path(index), |file, path| {
+        let mut writer = ChecksummedWriter { file: BufWriter::new(file), path, hasher: Hasher::new() };
+        writer.write(&SNAPSHOT_MAGIC)?;
+        writer.write(&FORMAT_VERSION.to_le_bytes())?;
+        writer.write(&index.to_le_bytes())?;
+        let mut count: u64 = 0;
+        for record in records {
+            writer.write_record(&record)?;
+            count += 1;
+        }
+        writer.write(&count.to_le_bytes())?;
+        writer.finish()
+    })
+}
+
+/// Reads the snapshot of an index; `Ok(Err(_))` where the file can be read but is none.
+pub(crate) fn read(path: &Path, index: u64) -> Result<Result<Snapshot, RejectReason>, LogError> {
+    let bytes = fs::read(path).map_err(io_error("read", path))?;
+    Ok(decode(&bytes).and_then(
+        |snapshot| {
+            if snapshot.index == index { Ok(snapshot) } else { Err(RejectReason::Index) }
+        },
+    ))
+}
+
+fn decode(bytes: &[u8]) -> Result<Snapshot, RejectReason> {
+    let too_short = RejectReason::NotASnapshot;
+    let (content, checksum) = bytes.split_last_chunk::<CHECKSUM_LENGTH>().ok_or(too_short)?;
+    let mut reader = Reader::new(content);
+    if reader.array() != Some(SNAPSHOT_MAGIC) {
+        return Err(RejectReason::NotASnapshot);
+    }
+    if crc32fast::hash(content) != u32::from_le_bytes(*checksum) {
+        return Err(RejectReason::Checksum);
+    }
+    match reader.u32().ok_or(too_short)? {
+        FORMAT_VERSION => {}
+        other => return Err(RejectReason::UnknownFormat(other)),
+    }
+    let index = reader.u64().ok_or(too_short)?;
+    let (_, count) = content.split_last_chunk::<COUNT_LENGTH>().ok_or(too_short)?;
+    let records = decode_records(&mut reader, u64::from_le_bytes(*count))?;
+    Ok(Snapshot { index, records })
+}
+
+fn decode_records(reader: &mut Reader, count: u64) -> Result<Vec<Vec<u8>>, RejectReason> {
+    let mut records = Vec::new();
+    for _ in 0..count {
+        let length = reader.u32().ok_or(RejectReason::Count)? as usize;
+        if length > LONGEST_RECORD {
+            return Err(RejectReason::TooLong);
+        }
+        records.push(reader.take(length).ok_or(RejectReason::Count)?.to_vec());
+    }
+    let rest = reader.take(COUNT_LENGTH);
+    if rest.is_some() && reader.is_empty() { Ok(records) } else { Err(RejectReason::Count) }
+}
+
+/// Writes a file and the checksum of all that was written.
+struct ChecksummedWriter<'a> {
+    file: BufWriter<&'a mut File>,
+    path: &'a Path,
+    hasher: Hasher,
+}
+
+impl ChecksummedWriter<'_> {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), LogError> {
+        self.hasher.update(bytes);
+        write_all(&mut self.file, self.path, bytes)
+    }
+
+    fn write_record(&mut self, record: &[u8]) -> Result<(), LogError> {
+        if record.len() > LONGEST_RECORD {
+            return Err(LogError::RecordTooLong { length: record.len() });
+        }
+        let length = u32::try_from(record.len()).expect("checked against the longest record");
+        self.write(&length.to_le_bytes())?;
+        self.write(record)
+    }
+
+    fn finish(mut self) -> Result<(), LogError> {
+        let checksum = self.hasher.clone().finalize();
+        write_all(&mut self.file, self.path, &checksum.to_le_bytes())?;
+        self.file.flush().map_err(io_error("write", self.path))
+    }
+}
--- /dev/null
+++ b/configlog/tests/log.rs
@@ -0,0 +1,359 @@
+//! Logs that are opened again: whole, torn, damaged, half-snapshotted, too long and missing.
+
+use bellsill_configlog::*;
+use std::fs;
+use std::path::{Path, PathBuf};
+use tempfile::TempDir;
+
+/// Header of a file of records, and of each record.
+const FILE_HEADER: usize = 24;
+const RECORD_HEADER: usize = 28;
+
+fn payload(index: u64) -> Vec<u8> {
+    format!("record {index}").into_bytes()
+}
+
+fn state(index: u64) -> Vec<Vec<u8>> {
+    (1..=index).map(payload).collect()
+}
+
+fn open(directory: &TempDir) -> (ConfigLog, Recovered) {
+    ConfigLog::open(directory.path()).unwrap()
+}
+
+fn refusal(directory: &TempDir) -> LogError {
+    ConfigLog::open(directory.path()).err().expect("the log is refused")
+}
+
+/// Appends records up to an index, each durable before the next.
+fn append_to(log: &mut ConfigLog, last: u64) {
+    for index in log.last_index() + 1..=last {
+        log.append(index, &payload(index)).unwrap();
+        log.sync().unwrap();
+    }
+}
+
+fn snapshot_at(log: &mut ConfigLog, index: u64) {
+    append_to(log, index);
+    log.write_snapshot(index, state(index).into_iter()).unwrap();
+}
+
+/// Asserts that the snapshot and the records after it are all records up to an index.
+fn assert_holds(recovered: &Recovered, snapshot: Option<u64>, last: u64) {
+    assert_eq!(recovered.snapshot.as_ref().map(|snapshot| snapshot.index), snapshot);
+    let mut held = recovered.snapshot.clone().map_or_else(Vec::new, |snapshot| snapshot.records);
+    let first = held.len() as u64 + 1;
+    let indices: Vec<u64> = recovered.records.iter().map(|record| record.index).collect();
+    assert_eq!(indices, (first..=last).collect::<Vec<u64>>());
+    held.extend(recovered.records.iter().map(|record| record.payload.clone()));
+    assert_eq!(held, state(last));
+}
+
+fn files(directory: &TempDir, prefix: &str) -> Vec<PathBuf> {
+    let paths = fs::read_dir(directory.path()).unwrap().map(|entry| entry.unwrap().path());
+    let mut found: Vec<PathBuf> =
+        paths.filter(|path| path.file_name().unwrap().to_str().unwrap().starts_with(prefix)).collect();
+    found.sort();
+    found
+}
+
+fn file_of(directory: &TempDir, kind: &str, index: u64) -> PathBuf {
+    directory.path().join(format!("{kind}.{index:020}"))
+}
+
+fn flip_bit(path: &Path, byte: usize) {
+    let mut bytes = fs::read(path).unwrap();
+    bytes[byte] ^= 0x10;
+    fs::write(path, bytes).unwrap();
+}
+
+fn cut(path: &Path, length: usize) {
+    let bytes = fs::read(path).unwrap();
+    fs::write(path, &bytes[..length]).unwrap();
+}
+
+#[test]
+fn a_new_log_is_empty() {
+    let directory = TempDir::new().unwrap();
+    let (log, recovered) = open(&directory);
+    assert_holds(&recovered, None, 0);
+    assert_eq!((log.last_index(), log.bytes()), (0, FILE_HEADER as u64));
+}
+
+#[test]
+fn records_are_there_again() {
+    let directory = TempDir::new().unwrap();
+    for last in [3, 3, 7] {
+        append_to(&mut open(&directory).0, last);
+        assert_holds(&open(&directory).1, None, last);
+    }
+    let (log, recovered) = open(&directory);
+    let bytes = FILE_HEADER + 7 * (RECORD_HEADER + payload(1).len());
+    assert_eq!(log.bytes(), bytes as u64);
+    assert_eq!((recovered.report.torn_bytes, recovered.report.rejected.len()), (0, 0));
+}
+
+#[test]
+fn indices_rise() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    log.append_batch(&[(5, b"five"), (9, b"")]).unwrap();
+    for wrong in [0, 5, 9] {
+        assert!(matches!(log.append(wrong, b""), Err(LogError::IndexOutOfOrder { last: 9, .. })));
+    }
+    assert!(log.append_batch(&[(10, b"ten"), (10, b"ten")]).is_err(), "all or none");
+    drop(log);
+    let (_, recovered) = open(&directory);
+    let records = [(5, b"five".to_vec()), (9, Vec::new())].map(|(index, payload)| Record { index, payload });
+    assert_eq!(recovered.records, records);
+}
+
+#[test]
+fn a_second_process_is_kept_out() {
+    let directory = TempDir::new().unwrap();
+    let (log, _) = open(&directory);
+    assert!(matches!(refusal(&directory), LogError::InUse { .. }));
+    drop(log);
+    open(&directory);
+}
+
+#[test]
+fn a_torn_tail_is_cut_and_counted_wherever_it_ends() {
+    let record = RECORD_HEADER + payload(3).len();
+    for left in 1..record {
+        let directory = TempDir::new().unwrap();
+        append_to(&mut open(&directory).0, 3);
+        cut(&file_of(&directory, "log", 0), FILE_HEADER + 2 * record + left);
+        let (mut log, recovered) = open(&directory);
+        assert_holds(&recovered, None, 2);
+        assert_eq!(recovered.report.torn_bytes, left as u64);
+        append_to(&mut log, 5);
+        drop(log);
+        let (_, recovered) = open(&directory);
+        assert_holds(&recovered, None, 5);
+        assert_eq!(recovered.report.torn_bytes, 0);
+    }
+}
+
+#[test]
+fn pages_of_an_unsynced_batch_may_be_missing_anywhere() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    append_to(&mut log, 2);
+    let durable = log.bytes() as usize;
+    let payloads: Vec<Vec<u8>> = (3..=6).map(payload).collect();
+    let batch: Vec<(u64, &[u8])> = (3..).zip(payloads.iter().map(Vec::as_slice)).collect();
+    log.append_batch(&batch).unwrap();
+    drop(log);
+    let file = file_of(&directory, "log", 0);
+    let mut bytes = fs::read(&file).unwrap();
+    bytes[durable + 10..durable + 50].fill(0);
+    fs::write(&file, &bytes).unwrap();
+    let (_, recovered) = open(&directory);
+    assert_holds(&recovered, None, 2);
+    assert_eq!(recovered.report.torn_bytes, (bytes.len() - durable) as u64);
+}
+
+#[test]
+fn a_flipped_bit_in_the_middle_refuses_the_log() {
+    let record = RECORD_HEADER + payload(1).len();
+    let whole = TempDir::new().unwrap();
+    append_to(&mut open(&whole).0, 4);
+    let bytes = fs::read(file_of(&whole, "log", 0)).unwrap();
+    for byte in 0..FILE_HEADER + 3 * record {
+        let directory = TempDir::new().unwrap();
+        let file = file_of(&directory, "log", 0);
+        fs::write(&file, &bytes).unwrap();
+        flip_bit(&file, byte);
+        let damaged = fs::read(&file).unwrap();
+        let error = refusal(&directory);
+        let LogError::Corrupt { file: named, offset, .. } = &error else { panic!("byte {byte}: {error}") };
+        let expected = byte.checked_sub(FILE_HEADER).map_or(0, |byte| FILE_HEADER + byte / record * record);
+        assert_eq!((named, *offset), (&file, expected as u64), "byte {byte}");
+        assert!(error.to_string().contains("Copy the directory of another control process"), "{error}");
+        assert_eq!(fs::read(&file).unwrap(), damaged, "nothing was changed");
+    }
+}
+
+#[test]
+fn an_earlier_log_that_is_cut_refuses() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    snapshot_at(&mut log, 3);
+    append_to(&mut log, 5);
+    drop(log);
+    let first = file_of(&directory, "log", 0);
+    cut(&first, fs::read(&first).unwrap().len() - 1);
+    flip_bit(&file_of(&directory, "snapshot", 3), 30);
+    assert!(matches!(refusal(&directory), LogError::Corrupt { damage: Damage::Incomplete, .. }));
+}
+
+#[test]
+fn another_format_is_refused() {
+    let directory = TempDir::new().unwrap();
+    drop(open(&directory));
+    let file = file_of(&directory, "log", 0);
+    let mut bytes = fs::read(&file).unwrap();
+    bytes[8] = 2;
+    let checksum = crc32fast::hash(&bytes[..FILE_HEADER - 4]);
+    bytes[FILE_HEADER - 4..].copy_from_slice(&checksum.to_le_bytes());
+    fs::write(&file, bytes).unwrap();
+    assert!(matches!(refusal(&directory), LogError::UnknownFormat { found: 2, .. }));
+}
+
+#[test]
+fn a_snapshot_takes_the_place_of_records() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    for index in [4, 9, 15, 22] {
+        snapshot_at(&mut log, index);
+        assert_eq!(log.bytes(), FILE_HEADER as u64);
+        append_to(&mut log, index + 2);
+    }
+    drop(log);
+    assert_holds(&open(&directory).1, Some(22), 24);
+    let kept = [15, 22].map(|index| file_of(&directory, "snapshot", index));
+    assert_eq!(files(&directory, "snapshot"), kept);
+    assert_eq!(files(&directory, "log"), [15, 22].map(|after| file_of(&directory, "log", after)));
+}
+
+#[test]
+fn a_snapshot_of_an_earlier_index_keeps_the_records_after_it() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    append_to(&mut log, 10);
+    for index in [6, 8, 8, 9] {
+        log.write_snapshot(index, state(index).into_iter()).unwrap();
+    }
+    assert!(matches!(
+        log.write_snapshot(7, std::iter::empty()),
+        Err(LogError::IndexOutOfOrder { last: 9, found: 7 })
+    ));
+    append_to(&mut log, 12);
+    drop(log);
+    assert_holds(&open(&directory).1, Some(9), 12);
+}
+
+#[test]
+fn a_snapshot_from_elsewhere_may_be_ahead_of_the_records() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    append_to(&mut log, 2);
+    log.write_snapshot(50, state(50).into_iter()).unwrap();
+    append_to(&mut log, 52);
+    drop(log);
+    assert_holds(&open(&directory).1, Some(50), 52);
+    flip_bit(&file_of(&directory, "snapshot", 50), 40);
+    let error = refusal(&directory);
+    assert!(matches!(error, LogError::MissingRecords { after: 50, reached: 2, .. }), "{error}");
+}
+
+/// Every way in which a snapshot may be half there.
+#[test]
+fn a_damaged_snapshot_is_counted_and_the_one_before_used() {
+    let whole = TempDir::new().unwrap();
+    let (mut log, _) = open(&whole);
+    snapshot_at(&mut log, 4);
+    snapshot_at(&mut log, 7);
+    append_to(&mut log, 9);
+    drop(log);
+    let bytes = fs::read(file_of(&whole, "snapshot", 7)).unwrap();
+    let cuts = (0..bytes.len()).map(|length| bytes[..length].to_vec());
+    let flips = (0..bytes.len()).map(|byte| {
+        let mut flipped = bytes.clone();
+        flipped[byte] ^= 1;
+        flipped
+    });
+    for damaged in cuts.chain(flips) {
+        let file = file_of(&whole, "snapshot", 7);
+        fs::write(&file, damaged).unwrap();
+        let (_, recovered) = open(&whole);
+        assert_holds(&recovered, Some(4), 9);
+        assert_eq!(recovered.report.rejected.len(), 1);
+        assert_eq!(recovered.report.rejected[0].file, file);
+    }
+    let (mut log, _) = open(&whole);
+    snapshot_at(&mut log, 11);
+    let kept = [4, 11].map(|index| file_of(&whole, "snapshot", index));
+    assert_eq!(files(&whole, "snapshot"), kept, "the damaged one is removed");
+}
+
+#[test]
+fn a_snapshot_that_was_not_finished_is_counted_and_removed() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    snapshot_at(&mut log, 4);
+    drop(log);
+    let unfinished = directory.path().join("snapshot.00000000000000000009.tmp");
+    fs::write(&unfinished, b"bsl-snp\n").unwrap();
+    let (_, recovered) = open(&directory);
+    assert_holds(&recovered, Some(4), 4);
+    assert_eq!(
+        recovered.report.rejected,
+        [Rejected { file: unfinished.clone(), reason: RejectReason::Unfinished }]
+    );
+    assert!(!unfinished.exists());
+}
+
+/// The states of the directory between the steps of a snapshot: a crash may leave any of them.
+#[test]
+fn a_crash_between_the_steps_of_a_snapshot_loses_nothing() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    snapshot_at(&mut log, 3);
+    append_to(&mut log, 6);
+    drop(log);
+    let before = files(&directory, "").into_iter().map(|file| (file.clone(), fs::read(file).unwrap()));
+    let before: Vec<(PathBuf, Vec<u8>)> = before.collect();
+    snapshot_at(&mut open(&directory).0, 6);
+    // The snapshot has its name, the next log is not there yet.
+    fs::remove_file(file_of(&directory, "log", 6)).unwrap();
+    before.iter().for_each(|(file, bytes)| fs::write(file, bytes).unwrap());
+    let (mut log, recovered) = open(&directory);
+    assert_holds(&recovered, Some(6), 6);
+    append_to(&mut log, 8);
+    drop(log);
+    assert_holds(&open(&directory).1, Some(6), 8);
+    flip_bit(&file_of(&directory, "snapshot", 6), 25);
+    assert_holds(&open(&directory).1, Some(3), 8);
+}
+
+#[test]
+fn a_missing_log_refuses() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    snapshot_at(&mut log, 3);
+    append_to(&mut log, 5);
+    drop(log);
+    fs::remove_file(file_of(&directory, "snapshot", 3)).unwrap();
+    fs::remove_file(file_of(&directory, "log", 0)).unwrap();
+    let error = refusal(&directory);
+    assert!(matches!(error, LogError::MissingRecords { after: 3, reached: 0, .. }), "{error}");
+    assert!(error.to_string().contains("Restore it"), "{error}");
+}
+
+#[test]
+fn a_record_that_is_too_long_is_refused_both_ways() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    let longest = vec![7; LONGEST_RECORD];
+    let too_long = vec![7; LONGEST_RECORD + 1];
+    log.append(1, &longest).unwrap();
+    let refused = log.append(2, &too_long);
+    assert!(matches!(refused, Err(LogError::RecordTooLong { length }) if length == too_long.len()));
+    let refused = log.write_snapshot(1, [longest.clone(), too_long].into_iter());
+    assert!(matches!(refused, Err(LogError::RecordTooLong { .. })));
+    assert!(files(&directory, "snapshot").is_empty());
+    append_to(&mut log, 2);
+    drop(log);
+    // The length of the second record, with a checksum of its header that matches.
+    let file = file_of(&directory, "log", 0);
+    let mut bytes = fs::read(&file).unwrap();
+    let second = FILE_HEADER + RECORD_HEADER + LONGEST_RECORD;
+    bytes[second..second + 4].copy_from_slice(&(LONGEST_RECORD as u32 + 1).to_le_bytes());
+    let checksum = crc32fast::hash(&bytes[second..second + 24]);
+    bytes[second + 24..second + 28].copy_from_slice(&checksum.to_le_bytes());
+    fs::write(&file, bytes).unwrap();
+    let error = refusal(&directory);
+    assert!(matches!(error, LogError::Corrupt { damage: Damage::TooLong, .. }), "{error}");
+}
