--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -182,6 +182,7 @@
         ("refused_lines", counters.refused_lines),
         ("watches", calls.calls),
         ("broken_watches", calls.broken),
+        ("refused_watches", calls.refused),
         ("lookups", calls.lookups),
         ("failed_lookups", calls.failed_lookups),
         ("unsaved", u64::from(unsaved)),
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -116,6 +116,8 @@
     lookup_rest: LookupRest,
     /// A lookup has failed, and [`Timer::LookUp`] is set.
     lookup_rests: bool,
+    /// The status with which a call was refused last, until one serves.
+    refused_with: Option<u16>,
 }
 
 enum Source {
@@ -147,6 +149,7 @@
             lookup: None,
             lookup_rest: LookupRest::new(options.seed),
             lookup_rests: false,
+            refused_with: None,
         })))
     }
 
@@ -369,6 +372,7 @@
             }
             Source::Scoped(source) => {
                 source.servers.served();
+                source.refused_with = None;
                 SCOPED_SILENT_FOR
             }
         };
@@ -478,10 +482,26 @@
         }
     }
 
+    /// Says that a control process has refused the watch, once for each status until one serves.
+    fn warn_of_refusal(&mut self, status: u16) {
+        let Source::Scoped(source) = &mut self.source else { return };
+        if source.refused_with.replace(status) == Some(status) {
+            return;
+        }
+        let (server, dispatcher) = (source.servers.current(), &source.dispatcher);
+        match status {
+            404 => log::warn!("configuration: {server} has no dispatcher `{dispatcher}`: declare it there"),
+            _ => log::warn!("configuration: {server} answered {status} to the watch"),
+        }
+    }
+
     fn count_failure(&mut self, failure: CallFailure) {
         match failure {
             CallFailure::NoAnswer => {}
-            CallFailure::Status(_) => self.counters.refused += 1,
+            CallFailure::Status(status) => {
+                self.counters.refused += 1;
+                self.warn_of_refusal(status);
+            }
             CallFailure::OverlongLine => self.counters.overlong_lines += 1,
         }
     }
