--- a/benchlink/src/line.rs
+++ b/benchlink/src/line.rs
@@ -1,6 +1,6 @@
 //! One line of the wire: a name and name=value pairs, the last of them free text where it is one.
 
-use bellsill::interface::MailId;
+use bellsill::interface::MessageId;
 
 /// What is wrong with a line, said plainly.
 #[derive(Debug)]
@@ -54,8 +54,8 @@
         self.maybe_num(field)?.ok_or_else(|| self.bad(field, "a whole number"))
     }
 
-    pub fn hex(&self, field: &str) -> Result<MailId, Bad> {
+    pub fn hex(&self, field: &str) -> Result<MessageId, Bad> {
         let read = u64::from_str_radix(self.text(field)?, 16);
-        read.map(MailId).map_err(|_| self.bad(field, "16 hex digits"))
+        read.map(MessageId).map_err(|_| self.bad(field, "16 hex digits"))
     }
 }
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -33,26 +33,26 @@
 }
 
 impl Outlet for Writer<'_> {
-    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, time_out: Nanos) {
         let to = &self.endpoints[endpoint.0 as usize];
         self.action("SEND", format_args!(" txn={:016x} give-up-after-ns={time_out} endpoint={to}", mail.0));
     }
-    fn defer(&mut self, mail: MailId, come_back: Nanos) {
+    fn defer(&mut self, mail: MessageId, come_back: Nanos) {
         self.action("OVERLOAD_REPLY", format_args!(" txn={:016x} backoff-ns={come_back}", mail.0));
     }
-    fn bounce(&mut self, mail: MailId) {
+    fn bounce(&mut self, mail: MessageId) {
         self.action("END_FAILED", format_args!(" txn={:016x}", mail.0));
     }
-    fn call_off(&mut self, mail: MailId, no: ConnectNo) {
+    fn cancel(&mut self, mail: MessageId, no: AttemptNumber) {
         self.action("CALL_OFF", format_args!(" txn={:016x} round-no={}", mail.0, no.0));
     }
-    fn hang_up(&mut self, endpoint: EndpointId) {
+    fn close_idle(&mut self, endpoint: EndpointId) {
         let to = &self.endpoints[endpoint.0 as usize];
         self.action("SHUT_IDLE", format_args!(" endpoint={to}"));
     }
     // The bench's days are short: a name keeps its number.
     fn forget(&mut self, _: EndpointId) {}
-    fn ask(&mut self) {
+    fn request_watch(&mut self) {
         self.action("LISTEN", format_args!(" want=1"));
     }
     fn wake(&mut self, after: Nanos) {
@@ -111,12 +111,12 @@
         let decided = catch_unwind(AssertUnwindSafe(|| -> Result<(), Bad> {
             match line.name {
                 "MEMBERS" => match news.flatten() {
-                    Some((scope, entries)) => d.list_news(now, scope, &entries, out),
-                    None => d.list_lost(now, out),
+                    Some((scope, entries)) => d.apply_list(now, scope, &entries, out),
+                    None => d.watch_lost(now, out),
                 },
                 "CALL" => {
                     check_tenant(names, line)?;
-                    let mail = NewMail {
+                    let mail = NewMessage {
                         id: line.hex("txn")?,
                         class: ClassId(read_class(names, line)?),
                         key: line.maybe_num("resource")?.map(KeyId),
@@ -124,19 +124,19 @@
                         due: line.num("due-ns")?,
                         past: Past::default(),
                     };
-                    d.mails_taken(now, [mail], out);
+                    d.accept(now, [mail], out);
                 }
                 "CLOSED_ATTEMPT" => {
                     let note = line.maybe_num("note")?.unwrap_or(0);
-                    let end = ConnectEnd {
-                        mail: line.hex("txn")?,
-                        no: ConnectNo(line.num("round-no")? as u32),
+                    let end = AttemptEnd {
+                        message: line.hex("txn")?,
+                        number: AttemptNumber(line.num("round-no")? as u32),
                         outcome: outcome(line, note)?,
                         over: line.get("over") == Some("1"),
                         took: line.maybe_num("wait-time-ns")?.unwrap_or(0),
-                        limit: told_limit(line)?,
+                        reported_limit: told_limit(line)?,
                     };
-                    d.connect_ended(now, end, out);
+                    d.attempt_ended(now, end, out);
                 }
                 // Neither probes nor notes are sent, so none should come; told of one, the decisions have no use for it.
                 "CHECKED" => drop((line.text("endpoint")?, outcome(line, 0)?)),
@@ -146,7 +146,7 @@
                     let note = base64::engine::general_purpose::STANDARD.decode(raw);
                     note.map_err(|_| line.bad("raw", "base64"))?;
                 }
-                "ABANDONED" => d.mail_withdrawn(now, line.hex("txn")?, out),
+                "ABANDONED" => d.message_withdrawn(now, line.hex("txn")?, out),
                 "DEADLINE_HIT" => d.woken(now, out),
                 // Streams do not occur here.
                 _ => {}
--- a/boot/src/lib.rs
+++ b/boot/src/lib.rs
@@ -110,11 +110,11 @@
 fn class(json: &Value, place: &str) -> Result<(String, ClassFacts), BadField> {
     let r = Reader { json, place };
     let repeat = match r.word("repeat")? {
-        "idempotent" => Repeat::Redeliverable,
+        "idempotent" => Repeat::Idempotent,
         "deduplicated" => {
-            Repeat::Tagged { window: r.count("window-ns")?, same_zone: r.word("dedup-scope")? != "all" }
+            Repeat::Deduplicated { window: r.count("window-ns")?, same_zone: r.word("dedup-scope")? != "all" }
         }
-        "at_most_once" => Repeat::OnceOnly,
+        "at_most_once" => Repeat::AtMostOnce,
         _ => return Err(r.bad("repeat", "idempotent, deduplicated or at_most_once")),
     };
     let facts = ClassFacts {
@@ -167,21 +167,21 @@
             u32::try_from(v.as_u64()?).ok().filter(|n| *n > 0)
         })?,
         classes,
-        apart: own.iter().map(|v| v.as_bool().unwrap_or(false)).collect(),
+        separate_limits: own.iter().map(|v| v.as_bool().unwrap_or(false)).collect(),
         batch: batch.iter().map(most).collect::<Result<_, _>>()?,
         halves: r.word("family-info.decay")? == "halves",
         slots: r.from(1, "family-info.workers")? as usize,
         holding_room: r.from(1, "limits.max-open")? as usize,
-        own_door: false,
-        max_connects: r.from(1, "limits.max-attempts")? as u32,
+        own_admission: false,
+        max_attempts: r.from(1, "limits.max-attempts")? as u32,
         connect_timeout: r.count("limits.connect-timeout-ns")?,
-        max_come_back: if r.flag("limits.retry-after") { r.count("limits.max-retry-after-ns")? } else { 0 },
+        max_retry_after: if r.flag("limits.retry-after") { r.count("limits.max-retry-after-ns")? } else { 0 },
         cold_share: r.within(LEAST_PART, 1.0, "guarantees.cold-share")?,
         ramp: r.count("guarantees.ramp-time-ns")?,
         tip_multiple: r.within(LEAST_PART, MOST, "guarantees.tip-multiple")?,
         tip_window: r.count("guarantees.overload-for-ns")?,
-        key_rest: r.at("guarantees.turn-gap-ns").and_then(Value::as_u64).unwrap_or(0),
-        ask_within: match r.at("discovery").map(Value::as_str) {
+        key_cooldown: r.at("guarantees.turn-gap-ns").and_then(Value::as_u64).unwrap_or(0),
+        watch_within: match r.at("discovery").map(Value::as_str) {
             None | Some(Some("pushed")) => None,
             Some(Some("on_request")) => Some(r.from(1, "guarantees.ask-within-ns")?),
             _ => return Err(r.bad("discovery", "pushed or on_request")),
--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -270,7 +270,7 @@
         let listens = self.hands.conns.get(conn).is_some_and(|c| !c.ended);
         let class = self.hands.class_of(&put.class);
         let mail = KeptMail {
-            id: MailId(put.id),
+            id: MessageId(put.id),
             class: put.class,
             key: put.key,
             destination: put.destination,
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -274,17 +274,17 @@
             let serving = told.get(&id).copied().unwrap_or(hands.endpoints[id].serving && !whole);
             hands.endpoints[id].serving = serving;
             if !serving {
-                hands.hang_up(id);
+                hands.close_idle(id);
             }
         }
         // Held out by hand, whatever the list says: the decisions know before they hear of it.
         let held: Vec<EndpointId> =
             hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
         for id in held {
-            self.dispatcher.hold_out(hands.now, id, true, hands);
+            self.dispatcher.set_disabled(hands.now, id, true, hands);
         }
         let scope = if whole { ListScope::Whole } else { ListScope::Update };
-        self.dispatcher.list_news(hands.now, scope, &entries, hands);
+        self.dispatcher.apply_list(hands.now, scope, &entries, hands);
     }
 }
 
@@ -312,7 +312,7 @@
         }
         let endpoint = self.endpoints.know(name, addr, zone, destination);
         if self.endpoints[endpoint].addr != addr {
-            self.hang_up(endpoint);
+            self.close_idle(endpoint);
             self.endpoints[endpoint].addr = addr;
             // What still comes up at the old address would be somebody else's by then.
             let rises = |id: &ConnId| {
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -141,7 +141,7 @@
         let clock = Clock::start();
         let now = clock.now();
         let Start { boot, known, .. } = start;
-        let (facts, names) = (BootFacts { own_door: true, ..boot.facts }, boot.names);
+        let (facts, names) = (BootFacts { own_admission: true, ..boot.facts }, boot.names);
         let class_names = names.classes.clone();
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
         let (mut journal, mut kept) = MailJournal::open(&start.state, start.disk_bytes).map_err(in_folder)?;
@@ -294,7 +294,7 @@
     fn settle(&mut self) {
         while let Some(end) = self.hands.ended.pop_front() {
             if self.leaving < Leaving::Ending {
-                self.dispatcher.connect_ended(self.hands.now, end, &mut self.hands);
+                self.dispatcher.attempt_ended(self.hands.now, end, &mut self.hands);
             }
         }
     }
--- a/daemon/src/mail_journal.rs
+++ b/daemon/src/mail_journal.rs
@@ -6,7 +6,7 @@
 //! Once much of the file is over, it is written anew with what still counts; old and new stand side by side for that
 //! moment and together stay under the disk limit.
 
-use bellsill::interface::{MailId, Nanos};
+use bellsill::interface::{MessageId, Nanos};
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
@@ -48,7 +48,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct KeptMail {
-    pub id: MailId,
+    pub id: MessageId,
     pub class: String,
     pub key: u64,
     pub destination: u64,
@@ -64,14 +64,14 @@
 pub struct Kept {
     /// In the order in which they were taken.
     pub mails: Vec<KeptMail>,
-    pub owed: Vec<(MailId, Ending)>,
+    pub owed: Vec<(MessageId, Ending)>,
 }
 
 /// The disk limit leaves no place, or the disk took no more.
 #[derive(Debug, PartialEq)]
 pub struct NoRoom;
 
-fn begin(kind: u8, id: MailId) -> Vec<u8> {
+fn begin(kind: u8, id: MessageId) -> Vec<u8> {
     let mut payload = vec![kind];
     payload.extend(id.0.to_le_bytes());
     payload
@@ -101,20 +101,20 @@
     sealed(p)
 }
 
-fn connect_record(id: MailId, at: Nanos, zone: &str) -> Vec<u8> {
+fn connect_record(id: MessageId, at: Nanos, zone: &str) -> Vec<u8> {
     let mut p = begin(b'C', id);
     p.extend(at.to_le_bytes());
     put_bytes(&mut p, zone.as_bytes());
     sealed(p)
 }
 
-fn outcome_record(id: MailId, may_have_run: bool) -> Vec<u8> {
+fn outcome_record(id: MessageId, may_have_run: bool) -> Vec<u8> {
     let mut p = begin(b'O', id);
     p.push(u8::from(may_have_run));
     sealed(p)
 }
 
-fn end_record(id: MailId, ending: Option<Ending>) -> Vec<u8> {
+fn end_record(id: MessageId, ending: Option<Ending>) -> Vec<u8> {
     let mut p = begin(b'E', id);
     let (how, wait) = match ending {
         None => (0, 0),
@@ -126,7 +126,7 @@
     sealed(p)
 }
 
-fn told_record(id: MailId) -> Vec<u8> {
+fn told_record(id: MessageId) -> Vec<u8> {
     sealed(begin(b'N', id))
 }
 
@@ -167,17 +167,17 @@
 #[derive(Default)]
 struct Replay {
     mails: Vec<Option<KeptMail>>,
-    place: BTreeMap<MailId, usize>,
-    owed: Vec<(MailId, Ending)>,
+    place: BTreeMap<MessageId, usize>,
+    owed: Vec<(MessageId, Ending)>,
 }
 
 impl Replay {
-    fn mail(&mut self, id: MailId) -> Option<&mut KeptMail> {
+    fn mail(&mut self, id: MessageId) -> Option<&mut KeptMail> {
         self.mails[*self.place.get(&id)?].as_mut()
     }
 
     fn apply(&mut self, mut f: Fields) -> Option<()> {
-        let (kind, id) = (f.byte()?, MailId(f.number()?));
+        let (kind, id) = (f.byte()?, MessageId(f.number()?));
         match kind {
             b'M' => {
                 let (key, destination, due) = (f.number()?, f.number()?, f.number()?);
@@ -229,7 +229,7 @@
 
 impl Kept {
     /// The records that say all this anew, with the mail of each.
-    fn records(&self) -> impl Iterator<Item = (MailId, Vec<u8>)> {
+    fn records(&self) -> impl Iterator<Item = (MessageId, Vec<u8>)> {
         let mails = self.mails.iter().map(|mail| {
             let mut bytes = taken_record(mail);
             for connect in &mail.connects {
@@ -251,7 +251,7 @@
     file: File,
     length: u64,
     /// By mail: what of the file still counts.
-    live: BTreeMap<MailId, u64>,
+    live: BTreeMap<MessageId, u64>,
     live_total: u64,
     room: u64,
 }
@@ -334,7 +334,7 @@
             let (mut kept, _) = replay(&bytes);
             kept.mails.retain(|m| !self.live.contains_key(&m.id));
             kept.owed.retain(|(id, _)| !self.live.contains_key(id));
-            let records: Vec<(MailId, Vec<u8>)> = kept.records().collect();
+            let records: Vec<(MessageId, Vec<u8>)> = kept.records().collect();
             let bytes: Vec<u8> = records.iter().flat_map(|(_, record)| record).copied().collect();
             if self.append(&bytes).is_err() {
                 held = true;
@@ -376,16 +376,16 @@
     }
 
     /// A connect, before its first byte.
-    pub fn connect(&mut self, id: MailId, at: Nanos, zone: &str) -> Result<(), NoRoom> {
+    pub fn connect(&mut self, id: MessageId, at: Nanos, zone: &str) -> Result<(), NoRoom> {
         self.add(id, &connect_record(id, at, zone))
     }
 
-    pub fn outcome(&mut self, id: MailId, may_have_run: bool) -> Result<(), NoRoom> {
+    pub fn outcome(&mut self, id: MessageId, may_have_run: bool) -> Result<(), NoRoom> {
         self.add(id, &outcome_record(id, may_have_run))
     }
 
     /// The end of a mail; a notice is owed from then on, if an ending is named.
-    pub fn ended(&mut self, id: MailId, ending: Option<Ending>) -> Result<(), NoRoom> {
+    pub fn ended(&mut self, id: MessageId, ending: Option<Ending>) -> Result<(), NoRoom> {
         self.over(id);
         let record = end_record(id, ending);
         self.append(&record)?;
@@ -397,12 +397,12 @@
     }
 
     /// The platform has taken the mail's notice.
-    pub fn told(&mut self, id: MailId) -> Result<(), NoRoom> {
+    pub fn told(&mut self, id: MessageId) -> Result<(), NoRoom> {
         self.over(id);
         self.append(&told_record(id))
     }
 
-    fn add(&mut self, id: MailId, record: &[u8]) -> Result<(), NoRoom> {
+    fn add(&mut self, id: MessageId, record: &[u8]) -> Result<(), NoRoom> {
         self.append(record)?;
         if let Some(size) = self.live.get_mut(&id) {
             *size += record.len() as u64;
@@ -411,7 +411,7 @@
         Ok(())
     }
 
-    fn over(&mut self, id: MailId) {
+    fn over(&mut self, id: MessageId) {
         self.live_total -= self.live.remove(&id).unwrap_or(0);
     }
 
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -78,7 +78,7 @@
 /// A connect that has no outcome yet.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
-    pub no: ConnectNo,
+    pub no: AttemptNumber,
     pub endpoint: EndpointId,
     pub conn: Option<ConnId>,
     pub at: Nanos,
@@ -90,7 +90,7 @@
 }
 
 pub struct Held {
-    pub id: MailId,
+    pub id: MessageId,
     /// Its row of the classes; none for one of no class known now.
     pub class: Option<usize>,
     pub tag: String,
@@ -106,13 +106,13 @@
     pub conns: Conns,
     pub deadlines: Deadlines<Due>,
     pub mails: Slots<MailSlot, Held>,
-    pub slots: BTreeMap<MailId, MailSlot>,
+    pub slots: BTreeMap<MessageId, MailSlot>,
     pub endpoints: Endpoints,
     pub discovery: Discovery,
     pub notices: Notices,
     pub journal: MailJournal,
     /// Outcomes that the decisions have not been told.
-    pub ended: VecDeque<ConnectEnd>,
+    pub ended: VecDeque<AttemptEnd>,
     pub class_names: Vec<String>,
     pub connect_timeout: Nanos,
     pub keep_alive: Nanos,
@@ -213,7 +213,14 @@
             },
         );
         let took = self.now - call.at;
-        self.ended.push_back(ConnectEnd { mail: id, no: call.no, outcome, over, took, limit: call.limit });
+        self.ended.push_back(AttemptEnd {
+            message: id,
+            number: call.no,
+            outcome,
+            over,
+            took,
+            reported_limit: call.limit,
+        });
     }
 
     /// Breaks a connect off: its connection is closed, which tells the endpoint. What has come until then is read first: an
@@ -287,33 +294,33 @@
 }
 
 impl Outlet for Hands {
-    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, time_out: Nanos) {
         let Some(&slot) = self.slots.get(&mail) else { return };
         let Some(held) = self.mails.get_mut(slot) else { return };
         let (at, until) = (self.now, self.now + time_out);
-        let no = ConnectNo(held.connects);
+        let no = AttemptNumber(held.connects);
         held.connects += 1;
         held.call = Some(Call { no, endpoint, conn: None, at, until, begun: false, limit: 0.0 });
         self.deadlines.set(Due::Call(slot), until);
         self.place(slot, endpoint);
     }
 
-    fn defer(&mut self, mail: MailId, come_back: Nanos) {
+    fn defer(&mut self, mail: MessageId, come_back: Nanos) {
         self.give_up(mail, Stage::Deferred(come_back));
     }
 
-    fn bounce(&mut self, mail: MailId) {
+    fn bounce(&mut self, mail: MessageId) {
         self.give_up(mail, Stage::Bounced);
     }
 
-    fn call_off(&mut self, mail: MailId, no: ConnectNo) {
+    fn cancel(&mut self, mail: MessageId, no: AttemptNumber) {
         let Some(&slot) = self.slots.get(&mail) else { return };
         if self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| c.no == no) {
             self.break_call(slot, Outcome::CalledOff);
         }
     }
 
-    fn hang_up(&mut self, endpoint: EndpointId) {
+    fn close_idle(&mut self, endpoint: EndpointId) {
         for conn in std::mem::take(&mut self.endpoints[endpoint].idle) {
             self.deadlines.clear(Due::Conn(conn));
             self.conns.close(conn);
@@ -329,7 +336,7 @@
     }
 
     // The watch is kept open here, whatever the settings say.
-    fn ask(&mut self) {}
+    fn request_watch(&mut self) {}
     fn wake(&mut self, after: Nanos) {
         self.deadlines.set(Due::Wake, self.now + after);
     }
@@ -340,7 +347,7 @@
 }
 
 impl Hands {
-    fn give_up(&mut self, mail: MailId, to: Stage) {
+    fn give_up(&mut self, mail: MessageId, to: Stage) {
         let Some(&slot) = self.slots.get(&mail) else { return };
         self.shift(slot, to);
         // Once its end is told nothing of it may go out: a connect that has not begun ends here.
@@ -371,7 +378,7 @@
         let hands = &mut self.hands;
         let class = hands.class_of(&mail.class).ok_or(Refusal::UnknownClass)?;
         let facts = &self.classes[class];
-        if mail.tag.is_empty() && matches!(facts.repeat, Repeat::Tagged { .. }) {
+        if mail.tag.is_empty() && matches!(facts.repeat, Repeat::Deduplicated { .. }) {
             return Err(Refusal::Untagged);
         }
         if mail.due > hands.now + facts.lifetime + LIFETIME_SLACK {
@@ -396,7 +403,7 @@
     /// Takes mails that are held to the decisions, with what a former process did for them.
     pub fn decide_on(&mut self, mails: &[KeptMail]) {
         let hands = &mut self.hands;
-        let new = |mail: &KeptMail| NewMail {
+        let new = |mail: &KeptMail| NewMessage {
             id: mail.id,
             class: ClassId(hands.class_of(&mail.class).unwrap_or(0)),
             key: Some(KeyId(mail.key)).filter(|key| key.0 != 0),
@@ -404,8 +411,8 @@
             due: mail.due,
             past: past(&mail.connects, hands.discovery.zones()),
         };
-        let all: Vec<NewMail> = mails.iter().map(new).collect();
-        self.dispatcher.mails_taken(hands.now, all, hands);
+        let all: Vec<NewMessage> = mails.iter().map(new).collect();
+        self.dispatcher.accept(hands.now, all, hands);
     }
 }
 
@@ -413,5 +420,5 @@
 fn past(connects: &[KeptConnect], zones: &[String]) -> Past {
     let ran = connects.iter().find(|c| c.may_have_run != Some(false));
     let zone = |c: &KeptConnect| zones.iter().position(|z| *z == c.zone).unwrap_or(usize::MAX);
-    Past { connects: connects.len() as u32, ran: ran.map(|c| (c.at, ZoneId(zone(c)))) }
+    Past { attempts: connects.len() as u32, ran: ran.map(|c| (c.at, ZoneId(zone(c)))) }
 }
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -298,7 +298,7 @@
         for name in changed {
             let out = hands.held_out.contains(&name);
             if let Some(id) = hands.endpoints.find(&name) {
-                self.dispatcher.hold_out(now, id, out, hands);
+                self.dispatcher.set_disabled(now, id, out, hands);
             }
         }
     }
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, Body, Head};
 use crate::mail_journal::Ending;
 use crate::mails::{Due, Hands};
-use bellsill::interface::{MailId, Nanos};
+use bellsill::interface::{MessageId, Nanos};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -18,9 +18,9 @@
 
 pub struct Notices {
     addr: SocketAddr,
-    owed: BTreeMap<MailId, Ending>,
+    owed: BTreeMap<MessageId, Ending>,
     /// Those of the request that is out.
-    out: Vec<MailId>,
+    out: Vec<MessageId>,
     conn: Option<ConnId>,
     /// After a failure nothing is sent for a while, longer each time.
     rests: bool,
@@ -41,7 +41,7 @@
         }
     }
 
-    pub fn owe(&mut self, id: MailId, ending: Ending) {
+    pub fn owe(&mut self, id: MessageId, ending: Ending) {
         self.owed.insert(id, ending);
     }
 
@@ -50,7 +50,7 @@
     }
 
     fn lines(&self) -> String {
-        let line = |id: &MailId| match self.owed[id] {
+        let line = |id: &MessageId| match self.owed[id] {
             Ending::Bounced => format!("{{\"ref\":\"{:016x}\",\"result\":\"dead\"}}\n", id.0),
             Ending::Deferred(wait) => {
                 let ms = wait.div_ceil(1_000_000);
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -1,6 +1,6 @@
 //! The parts of the daemon, each against a plain model: random input in random pieces.
 
-use bellsill::interface::{MailId, Nanos};
+use bellsill::interface::{MessageId, Nanos};
 use bellsill_daemon::backoff::{Backoff, FIRST_LINE_WITHIN, SILENT_FOR, UP_WITHIN};
 use bellsill_daemon::deadlines::Deadlines;
 use bellsill_daemon::discovery::KEPT_FOR;
@@ -224,7 +224,7 @@
     model: &mut Kept,
     (what, whom, size): (u8, u8, u16),
 ) -> Result<(), NoRoom> {
-    let id = MailId(u64::from(whom % 16));
+    let id = MessageId(u64::from(whom % 16));
     let place = model.mails.iter().position(|m| m.id == id);
     match (what % 6, place) {
         (0 | 1, None) if !model.owed.iter().any(|o| o.0 == id) => {
--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -122,7 +122,7 @@
 }
 
 struct Call {
-    mail: MailId,
+    mail: MessageId,
     endpoint: EndpointId,
     dispatcher: usize,
 }
@@ -131,20 +131,20 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Doubt {
     /// The earlier call must turn out to have been closed by then.
-    StillOut { by: MailId, earlier: CallNo, rule: Rule },
+    StillOut { by: MessageId, earlier: CallNo, rule: Rule },
     /// The earlier mail must turn out to have ended by then.
-    NotEnded { by: MailId, earlier: MailId },
+    NotEnded { by: MessageId, earlier: MessageId },
     /// The answer must turn out to have crossed the end of its connection.
-    AfterRelayed { by: MailId, answered: CallNo },
+    AfterRelayed { by: MessageId, answered: CallNo },
 }
 
 #[derive(Default)]
 struct KeyLine {
     /// As they were taken, with when.
-    mails: VecDeque<(MailId, Nanos)>,
-    out: BTreeSet<(CallNo, MailId)>,
+    mails: VecDeque<(MessageId, Nanos)>,
+    out: BTreeSet<(CallNo, MessageId)>,
     /// After a loose end: until then only that mail may go.
-    rest: Option<(Nanos, MailId)>,
+    rest: Option<(Nanos, MessageId)>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -156,7 +156,7 @@
 #[derive(Default)]
 struct Effects {
     /// Which mail took effect where and when, as something new.
-    of: Vec<(MailId, EndpointId, Nanos)>,
+    of: Vec<(MessageId, EndpointId, Nanos)>,
 }
 
 /// What the auditor found in all.
@@ -179,7 +179,7 @@
 
 pub struct Auditor {
     facts: Facts,
-    mails: HashMap<MailId, Mail>,
+    mails: HashMap<MessageId, Mail>,
     calls: HashMap<CallNo, Call>,
     /// Calls that ended, for what is learnt of them later: how, and when.
     closed: HashMap<CallNo, (Option<Answer>, Option<Nanos>)>,
@@ -189,7 +189,7 @@
     waits: HashMap<(usize, usize), Vec<(Nanos, Nanos)>>,
     hosts: BTreeMap<usize, Host>,
     /// When a mail is looked at, or forgotten.
-    looks: BinaryHeap<Reverse<(Nanos, MailId)>>,
+    looks: BinaryHeap<Reverse<(Nanos, MessageId)>>,
     doubts: BinaryHeap<Reverse<(Nanos, Doubt)>>,
     forget: VecDeque<(Nanos, CallNo)>,
     verdict: Verdict,
@@ -219,7 +219,7 @@
         self.facts.endpoints.push((zone, gate));
     }
 
-    fn broken(&mut self, at: Nanos, rule: Rule, mail: Option<MailId>, evidence: String) {
+    fn broken(&mut self, at: Nanos, rule: Rule, mail: Option<MessageId>, evidence: String) {
         *self.verdict.breaks.entry(rule).or_default() += 1;
         if self.verdict.words.len() < WORDS {
             self.verdict.words.push(Break { at, rule, mail: mail.map(|m| m.0), evidence });
@@ -305,8 +305,8 @@
     /// The run is over: all has had its time.
     pub fn finish(mut self, now: Nanos) -> Verdict {
         self.pass(now + self.facts.slack.order + 1);
-        let open: Vec<MailId> = self.mails.keys().copied().collect();
-        let mut open: Vec<MailId> = open.into_iter().filter(|m| self.owed(*m, now)).collect();
+        let open: Vec<MessageId> = self.mails.keys().copied().collect();
+        let mut open: Vec<MessageId> = open.into_iter().filter(|m| self.owed(*m, now)).collect();
         open.sort_unstable();
         for mail in open {
             self.broken(now, Rule::Lost, Some(mail), "no end by the end of the run".into());
@@ -314,7 +314,7 @@
         self.verdict
     }
 
-    fn owed(&self, mail: MailId, now: Nanos) -> bool {
+    fn owed(&self, mail: MessageId, now: Nanos) -> bool {
         self.mails.get(&mail).is_some_and(|m| {
             m.taken.is_some() && m.end.is_none() && !m.unheard && m.hand_in.due + self.facts.slack.end < now
         })
@@ -336,7 +336,7 @@
         self.mails.insert(hand_in.mail, mail);
     }
 
-    fn taken(&mut self, at: Nanos, id: MailId) {
+    fn taken(&mut self, at: Nanos, id: MessageId) {
         let Some(mail) = self.mails.get_mut(&id) else { return };
         mail.taken = Some(at);
         if let Some(key) = mail.hand_in.key {
@@ -345,7 +345,7 @@
         }
     }
 
-    fn look(&mut self, at: Nanos, id: MailId) {
+    fn look(&mut self, at: Nanos, id: MessageId) {
         let Some(mail) = self.mails.get(&id) else { return };
         if at >= mail.hand_in.due + KEPT {
             if self.owed(id, at) {
@@ -400,7 +400,7 @@
         &mut self,
         at: Nanos,
         call: CallNo,
-        id: MailId,
+        id: MessageId,
         endpoint: EndpointId,
         dispatcher: usize,
         begun: Nanos,
@@ -475,15 +475,15 @@
         }
         if let Some((_, first, first_zone)) = ran {
             let why = match class.repeat {
-                Repeat::Redeliverable => None,
-                Repeat::OnceOnly => Some("it is once-only and an earlier connect may have run".to_string()),
-                Repeat::Tagged { window, .. } if begun >= first + window + slack.time => {
+                Repeat::Idempotent => None,
+                Repeat::AtMostOnce => Some("it is once-only and an earlier connect may have run".to_string()),
+                Repeat::Deduplicated { window, .. } if begun >= first + window + slack.time => {
                     Some(format!("its first connect was sent {:.3} s before", (begun - first) as f64 / 1e9))
                 }
-                Repeat::Tagged { same_zone: true, .. } if zone != first_zone => {
+                Repeat::Deduplicated { same_zone: true, .. } if zone != first_zone => {
                     Some(format!("its first connect went to zone {first_zone}, this one to {zone}"))
                 }
-                Repeat::Tagged { .. } => None,
+                Repeat::Deduplicated { .. } => None,
             };
             if let Some(why) = why {
                 let out =
@@ -497,7 +497,7 @@
         }
     }
 
-    fn in_order(&mut self, at: Nanos, call: CallNo, id: MailId, key: (usize, u64), begun: Nanos) {
+    fn in_order(&mut self, at: Nanos, call: CallNo, id: MessageId, key: (usize, u64), begun: Nanos) {
         let slack = self.facts.slack;
         let Some(line) = self.keys.get_mut(&key) else { return };
         let (mut doubts, mut evidence) = (vec![], None);
@@ -529,7 +529,7 @@
     }
 
     fn resolve(&mut self, at: Nanos, doubt: Doubt) {
-        let unheard = |a: &Auditor, m: &MailId| a.mails.get(m).is_none_or(|m| m.unheard);
+        let unheard = |a: &Auditor, m: &MessageId| a.mails.get(m).is_none_or(|m| m.unheard);
         match doubt {
             Doubt::StillOut { by, earlier, rule } => {
                 if !self.closed.contains_key(&earlier) && !unheard(self, &by) {
@@ -558,7 +558,7 @@
     }
 
     /// A call has ended: its mail is no more out. Says whose it was.
-    fn call_over(&mut self, at: Nanos, call: CallNo) -> Option<(MailId, usize)> {
+    fn call_over(&mut self, at: Nanos, call: CallNo) -> Option<(MessageId, usize)> {
         let known = self.calls.get(&call)?;
         let (id, dispatcher) = (known.mail, known.dispatcher);
         self.forget.push_back((at + KEPT, call));
@@ -609,13 +609,13 @@
     }
 
     /// Notes since when a mail can go nowhere any more.
-    fn weigh(&mut self, at: Nanos, id: MailId) {
+    fn weigh(&mut self, at: Nanos, id: MessageId) {
         let most = self.facts.max_connects;
         let Some(mail) = self.mails.get_mut(&id).filter(|m| m.end.is_none() && m.out.is_none()) else {
             return;
         };
         let forbidden = match self.facts.classes[mail.hand_in.class].repeat {
-            Repeat::OnceOnly => !mail.ran.is_empty(),
+            Repeat::AtMostOnce => !mail.ran.is_empty(),
             _ => false,
         };
         if forbidden || mail.connects >= most {
@@ -632,14 +632,14 @@
         }
         let Some(mail) = self.mails.get(&id) else { return };
         let (arrival, repeat) = (mail.hand_in.arrival, self.facts.classes[mail.hand_in.class].repeat);
-        if repeat == Repeat::Redeliverable || !fresh {
+        if repeat == Repeat::Idempotent || !fresh {
             return;
         }
         self.effects.entry(arrival).or_default().of.push((id, endpoint, at));
         let effects = &self.effects[&arrival].of;
         // What went out under an id whose client heard nothing counts for nothing.
-        let heard = |m: &MailId| self.mails.get(m).is_none_or(|m| !m.unheard);
-        let count: Vec<&(MailId, EndpointId, Nanos)> = effects.iter().filter(|e| heard(&e.0)).collect();
+        let heard = |m: &MessageId| self.mails.get(m).is_none_or(|m| !m.unheard);
+        let count: Vec<&(MessageId, EndpointId, Nanos)> = effects.iter().filter(|e| heard(&e.0)).collect();
         if count.len() > 1 && heard(&id) {
             let place = |e: &EndpointId| self.facts.endpoints.get(e.0 as usize).map_or(usize::MAX, |x| x.0);
             let words: Vec<String> = count
@@ -653,7 +653,7 @@
         }
     }
 
-    fn noticed(&mut self, at: Nanos, id: MailId, deferred: bool) {
+    fn noticed(&mut self, at: Nanos, id: MessageId, deferred: bool) {
         let now = if deferred { End::Deferred } else { End::Bounced };
         let slack = self.facts.slack.given_up;
         let Some(mail) = self.mails.get_mut(&id) else { return };
@@ -682,7 +682,7 @@
         }
     }
 
-    fn leave_line(&mut self, id: MailId) {
+    fn leave_line(&mut self, id: MessageId) {
         let Some(mail) = self.mails.get(&id) else { return };
         if let Some(key) = mail.hand_in.key
             && let Some(line) = self.keys.get_mut(&(mail.hand_in.dispatcher, key))
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -2,7 +2,7 @@
 //! waits for an answer before the next mail, and times count from the intended moment.
 
 use crate::world::plan::*;
-use bellsill::interface::{MailId, Nanos};
+use bellsill::interface::{MessageId, Nanos};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp1, weighted::WeightedIndex};
 use rand_pcg::Pcg64Mcg;
@@ -22,11 +22,11 @@
 /// Ids name the arrival and how often it had been handed in before.
 const TRIES: u64 = 16;
 
-pub fn mail_id(arrival: u64, tries: u32) -> MailId {
-    MailId((arrival + 1) * TRIES + u64::from(tries))
+pub fn mail_id(arrival: u64, tries: u32) -> MessageId {
+    MessageId((arrival + 1) * TRIES + u64::from(tries))
 }
 /// The arrival of a mail, and how often it had been handed in before.
-pub fn arrival_of(mail: MailId) -> (u64, u32) {
+pub fn arrival_of(mail: MessageId) -> (u64, u32) {
     ((mail.0 / TRIES).saturating_sub(1), (mail.0 % TRIES) as u32)
 }
 
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -6,7 +6,7 @@
 use crate::spec::Class;
 use crate::world::Answer;
 use crate::world::plan::*;
-use bellsill::interface::{MailId, Nanos};
+use bellsill::interface::{MessageId, Nanos};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -132,8 +132,8 @@
 pub struct Measure {
     classes: Vec<Class>,
     arrivals: Vec<State>,
-    calls: HashMap<CallNo, MailId>,
-    unheard: HashSet<MailId>,
+    calls: HashMap<CallNo, MessageId>,
+    unheard: HashSet<MessageId>,
     latency: Vec<Histogram<u64>>,
     hand_in: Histogram<u64>,
     results: Results,
@@ -181,7 +181,7 @@
         self.point(at).opened += 1;
     }
 
-    fn meant_at(&self, mail: MailId) -> Option<(Nanos, usize)> {
+    fn meant_at(&self, mail: MessageId) -> Option<(Nanos, usize)> {
         self.arrivals.get(arrival_of(mail).0 as usize).map(|a| (a.at, a.class as usize))
     }
 
@@ -235,7 +235,7 @@
         }
     }
 
-    fn relayed(&mut self, at: Nanos, mail: MailId) {
+    fn relayed(&mut self, at: Nanos, mail: MessageId) {
         let Some(state) = self.arrivals.get_mut(arrival_of(mail).0 as usize) else { return };
         if self.unheard.contains(&mail) || std::mem::replace(&mut state.relayed, true) {
             return;
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -3,7 +3,7 @@
 
 use crate::load::{Arrival, mail_id};
 use crate::world::Answer;
-use bellsill::interface::{EndpointId, MailId, Nanos};
+use bellsill::interface::{EndpointId, MessageId, Nanos};
 
 /// Counts the calls of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,21 +15,21 @@
     HandedIn(HandIn),
     /// The dispatcher owes the mail its end.
     Taken {
-        mail: MailId,
+        mail: MessageId,
     },
     /// Refused, with the time to come back if one was told.
     TurnedAway {
-        mail: MailId,
+        mail: MessageId,
         come_back: Option<Nanos>,
     },
     /// The client has stopped waiting for the answer: what becomes of the mail counts for nothing.
     Unheard {
-        mail: MailId,
+        mail: MessageId,
     },
     /// The last byte of a call has come to an endpoint; its first one was sent at `begun`.
     Call {
         call: CallNo,
-        mail: MailId,
+        mail: MessageId,
         endpoint: EndpointId,
         dispatcher: usize,
         begun: Nanos,
@@ -51,7 +51,7 @@
     },
     /// The platform is told an end: deferred with the time to come back, or bounced.
     Notice {
-        mail: MailId,
+        mail: MessageId,
         deferred: Option<Nanos>,
     },
     /// The list is told to a dispatcher.
@@ -80,7 +80,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HandIn {
-    pub mail: MailId,
+    pub mail: MessageId,
     pub arrival: u64,
     pub class: usize,
     pub destination: usize,
--- a/lab/src/sockets/endpoints.rs
+++ b/lab/src/sockets/endpoints.rs
@@ -4,7 +4,7 @@
 use crate::record::*;
 use crate::world::*;
 use anyhow::Result;
-use bellsill::interface::{EndpointId, MailId, Nanos};
+use bellsill::interface::{EndpointId, MessageId, Nanos};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -110,7 +110,7 @@
 
 /// A call as it was read.
 struct Request {
-    mail: Option<MailId>,
+    mail: Option<MessageId>,
     tag: Vec<u8>,
     body: Vec<u8>,
     /// How much of the input it was.
@@ -139,7 +139,7 @@
     }
     let id = value("x-trace-id").and_then(|v| std::str::from_utf8(v).ok());
     Ok(Some(Request {
-        mail: id.and_then(|id| u64::from_str_radix(id, 16).ok()).map(MailId),
+        mail: id.and_then(|id| u64::from_str_radix(id, 16).ok()).map(MessageId),
         tag: value("idempotency-key").unwrap_or_default().to_vec(),
         body: bytes[length..length + size].to_vec(),
         taken: length + size,
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -16,7 +16,7 @@
 use crate::world::plan::*;
 use crate::world::*;
 use anyhow::{Context, Result, bail};
-use bellsill::interface::{EndpointId, MailId, Nanos};
+use bellsill::interface::{EndpointId, MessageId, Nanos};
 use hdrhistogram::Histogram;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -104,7 +104,7 @@
     conns: HashMap<ConnId, mpsc::UnboundedSender<Say>>,
     /// Which connection a call is on, and its number in the records.
     calls: HashMap<CallId, CallNo>,
-    mails: HashMap<MailId, Handed>,
+    mails: HashMap<MessageId, Handed>,
     /// Up to which version each dispatcher's agent has been told, and has told it.
     told: Vec<usize>,
     said: Vec<usize>,
@@ -433,12 +433,12 @@
             "balancers": d.count,
             "dcs": plan.spec.world.zones,
             "flavors": plan.spec.kinds.iter().map(|k| &k.name).collect::<Vec<_>>(),
-            "family-info": {"decay": "halves", "own-limits": facts.apart, "workers": facts.slots},
+            "family-info": {"decay": "halves", "own-limits": facts.separate_limits, "workers": facts.slots},
             "services": plan.spec.classes.iter().map(class).collect::<Vec<_>>(),
             "limits": {
-                "max-open": facts.holding_room, "max-attempts": facts.max_connects,
+                "max-open": facts.holding_room, "max-attempts": facts.max_attempts,
                 "connect-timeout-ns": facts.connect_timeout, "keepalive-ns": ms(d.keep_alive_ms),
-                "retry-after": facts.max_come_back > 0, "max-retry-after-ns": facts.max_come_back,
+                "retry-after": facts.max_retry_after > 0, "max-retry-after-ns": facts.max_retry_after,
             },
             "guarantees": {
                 "cold-share": r.cold_share, "ramp-time-ns": ms(r.ramp_ms), "tip-multiple": r.tip_multiple,
--- a/lab/src/sockets/platform.rs
+++ b/lab/src/sockets/platform.rs
@@ -5,7 +5,7 @@
 use crate::record::*;
 use crate::world::Listed;
 use anyhow::Result;
-use bellsill::interface::MailId;
+use bellsill::interface::MessageId;
 use serde_json::{Value, json};
 use std::rc::Rc;
 use std::time::Duration;
@@ -160,7 +160,7 @@
             _ => return false,
         };
         let Some(id) = id else { return false };
-        read.push((MailId(id), deferred));
+        read.push((MessageId(id), deferred));
     }
     for (mail, deferred) in read {
         let back = shared.with(|s| {
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -10,7 +10,7 @@
 use crate::world::plan::*;
 use crate::world::*;
 use bellsill::control::Dispatcher;
-use bellsill::interface::{Outcome as ConnectOutcome, *};
+use bellsill::interface::{Outcome as AttemptOutcome, *};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 
@@ -23,10 +23,10 @@
 
 /// What the decisions answered in one call.
 enum Command {
-    Connect(MailId, EndpointId, Nanos),
-    Defer(MailId, Nanos),
-    Bounce(MailId),
-    CallOff(MailId, ConnectNo),
+    Connect(MessageId, EndpointId, Nanos),
+    Defer(MessageId, Nanos),
+    Bounce(MessageId),
+    CallOff(MessageId, AttemptNumber),
     HangUp(EndpointId),
     Wake(Nanos),
 }
@@ -39,24 +39,24 @@
 }
 
 impl Outlet for Answers {
-    fn connect(&mut self, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, time_out: Nanos) {
         self.commands.push(Command::Connect(mail, endpoint, time_out));
     }
-    fn defer(&mut self, mail: MailId, come_back: Nanos) {
+    fn defer(&mut self, mail: MessageId, come_back: Nanos) {
         self.commands.push(Command::Defer(mail, come_back));
     }
-    fn bounce(&mut self, mail: MailId) {
+    fn bounce(&mut self, mail: MessageId) {
         self.commands.push(Command::Bounce(mail));
     }
-    fn call_off(&mut self, mail: MailId, no: ConnectNo) {
+    fn cancel(&mut self, mail: MessageId, no: AttemptNumber) {
         self.commands.push(Command::CallOff(mail, no));
     }
-    fn hang_up(&mut self, endpoint: EndpointId) {
+    fn close_idle(&mut self, endpoint: EndpointId) {
         self.commands.push(Command::HangUp(endpoint));
     }
     fn forget(&mut self, _: EndpointId) {}
     // The model's lists come by themselves.
-    fn ask(&mut self) {}
+    fn request_watch(&mut self) {}
     fn wake(&mut self, after: Nanos) {
         self.commands.push(Command::Wake(after));
     }
@@ -67,7 +67,7 @@
 
 #[derive(Clone, Copy)]
 struct Out {
-    no: ConnectNo,
+    no: AttemptNumber,
     endpoint: EndpointId,
     at: Nanos,
     conn: Option<ConnId>,
@@ -89,7 +89,7 @@
     d: Option<Dispatcher>,
     takes_from: Nanos,
     leaving: bool,
-    mails: BTreeMap<MailId, Held>,
+    mails: BTreeMap<MessageId, Held>,
     held: usize,
     taken: u64,
     /// Idle connections by endpoint, the last used last.
@@ -106,7 +106,7 @@
 enum Event {
     Again { arrival: u64, tries: u32, dispatcher: usize },
     Wake { host: usize, count: u64 },
-    TimeOut { host: usize, mail: MailId, no: u32, unconnected: bool },
+    TimeOut { host: usize, mail: MessageId, no: u32, unconnected: bool },
     Leaves { host: usize, starts: u32 },
 }
 
@@ -127,11 +127,11 @@
     seq: u64,
     now: Nanos,
     /// Who waits for what on a connection.
-    on: HashMap<ConnId, (usize, MailId)>,
+    on: HashMap<ConnId, (usize, MessageId)>,
     call_nos: HashMap<CallId, CallNo>,
     /// Arrivals that may be handed in again.
     open: BTreeMap<u64, Arrival>,
-    ended: VecDeque<(usize, ConnectEnd)>,
+    ended: VecDeque<(usize, AttemptEnd)>,
     steps: u64,
 }
 
@@ -202,7 +202,7 @@
             if let Some(effect) = self.world.effect() {
                 self.effect(effect);
             } else if let Some((host, end)) = self.ended.pop_front() {
-                self.ask(host, |d, now, out| d.connect_ended(now, end, out));
+                self.ask(host, |d, now, out| d.attempt_ended(now, end, out));
             } else {
                 return;
             }
@@ -224,7 +224,7 @@
                     let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
                     if out.is_some_and(|out| out.no == no) {
                         self.close_call(host, mail);
-                        self.end_call(host, mail, ConnectOutcome::CalledOff);
+                        self.end_call(host, mail, AttemptOutcome::CalledOff);
                     }
                 }
                 Command::HangUp(endpoint) => self.hang_up(host, endpoint),
@@ -264,7 +264,7 @@
         let held = Held { arrival, due, taken: host.taken, connects: 0, ran: None, out: None, ended: false };
         let new = new_mail(mail, &held);
         host.mails.insert(mail, held);
-        self.ask(dispatcher, |d, now, out| d.mails_taken(now, [new], out));
+        self.ask(dispatcher, |d, now, out| d.accept(now, [new], out));
     }
 
     /// The client may hand the mail in again.
@@ -296,7 +296,7 @@
                     }
                     self.close_call(host, mail);
                     let outcome =
-                        if unconnected { ConnectOutcome::Unconnected } else { ConnectOutcome::TimedOut };
+                        if unconnected { AttemptOutcome::Unconnected } else { AttemptOutcome::TimedOut };
                     self.end_call(host, mail, outcome);
                 }
             }
@@ -310,11 +310,11 @@
 
     // Calls.
 
-    fn connect(&mut self, host: usize, mail: MailId, endpoint: EndpointId, time_out: Nanos) {
+    fn connect(&mut self, host: usize, mail: MessageId, endpoint: EndpointId, time_out: Nanos) {
         let now = self.now;
         let connect_timeout = ms(self.world.plan.spec.dispatchers.connect_timeout_ms);
         let Some(held) = self.hosts[host].mails.get_mut(&mail) else { return };
-        let no = ConnectNo(held.connects);
+        let no = AttemptNumber(held.connects);
         held.connects += 1;
         held.out = Some(Out { no, endpoint, at: now, conn: None, call: None });
         let conn = match self.idle(host, endpoint) {
@@ -324,7 +324,7 @@
                     self.ledger.measure.opened(now);
                     conn
                 }
-                Opening::Refused => return self.end_call(host, mail, ConnectOutcome::Unconnected),
+                Opening::Refused => return self.end_call(host, mail, AttemptOutcome::Unconnected),
                 Opening::Never => {
                     let at = now + time_out.min(connect_timeout);
                     return self.later(at, Event::TimeOut { host, mail, no: no.0, unconnected: true });
@@ -348,7 +348,7 @@
             }
             None => {
                 self.see(Seen::Broken { call, by_endpoint: true });
-                self.end_call(host, mail, ConnectOutcome::Reset);
+                self.end_call(host, mail, AttemptOutcome::Reset);
             }
         }
     }
@@ -394,7 +394,7 @@
     }
 
     /// Closes the connection of a mail's connect.
-    fn close_call(&mut self, host: usize, mail: MailId) {
+    fn close_call(&mut self, host: usize, mail: MessageId) {
         let Some(out) = self.hosts[host].mails.get(&mail).and_then(|m| m.out) else { return };
         if let Some(conn) = out.conn {
             self.on.remove(&conn);
@@ -405,7 +405,7 @@
         }
     }
 
-    fn end_call(&mut self, host: usize, mail: MailId, outcome: ConnectOutcome) {
+    fn end_call(&mut self, host: usize, mail: MessageId, outcome: AttemptOutcome) {
         let now = self.now;
         let h = &mut self.hosts[host];
         let Some(held) = h.mails.get_mut(&mail) else { return };
@@ -414,22 +414,29 @@
             let zone = ZoneId(self.world.endpoint(out.endpoint).zone);
             held.ran.get_or_insert((out.at, zone));
         }
-        let over = held.ended || outcome == ConnectOutcome::Relayed;
+        let over = held.ended || outcome == AttemptOutcome::Relayed;
         if over {
             if !held.ended {
                 h.held -= 1;
             }
             let arrival = held.arrival.no;
             h.mails.remove(&mail);
-            if outcome == ConnectOutcome::Relayed {
+            if outcome == AttemptOutcome::Relayed {
                 self.open.remove(&arrival);
             }
         }
-        let end = ConnectEnd { mail, no: out.no, outcome, over, took: now - out.at, limit: 0.0 };
+        let end = AttemptEnd {
+            message: mail,
+            number: out.no,
+            outcome,
+            over,
+            took: now - out.at,
+            reported_limit: 0.0,
+        };
         self.ended.push_back((host, end));
     }
 
-    fn give_up(&mut self, host: usize, mail: MailId, deferred: Option<Nanos>) {
+    fn give_up(&mut self, host: usize, mail: MessageId, deferred: Option<Nanos>) {
         let h = &mut self.hosts[host];
         let Some(held) = h.mails.get_mut(&mail) else { return };
         if std::mem::replace(&mut held.ended, true) {
@@ -459,10 +466,10 @@
                 }
                 let out = self.hosts[host].mails.get(&mail).and_then(|m| m.out);
                 let outcome = match answer {
-                    Answer::Relayed => ConnectOutcome::Relayed,
-                    Answer::Errored => ConnectOutcome::Errored,
-                    Answer::Full(wait) => ConnectOutcome::Full(wait.unwrap_or(0)),
-                    Answer::Spoilt => ConnectOutcome::Spoilt,
+                    Answer::Relayed => AttemptOutcome::Relayed,
+                    Answer::Errored => AttemptOutcome::Errored,
+                    Answer::Full(wait) => AttemptOutcome::Full(wait.unwrap_or(0)),
+                    Answer::Spoilt => AttemptOutcome::Spoilt,
                 };
                 match (answer, out) {
                     (Answer::Spoilt, _) | (_, None) => self.world.close(conn),
@@ -476,7 +483,7 @@
                 if let Some(call) = call {
                     self.see(Seen::Broken { call, by_endpoint: true });
                 }
-                self.end_call(host, mail, ConnectOutcome::Reset);
+                self.end_call(host, mail, AttemptOutcome::Reset);
             }
             Effect::Applied { call, fresh, .. } => {
                 if let Some(call) = self.call_nos.get(&call).copied() {
@@ -517,7 +524,7 @@
                 self.hang_up(host, endpoint);
             }
         }
-        self.ask(host, |d, now, out| d.list_news(now, ListScope::Update, &entries, out));
+        self.ask(host, |d, now, out| d.apply_list(now, ListScope::Update, &entries, out));
     }
 
     fn entry(&self, endpoint: EndpointId, serving: bool) -> ListEntry {
@@ -541,7 +548,7 @@
         h.idle_since.clear();
         (h.idle_count, h.leaving) = (0, false);
         idle.into_iter().for_each(|conn| self.world.close(conn));
-        let out: Vec<MailId> =
+        let out: Vec<MessageId> =
             self.hosts[host].mails.iter().filter(|m| m.1.out.is_some()).map(|m| *m.0).collect();
         for mail in out {
             self.close_call(host, mail);
@@ -572,24 +579,24 @@
         let entries: Vec<ListEntry> =
             list.iter().map(|(e, listed)| self.entry(*e, *listed == Listed::Up)).collect();
         self.see(Seen::Started { dispatcher: host });
-        self.ask(host, |d, now, out| d.list_news(now, ListScope::Whole, &entries, out));
-        let mut kept: Vec<(u64, NewMail)> =
+        self.ask(host, |d, now, out| d.apply_list(now, ListScope::Whole, &entries, out));
+        let mut kept: Vec<(u64, NewMessage)> =
             self.hosts[host].mails.iter().map(|(id, held)| (held.taken, new_mail(*id, held))).collect();
         kept.sort_by_key(|k| k.0);
         for (_, new) in kept {
-            self.ask(host, |d, now, out| d.mails_taken(now, [new], out));
+            self.ask(host, |d, now, out| d.accept(now, [new], out));
         }
         self.see(Seen::Ready { dispatcher: host });
     }
 }
 
-fn new_mail(id: MailId, held: &Held) -> NewMail {
-    NewMail {
+fn new_mail(id: MessageId, held: &Held) -> NewMessage {
+    NewMessage {
         id,
         class: ClassId(held.arrival.class),
         key: held.arrival.key.map(KeyId),
         destination: DestinationId(held.arrival.destination as u64),
         due: held.due,
-        past: Past { connects: held.connects, ran: held.ran },
+        past: Past { attempts: held.connects, ran: held.ran },
     }
 }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -7,7 +7,7 @@
 pub mod plan;
 
 use crate::spec::*;
-use bellsill::interface::{EndpointId, MailId, Nanos};
+use bellsill::interface::{EndpointId, MessageId, Nanos};
 use gate::Gate;
 use plan::*;
 use slotmap::{SlotMap, new_key_type};
@@ -47,7 +47,7 @@
     /// A call took effect; `fresh` is false where the endpoint dropped it as a repeat.
     Applied {
         call: CallId,
-        mail: MailId,
+        mail: MessageId,
         endpoint: EndpointId,
         fresh: bool,
     },
@@ -106,7 +106,7 @@
 /// A call as it comes in.
 #[derive(Clone, Debug)]
 pub struct NewCall {
-    pub mail: MailId,
+    pub mail: MessageId,
     pub class: usize,
     pub dispatcher: usize,
     /// What its repeats are known by.
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -230,9 +230,11 @@
             lifetime: ms(c.lifetime_ms),
             late_share: c.late_share,
             repeat: match c.repeat {
-                RepeatWord::Redeliverable => Repeat::Redeliverable,
-                RepeatWord::Tagged => Repeat::Tagged { window: ms(c.window_ms), same_zone: c.same_zone },
-                RepeatWord::OnceOnly => Repeat::OnceOnly,
+                RepeatWord::Redeliverable => Repeat::Idempotent,
+                RepeatWord::Tagged => {
+                    Repeat::Deduplicated { window: ms(c.window_ms), same_zone: c.same_zone }
+                }
+                RepeatWord::OnceOnly => Repeat::AtMostOnce,
             },
             ordered: c.ordered_keys > 0,
         };
@@ -240,21 +242,21 @@
             seed: self.dispatcher_seed(dispatcher, start),
             dispatchers: d.count as u32,
             classes: self.spec.classes.iter().map(class).collect(),
-            apart: self.spec.kinds.iter().map(|k| k.apart).collect(),
+            separate_limits: self.spec.kinds.iter().map(|k| k.apart).collect(),
             batch: vec![],
             halves: true,
             slots: self.slots(),
             holding_room: self.hold(),
-            own_door: false,
-            max_connects: d.max_connects,
+            own_admission: false,
+            max_attempts: d.max_connects,
             connect_timeout: ms(d.connect_timeout_ms),
-            max_come_back: ms(d.max_come_back_ms),
+            max_retry_after: ms(d.max_come_back_ms),
             cold_share: r.cold_share,
             ramp: ms(r.ramp_ms),
             tip_multiple: r.tip_multiple,
             tip_window: ms(r.tip_window_ms),
-            key_rest: ms(r.key_rest_ms),
-            ask_within: None,
+            key_cooldown: ms(r.key_rest_ms),
+            watch_within: None,
             tick: 5 * MS,
         }
     }
--- a/lab/tests/records.rs
+++ b/lab/tests/records.rs
@@ -16,10 +16,10 @@
 fn auditor() -> Auditor {
     Auditor::new(Facts {
         classes: vec![
-            class(Repeat::Redeliverable, false),
-            class(Repeat::Tagged { window: 4 * S, same_zone: true }, false),
-            class(Repeat::OnceOnly, false),
-            class(Repeat::OnceOnly, true),
+            class(Repeat::Idempotent, false),
+            class(Repeat::Deduplicated { window: 4 * S, same_zone: true }, false),
+            class(Repeat::AtMostOnce, false),
+            class(Repeat::AtMostOnce, true),
         ],
         endpoints: vec![(0, 0), (0, 1), (1, 2), (1, 3)],
         drain_grace: 2 * S,
@@ -30,7 +30,7 @@
 }
 
 fn taken(a: &mut Auditor, at: Nanos, mail: u64, class: usize) {
-    let mail = MailId(mail);
+    let mail = MessageId(mail);
     let key = (class == 3).then_some(9);
     let (destination, dispatcher) = (0, 0);
     let due = at + 10 * S;
@@ -41,7 +41,7 @@
 }
 
 fn call(a: &mut Auditor, at: Nanos, no: u64, mail: u64, endpoint: u32) {
-    let (mail, endpoint) = (MailId(mail), EndpointId(endpoint));
+    let (mail, endpoint) = (MessageId(mail), EndpointId(endpoint));
     let seen = Seen::Call { call: CallNo(no), mail, endpoint, dispatcher: 0, begun: at, fresh: true };
     a.see(at, &seen);
 }
@@ -59,7 +59,7 @@
 }
 
 fn notice(a: &mut Auditor, at: Nanos, mail: u64, deferred: Option<Nanos>) {
-    a.see(at, &Seen::Notice { mail: MailId(mail), deferred });
+    a.see(at, &Seen::Notice { mail: MessageId(mail), deferred });
 }
 
 fn rules(a: Auditor) -> Vec<Rule> {
@@ -212,11 +212,11 @@
 fn what_a_client_never_heard_of_counts_for_nothing() {
     let mut a = auditor();
     taken(&mut a, S, 1, 2);
-    a.see(S, &Seen::Unheard { mail: MailId(1) });
+    a.see(S, &Seen::Unheard { mail: MessageId(1) });
     call(&mut a, S, 1, 1, 0);
     applied(&mut a, 2 * S, 1);
     let again = HandIn {
-        mail: MailId(2),
+        mail: MessageId(2),
         arrival: 1,
         class: 2,
         destination: 0,
@@ -226,7 +226,7 @@
         again: true,
     };
     a.see(2 * S, &Seen::HandedIn(again));
-    a.see(2 * S, &Seen::Taken { mail: MailId(2) });
+    a.see(2 * S, &Seen::Taken { mail: MessageId(2) });
     call(&mut a, 3 * S, 2, 2, 1);
     applied(&mut a, 4 * S, 2);
     answered(&mut a, 4 * S, 2, Answer::Relayed);
--- a/lab/tests/virtual_time.rs
+++ b/lab/tests/virtual_time.rs
@@ -145,7 +145,7 @@
         self.0.advance(START + at_ms * MS);
         let Opening::Up(conn) = self.0.open(0, EndpointId(endpoint)) else { return None };
         self.1 += 1;
-        let new = NewCall { mail: MailId(self.1), class: 0, dispatcher: 0, tag: self.1 };
+        let new = NewCall { mail: MessageId(self.1), class: 0, dispatcher: 0, tag: self.1 };
         Some((conn, self.0.call(conn, new)))
     }
     fn until(&mut self, at_ms: u64) -> Vec<Effect> {
@@ -235,7 +235,7 @@
     let mut w = Tried::new("[[troubles]]\nwhat = 'reaped'\nendpoint = 0\nfrom_s = 0\nto_s = 3\n");
     let (conn, _) = w.call(10, 0).unwrap();
     w.until(700);
-    let again = w.0.call(conn, NewCall { mail: MailId(99), class: 0, dispatcher: 0, tag: 99 });
+    let again = w.0.call(conn, NewCall { mail: MessageId(99), class: 0, dispatcher: 0, tag: 99 });
     assert_eq!(again, None, "dropped at rest, without a word before");
 
     let mut w = Tried::new("[[troubles]]\nwhat = 'replaced'\nendpoint = 0\nfrom_s = 1\nto_s = 2\n");
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -1,93 +1,101 @@
-//! Which endpoints there are: lists, when to ask for them, and endpoints held out by hand.
+//! Discovery: which endpoints there are, when to request a watch on their list, which are disabled.
 
-use super::{suspension::FIRST_WAIT, *};
+use super::{suspension::FIRST_BACKOFF, *};
 
-/// What is learnt of an endpoint outlasts it by so long, in case it returns.
+/// How long the state of an unlisted endpoint is kept, in case it returns.
 const FORGET_AFTER: Nanos = 60_000 * MS;
 
 impl Dispatcher {
-    /// Sets when discovery is asked: a call of each within `ask_within`, spread. A drain is learnt later.
-    pub(super) fn ask_later(&mut self) {
-        let Some(within) = self.facts.ask_within else { return };
-        // After a failed call there is four times as long; shorter rests would fill the line in vain.
-        let (least, most) = (self.ask_spread / 2, (self.ask_spread * 3 / 2).max(within / 4 * 3));
-        self.ask_at = self.now + self.rng.range(least..most.max(least + 1));
-        self.ask_spread = (self.ask_spread * 2).clamp(within, 2 * within);
+    /// Schedules the next request for a watch, spread over the time that the settings allow. Its cost: until
+    /// then a drain goes unnoticed.
+    pub(super) fn schedule_watch_request(&mut self) {
+        let Some(within) = self.facts.watch_within else { return };
+        // A failed request allows four times as long; requests at shorter intervals would only queue up.
+        let spread = self.watch_request_spread;
+        let (least, most) = (spread / 2, (spread * 3 / 2).max(within / 4 * 3));
+        self.watch_request_at = self.now + self.random.range(least..most.max(least + 1));
+        self.watch_request_spread = (spread * 2).clamp(within, 2 * within);
     }
 
-    /// A watch on the list broke, or was not to be had.
-    pub fn list_lost(&mut self, now: Nanos, out: &mut impl Outlet) {
+    /// The watch on the list was lost, or a request for one failed.
+    pub fn watch_lost(&mut self, now: Nanos, out: &mut impl Outlet) {
         self.now = now;
-        self.ask_later();
-        self.go_on(out);
+        self.schedule_watch_request();
+        self.decide(out);
     }
 
-    /// Entries of the list were told.
-    pub fn list_news(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
+    /// Discovery sent entries of the list.
+    pub fn apply_list(&mut self, now: Nanos, scope: ListScope, entries: &[ListEntry], out: &mut impl Outlet) {
         self.now = now;
-        self.ask_spread *= Nanos::from(self.ask_at != NEVER); // Else the watch serves.
+        if self.watch_request_at == NEVER {
+            self.watch_request_spread = 0; // The watch is there.
+        }
         if scope == ListScope::Whole {
             self.routes.unlist(now);
         }
-        entries.iter().for_each(|entry| self.read_entry(entry, out));
-        self.go_on(out);
+        entries.iter().for_each(|entry| self.apply_entry(entry, out));
+        self.decide(out);
     }
 
-    fn read_entry(&mut self, entry: &ListEntry, out: &mut impl Outlet) {
+    fn apply_entry(&mut self, entry: &ListEntry, out: &mut impl Outlet) {
         let known = self.routes.find(entry.endpoint);
-        let new = || entry.serving.then(|| self.add_route(entry, out));
-        let Some(route) = known.or_else(new) else { return };
-        let held_out = self.held_out.contains(&entry.endpoint);
-        self.routes[route].list(entry, held_out, self.now);
+        let added = || entry.serving.then(|| self.add_route(entry, out));
+        let Some(route) = known.or_else(added) else { return };
+        let disabled = self.disabled.contains(&entry.endpoint);
+        self.routes[route].apply(entry, disabled, self.now);
     }
 
-    /// An endpoint is taken out by hand, or put back. It is restarted while it is out, so it returns cold.
-    pub fn hold_out(&mut self, now: Nanos, endpoint: EndpointId, out: bool, outlet: &mut impl Outlet) {
-        let changed = if out { self.held_out.insert(endpoint) } else { self.held_out.remove(&endpoint) };
+    /// An operator disables an endpoint, or enables it again.
+    pub fn set_disabled(&mut self, now: Nanos, endpoint: EndpointId, to: bool, out: &mut impl Outlet) {
+        let changed = if to { self.disabled.insert(endpoint) } else { self.disabled.remove(&endpoint) };
         if !changed {
             return;
         }
         self.now = now;
-        if let Some(number) = self.routes.find(endpoint) {
-            self.routes[number].hold_out(out, now);
-            outlet.hang_up(endpoint);
+        if let Some(route) = self.routes.find(endpoint) {
+            self.routes[route].set_disabled(to, now);
+            self.routes[route].ejected |= !to; // It was restarted in the meantime, so it returns cold.
+            out.close_idle(endpoint);
         }
-        self.go_on(outlet);
+        self.decide(out);
     }
 
     fn add_route(&mut self, entry: &ListEntry, out: &mut impl Outlet) -> usize {
-        let apart = self.facts.apart.get(entry.kind.0).copied().unwrap_or(false);
-        let number = self.long_gone(entry.destination).unwrap_or(self.routes.next_number());
-        let gate = self.routes.deck_mut(entry.destination).gate(number, apart);
-        let entry = ListEntry { serving: !self.held_out.contains(&entry.endpoint), ..*entry };
-        let new =
-            Route { entry, listed: true, gate, wait: FIRST_WAIT, sent_at: self.now, ..Route::default() };
-        if let Some(gone) = self.routes.put(number, new) {
-            self.held_out.remove(&gone);
-            out.forget(gone);
+        let separate_limits = self.facts.separate_limits.get(entry.kind.0).copied().unwrap_or(false);
+        let number = self.forgotten_route(entry.destination).unwrap_or(self.routes.next_number());
+        let destination = self.routes.destination_mut(entry.destination);
+        let limiter_route = destination.limiter_route(number, separate_limits);
+        let entry = ListEntry { serving: !self.disabled.contains(&entry.endpoint), ..*entry };
+        let (backoff, sent_at) = (FIRST_BACKOFF, self.now);
+        let route = Route { entry, listed: true, limiter_route, backoff, sent_at, ..Route::default() };
+        if let Some(replaced) = self.routes.put(number, route) {
+            self.disabled.remove(&replaced);
+            out.forget(replaced);
         }
         self.inherit(number);
         number
     }
 
-    /// The place of a route long gone is taken: nothing grows with ids. One back still later is new.
-    fn long_gone(&self, destination: DestinationId) -> Option<usize> {
-        let shared_gate = self.routes.deck(destination).and_then(|deck| deck.shared_gate);
-        let long_gone = |&number: &usize| {
+    /// A route whose number may be reused, so that memory does not grow with the endpoints that ever were.
+    fn forgotten_route(&self, destination: DestinationId) -> Option<usize> {
+        let shared = self.routes.destination(destination).and_then(|known| known.shared_limiter_route);
+        let forgotten = |&number: &usize| {
             let route = &self.routes[number];
-            let over = !route.listed && self.now >= route.closed_until.max(route.sent_at + FORGET_AFTER);
-            over && shared_gate != Some(number) && !self.out.uses(number)
+            let kept_until = route.suspended_until.max(route.sent_at + FORGET_AFTER);
+            let over = !route.listed && self.now >= kept_until;
+            over && shared != Some(number) && !self.in_flight.has_route(number)
         };
-        self.routes.cards(destination).iter().copied().find(long_gone)
+        self.routes.of(destination).iter().copied().find(forgotten)
     }
 
-    /// A wait told before binds a newcomer too. One listed in an outage is as cold: all backlogs meet at it.
+    /// A new route is bound by a suspension of its limiter. Listed in an outage it returns as cold as the
+    /// others: all backlogs meet there.
     fn inherit(&mut self, number: usize) {
-        let (bound, routes) = (self.routes.bound(number), &mut self.routes);
-        let closed_until = bound.iter().map(|&other| routes[other].closed_until).max();
-        routes[number].closed_until = closed_until.unwrap_or(0);
-        routes[number].struck = bound.iter().any(|&other| routes[other].struck);
-        routes[number].traffic = routes[bound[0]].traffic;
-        routes[number].stretch = self.rng.range(0.5..1.5);
+        let (siblings, routes) = (self.routes.sharing_limiter(number), &mut self.routes);
+        let suspended_until = siblings.iter().map(|&sibling| routes[sibling].suspended_until).max();
+        routes[number].suspended_until = suspended_until.unwrap_or(0);
+        routes[number].ejected = siblings.iter().any(|&sibling| routes[sibling].ejected);
+        routes[number].traffic = routes[siblings[0]].traffic;
+        routes[number].jitter = self.random.range(0.5..1.5);
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,107 +1,102 @@
-//! All decisions of a dispatcher: which mail goes next, by which route, when one is given up. Call the method
-//! for what happens, with the clock and an [`Outlet`] that acts at once. `docs/design.md` says why.
+//! All decisions of a dispatcher: which message goes next, by which route, and when one is given up. Every
+//! event comes with the clock and an [`Outlet`] that acts at once. `docs/design.md` gives the reasons.
 
 mod admission;
 mod discovery;
-mod endings;
-mod idle;
+mod idle_connections;
 mod outcomes;
 mod pacing;
 mod ranking;
-mod sending;
+mod retries;
+mod routing;
 mod suspension;
 mod suspicion;
 mod timeouts;
-mod wakes;
+mod timers;
 
 pub use crate::state::Dispatcher;
 
-use crate::chance::Chance;
 use crate::interface::*;
-use crate::state::{NEVER, connects::*, idle::*, mails::*, routes::*, waiting::*};
+use crate::state::{NEVER, attempts::*, idle_connections::*, messages::*, queues::*, routes::*};
 use std::collections::BTreeSet;
 
 const MS: Nanos = 1_000_000;
 
 impl Dispatcher {
-    /// An instance that has just been started.
+    /// Starts an instance.
     pub fn boot(now: Nanos, facts: BootFacts) -> Self {
-        let rng = Chance::seeded(facts.seed);
-        let usual = vec![timeouts::FIRST_USUAL; facts.classes.len()];
-        let margin = 2 * facts.tick;
-        let mut dispatcher =
-            Dispatcher { now, rng, usual, margin, wake_at: NEVER, ask_at: NEVER, facts, ..Self::default() };
-        dispatcher.ask_later();
+        let mut dispatcher = Self::new(now, facts, timeouts::INITIAL_LATENCY);
+        dispatcher.schedule_watch_request();
         dispatcher
     }
 
-    /// Mails were taken on.
-    pub fn mails_taken(&mut self, now: Nanos, all: impl IntoIterator<Item = NewMail>, out: &mut impl Outlet) {
+    /// Messages were accepted from clients, or found in the journal.
+    pub fn accept(&mut self, now: Nanos, new: impl IntoIterator<Item = NewMessage>, out: &mut impl Outlet) {
         self.now = now;
-        all.into_iter().for_each(|new| self.take_mail(new, out));
-        self.go_on(out);
+        new.into_iter().for_each(|message| self.accept_one(message, out));
+        self.decide(out);
     }
 
-    fn take_mail(&mut self, new: NewMail, out: &mut impl Outlet) {
+    fn accept_one(&mut self, new: NewMessage, out: &mut impl Outlet) {
         self.hold(new);
-        if !self.may_go_again(&self.mails[&new.id]) {
-            self.give_up(new.id, out); // By its past.
+        if !self.may_retry(&self.messages[&new.id]) {
+            self.give_up(new.id, out); // A former process used up what it may have.
         }
     }
 
-    /// A connect has its outcome.
-    pub fn connect_ended(&mut self, now: Nanos, end: ConnectEnd, out: &mut impl Outlet) {
+    /// An attempt has its outcome.
+    pub fn attempt_ended(&mut self, now: Nanos, end: AttemptEnd, out: &mut impl Outlet) {
         self.now = now;
-        let Some(connect) = self.out.remove(end.mail, end.no) else { return };
-        if !self.mails.contains_key(&end.mail) {
+        let Some(attempt) = self.in_flight.remove(end.message, end.number) else { return };
+        if !self.messages.contains_key(&end.message) {
             return;
         }
-        self.note_run(&connect, end.outcome);
-        // A call is one piece of news; but a wait binds from the first mail that tells it.
-        if matches!(end.outcome, Outcome::Full(_)) || self.out.count_calls(|o| o.call == connect.call) == 0 {
-            self.learn(connect, &end, out);
+        self.record_possible_run(&attempt, end.outcome);
+        // A call is one observation, made with its last answer; a retry-after binds from the first.
+        let call_ended = self.in_flight.count_calls(|other| other.call == attempt.call) == 0;
+        if call_ended || matches!(end.outcome, Outcome::Full(_)) {
+            self.observe(attempt, &end, out);
         }
-        self.rest_key(&end);
-        self.continue_mail(&end, out);
-        self.go_on(out);
-        // Idle connections fill tables; what is sent on one dropped unseen is lost. New ones cost handshakes.
-        if self.tight(connect.route) {
-            out.hang_up(self.routes[connect.route].entry.endpoint);
+        self.cool_down_key(&end);
+        self.continue_message(&end, out);
+        self.decide(out);
+        if self.avoids_idle_connections(attempt.route) {
+            out.close_idle(self.routes[attempt.route].entry.endpoint);
         }
     }
 
-    /// The wake that was asked for.
+    /// The wake that was requested is due.
     pub fn woken(&mut self, now: Nanos, out: &mut impl Outlet) {
         self.now = now;
-        // A wake may come a little early; taken for a stale one its mails would be lost.
+        // A wake may come a little early; taken for a stale one its messages would be lost.
         if self.wake_at <= now + self.facts.tick {
             self.wake_at = NEVER;
         }
-        self.go_on(out);
+        self.decide(out);
     }
 
     /// The client wants no answer any more.
-    pub fn mail_withdrawn(&mut self, now: Nanos, mail: MailId, out: &mut impl Outlet) {
+    pub fn message_withdrawn(&mut self, now: Nanos, message: MessageId, out: &mut impl Outlet) {
         self.now = now;
-        if self.mails.get(&mail).is_some_and(|mail| !mail.stage.ended()) {
-            self.shift(mail, Stage::Over, out);
+        if self.messages.get(&message).is_some_and(|held| !held.stage.ended()) {
+            self.transition(message, Stage::Done, out);
         }
-        self.go_on(out);
+        self.decide(out);
     }
 
-    /// Decides all that may have changed with what happened.
-    fn go_on(&mut self, out: &mut impl Outlet) {
-        if self.now >= self.ask_at {
-            self.ask_at = NEVER;
-            out.ask();
+    /// Takes every decision that the latest event may have changed.
+    fn decide(&mut self, out: &mut impl Outlet) {
+        if self.now >= self.watch_request_at {
+            self.watch_request_at = NEVER;
+            out.request_watch();
         }
-        self.watch_silence(out);
-        self.end_overdue(out);
+        self.detect_silence(out);
+        self.expire_overdue(out);
         self.send_all(out);
-        if !self.facts.own_door {
+        if !self.facts.own_admission {
             self.make_room(out);
         }
         self.free_slot(out);
-        self.ask_for_wake(out);
+        self.request_wake(out);
     }
 }
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -1,76 +1,77 @@
-//! What the outcome of a connect tells of its route.
+//! What the outcome of an attempt says of its route.
 
 use super::{suspension::DOWN_AFTER, *};
 
-/// The weight of one outcome in a route's failure share, and the share over which it is sick.
-const FAIL_WEIGHT: f64 = 0.25;
-const FAIL_MARGIN: f64 = 0.4;
+/// The weight of one outcome in a route's failure share, and the share above which a route is suspect.
+const FAILURE_WEIGHT: f64 = 0.25;
+const FAILURE_THRESHOLD: f64 = 0.4;
+/// How many ticks nothing is sent after an attempt found no slot, contrary to the count here.
+const NO_SLOT_TICKS: Nanos = 10;
 
 impl Dispatcher {
-    /// Takes in one piece of news: the last outcome of a call, or a told wait.
-    pub(super) fn learn(&mut self, connect: Connect, end: &ConnectEnd, out: &mut impl Outlet) {
-        let route = connect.route;
-        self.learn_rate(route, end.limit);
-        let late = end.took > self.silent_after(route, connect.class);
-        self.learn_patience(end.outcome, late);
-        self.rest_trials(route, end, late);
-        let at_once = end.outcome == Outcome::Unconnected && end.took < self.facts.connect_timeout / 2;
-        // No drop: a reset as late as an answer. No full table: a route that refuses again before it relays.
-        let usual = self.usual(self.routes[route].entry.destination, connect.class);
-        let early = (end.took as f64) < usual / 2.0;
-        let met = !connect.fresh
-            && ((at_once && self.untroubled(route)) || (end.outcome == Outcome::Reset && early));
-        self.learn_tightness(&connect, end.outcome, met, out);
-        match end.outcome {
-            Outcome::Relayed => self.learn_relayed(connect, end.took, late, out),
-            Outcome::Full(told) => self.refused(route, connect.at, told),
-            // No connection, said at once: its table is full, or it is down. It alone is refused, untold.
+    /// Draws the conclusions from one observation: the last outcome of a call, or a retry-after.
+    pub(super) fn observe(&mut self, attempt: Attempt, end: &AttemptEnd, out: &mut impl Outlet) {
+        let (route, outcome) = (attempt.route, end.outcome);
+        self.observe_rate(route, end.reported_limit);
+        let late = end.took > self.silent_after(route, attempt.class);
+        self.observe_patience(outcome, late);
+        self.space_trials(route, end, late);
+        let at_once = outcome == Outcome::Unconnected && end.took < self.facts.connect_timeout / 2;
+        // A reset as late as an answer is no dropped connection, a repeated refusal no full table.
+        let usual = self.usual_latency(self.routes[route].entry.destination, attempt.class);
+        let early_reset = outcome == Outcome::Reset && (end.took as f64) < usual / 2.0;
+        let dropped = !attempt.fresh_connection && ((at_once && self.is_sound(route)) || early_reset);
+        self.observe_idle(&attempt, outcome == Outcome::Reset, dropped, out);
+        match outcome {
+            Outcome::Relayed => self.observe_delivery(attempt, end.took, late, out),
+            Outcome::Full(retry_after) => self.refused(route, attempt.sent_at, retry_after),
             Outcome::Unconnected if at_once => self.connection_refused(route),
-            Outcome::Reset if !connect.fresh && early => {} // Perhaps an idle connection dropped unseen.
-            Outcome::Unsent(true) => self.no_slot_until = self.now + 10 * self.facts.tick,
+            Outcome::Reset if !attempt.fresh_connection && early_reset => {} // Perhaps dropped while idle.
+            Outcome::Unsent(true) => self.no_slot_until = self.now + NO_SLOT_TICKS * self.facts.tick,
             Outcome::Unsent(false) | Outcome::CalledOff => {}
-            outcome => self.learn_failure(route, outcome, out),
+            outcome => self.observe_failure(route, outcome, out),
         }
     }
 
-    fn learn_relayed(&mut self, connect: Connect, took: Nanos, late: bool, out: &mut impl Outlet) {
-        let route = connect.route;
-        self.narrow_gap(route);
-        self.reset_waits(route);
-        self.routes[route].count(self.now, 1.0);
-        self.routes[route].fail *= 1.0 - FAIL_WEIGHT;
+    fn observe_delivery(&mut self, attempt: Attempt, took: Nanos, late: bool, out: &mut impl Outlet) {
+        let route = attempt.route;
+        self.narrow_pacing(route);
+        self.reset_backoff(route);
+        self.update_traffic(route, 1.0);
+        self.routes[route].failure_share *= 1.0 - FAILURE_WEIGHT;
         if !late {
-            self.routes[route].spoke_at = self.now;
-            self.learn_usual(route, connect.class, took);
+            self.routes[route].answered_at = self.now;
+            self.observe_latency(route, attempt.class, took);
         }
         if self.routes[route].suspect && late {
             self.suspect(route, "", out);
         } else {
-            self.cleared(connect, took, out);
+            self.recover(attempt, took, out);
         }
     }
 
+    /// A connection was refused at once: the endpoint's table is full, or it is down. Only it is suspended.
     fn connection_refused(&mut self, route: usize) {
         self.suspend(route, 0);
-        self.routes[route].unmet += 1;
-        let seldom = u32::from(self.crowd(route) > 1.0); // It is met seldom, and one fewer has to do.
-        if self.routes[route].unmet + seldom >= DOWN_AFTER {
-            self.routes[route].strike(self.now);
+        self.routes[route].refused_connections += 1;
+        let seldom_met = u32::from(self.fleet_factor(route) > 1.0); // So one fewer is enough.
+        if self.routes[route].refused_connections + seldom_met >= DOWN_AFTER {
+            self.eject(route);
         }
     }
 
-    fn learn_failure(&mut self, route: usize, outcome: Outcome, out: &mut impl Outlet) {
-        // Single answers are spoilt on the way from any route; one that spoils all is found later.
-        let spoilt = outcome == Outcome::Spoilt;
-        let part = if spoilt { FAIL_WEIGHT / 4.0 } else { FAIL_WEIGHT };
-        let share = self.routes[route].fail * (1.0 - part) + part;
-        self.routes[route].fail = share;
-        // In a crowd each meets a route seldom: one connection not had in time says that it is gone.
-        let gone = outcome == Outcome::Unconnected && self.crowd(route) > 1.0;
-        if (spoilt || self.routes[route].open()) && share <= FAIL_MARGIN && !gone {
+    fn observe_failure(&mut self, route: usize, outcome: Outcome, out: &mut impl Outlet) {
+        // Any route's answer may be garbled on the way; a route that garbles all is found out later.
+        let garbled = outcome == Outcome::Spoilt;
+        let weight = if garbled { FAILURE_WEIGHT / 4.0 } else { FAILURE_WEIGHT };
+        let share = self.routes[route].failure_share * (1.0 - weight) + weight;
+        self.routes[route].failure_share = share;
+        // Each dispatcher of a large fleet meets a route seldom: one connection timed out, and it is gone.
+        let gone = outcome == Outcome::Unconnected && self.fleet_factor(route) > 1.0;
+        if (garbled || self.routes[route].is_warm()) && share <= FAILURE_THRESHOLD && !gone {
             return;
         }
-        self.routes[route].strike(self.now);
+        self.eject(route);
         self.routes[route].cold_since = None;
         self.suspect(route, &format!("failure share {share:.2}"), out);
     }
--- a/src/control/pacing.rs
+++ b/src/control/pacing.rs
@@ -1,112 +1,107 @@
-//! How often something goes to a limit, to a cold route, and to one that was struck.
+//! Pacing: the intervals between sends to a limiter, to a cold route and to an ejected one.
 
 use super::*;
 
-/// Up to so many dispatchers see each route often; with more, untold waits grow by a power of the ratio.
-const FEW: f64 = 3.0;
-const CROWD_POWER: f64 = 0.65;
-/// The gap: its first step, its cap (a shut route refuses long; its gap must not outlive it), its share.
-const GAP_STEP: Nanos = 40 * MS;
-const LONGEST_GAP: Nanos = 1_000 * MS;
-const GAP_SHARE: f64 = 0.15;
-/// Where a limit is listed the first gap is a share of it, the longest so many.
-const MOST_SHARES: f64 = 4.0;
-/// Between sends of all dispatchers together to a cold route that had hardly any traffic, or a struck one.
-const COLD_REST: Nanos = 700 * MS;
-const STRUCK_REST: Nanos = 300 * MS;
-/// What a warm route can take over what it took, and over how long that is averaged.
-const COLD_ROOM: f64 = 1.2;
+/// Up to this number dispatchers see each route often; in a larger fleet waits grow by a power of the ratio.
+const SMALL_FLEET: f64 = 3.0;
+const FLEET_POWER: f64 = 0.65;
+/// The first pacing interval after a refusal, and the longest (it must not outlive a long closure).
+const PACING_STEP: Nanos = 40 * MS;
+const MAX_PACING_INTERVAL: Nanos = 1_000 * MS;
+/// By which part a delivery shortens the pacing interval.
+const PACING_DECREASE: f64 = 0.15;
+/// For a limiter of known rate: the longest pacing interval, in fair intervals (the first is one).
+const MAX_FAIR_INTERVALS: f64 = 4.0;
+/// The least spacing, over all dispatchers together, to a cold or ejected route that had hardly any traffic.
+const COLD_SPACING: Nanos = 700 * MS;
+const EJECTED_SPACING: Nanos = 300 * MS;
+/// What a warm route is taken to bear, as a multiple of its traffic, and the time constant of the traffic.
+const TRAFFIC_HEADROOM: f64 = 1.2;
 const TRAFFIC_SPAN: f64 = 8e9;
 
 impl Dispatcher {
-    /// How much longer the waits are for the number of dispatchers.
-    pub(super) fn crowd(&self, route: usize) -> f64 {
-        let many = (f64::from(self.facts.dispatchers) / FEW).max(1.0).powf(CROWD_POWER);
-        if self.pace(route) > 0.0 { 1.0 } else { many }
+    /// By how much waits are longer because many dispatchers meet at the same limiter.
+    pub(super) fn fleet_factor(&self, route: usize) -> f64 {
+        let many = (f64::from(self.facts.dispatchers) / SMALL_FLEET).max(1.0).powf(FLEET_POWER);
+        if self.contended_interval(route) > 0.0 { 1.0 } else { many }
     }
 
-    /// The time in which its limit, as listed, takes one connect of each dispatcher; nought where none is.
-    pub(super) fn share(&self, route: usize) -> f64 {
+    /// The time in which the limiter, at its known rate, takes one attempt of each dispatcher; else nought.
+    pub(super) fn fair_interval(&self, route: usize) -> f64 {
         let rate = self.routes[route].entry.rate;
         if rate > 0.0 { f64::from(self.facts.dispatchers) * 1e9 / rate } else { 0.0 }
     }
 
-    /// Whether all can have mails for a limit at once: at one always met a mail waits half its lifetime.
-    fn paces(&self, rate: f64) -> bool {
+    /// Whether all dispatchers can have messages for a limiter at once: they wait half their lifetime there.
+    fn is_contended(&self, rate: f64) -> bool {
         rate * self.facts.longest_lifetime() as f64 / 2e9 >= f64::from(self.facts.dispatchers)
     }
 
-    fn pace(&self, route: usize) -> f64 {
-        if self.paces(self.routes[route].entry.rate) { self.share(route) } else { 0.0 }
+    fn contended_interval(&self, route: usize) -> f64 {
+        if self.is_contended(self.routes[route].entry.rate) { self.fair_interval(route) } else { 0.0 }
     }
 
-    /// Takes the rate that an answer tells, where it paces.
-    pub(super) fn learn_rate(&mut self, route: usize, told: f64) {
-        if self.paces(told) {
-            self.routes.bound(route).into_iter().for_each(|bound| self.routes[bound].entry.rate = told);
+    /// Adopts the rate that an answer reports.
+    pub(super) fn observe_rate(&mut self, route: usize, rate: f64) {
+        if self.is_contended(rate) {
+            let sharing = self.routes.sharing_limiter(route);
+            sharing.into_iter().for_each(|sibling| self.routes[sibling].entry.rate = rate);
         }
     }
 
-    /// The first gap. One that opens again in a crowd gets one mail of each first, and the next once that is
-    /// answered.
-    pub(super) fn gap_step(&self, route: usize) -> Nanos {
-        ((GAP_STEP as f64 * self.crowd(route)) as Nanos).min(LONGEST_GAP)
+    /// In a large fleet a limiter that opens gets one message of each, and the next once that is answered.
+    pub(super) fn first_pacing_interval(&self, route: usize) -> Nanos {
+        ((PACING_STEP as f64 * self.fleet_factor(route)) as Nanos).min(MAX_PACING_INTERVAL)
     }
 
-    /// Something was refused.
-    pub(super) fn widen_gap(&mut self, route: usize) {
-        let gate = self.routes[route].gate;
-        let share = self.pace(gate) * self.routes[route].stretch; // Many are refused at once.
-        let least = self.gap_step(route).max(share as Nanos);
-        let most = LONGEST_GAP.max((MOST_SHARES * share) as Nanos);
-        let limit = self.routes.limit_mut(route);
-        limit.gap = (limit.gap * 2).clamp(least, most);
+    /// Doubles the pacing interval after a refusal, with jitter: many are refused at once.
+    pub(super) fn widen_pacing(&mut self, route: usize) {
+        let contended_interval = self.contended_interval(self.routes[route].limiter_route);
+        let fair = contended_interval * self.routes[route].jitter;
+        let least = self.first_pacing_interval(route).max(fair as Nanos);
+        let most = MAX_PACING_INTERVAL.max((MAX_FAIR_INTERVALS * fair) as Nanos);
+        let limiter = self.routes.limiter_mut(route);
+        limiter.pacing_interval = (limiter.pacing_interval * 2).clamp(least, most);
     }
 
-    /// Something was relayed.
-    pub(super) fn narrow_gap(&mut self, route: usize) {
-        let limit = self.routes.limit_mut(route);
-        limit.refused_since = None;
-        let gap = limit.gap as f64 * (1.0 - GAP_SHARE);
-        limit.gap = if gap < GAP_STEP as f64 / 4.0 { 0 } else { gap as Nanos };
+    /// Shortens the pacing interval after a delivery.
+    pub(super) fn narrow_pacing(&mut self, route: usize) {
+        let limiter = self.routes.limiter_mut(route);
+        limiter.refused_since = None;
+        let interval = limiter.pacing_interval as f64 * (1.0 - PACING_DECREASE);
+        limiter.pacing_interval = if interval < PACING_STEP as f64 / 4.0 { 0 } else { interval as Nanos };
     }
 
-    /// The space between sends to a cold or struck route: a part of what a cold one bears, by its own former
-    /// traffic. Where it had next to none, all together go by one mail in `least`.
-    fn space(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
+    /// The interval between sends to a cold or ejected route, by the warm part of its capacity and this
+    /// dispatcher's former traffic. With next to none, all dispatchers together send one in `least`.
+    fn spacing(&self, route: usize, warm: f64, least: Nanos) -> Nanos {
         let facts = &self.facts;
-        let rate = self.routes[route].traffic / TRAFFIC_SPAN * COLD_ROOM * warm * facts.tip_multiple;
-        let space = match self.share(route) {
+        let rate = self.routes[route].traffic / TRAFFIC_SPAN * TRAFFIC_HEADROOM * warm * facts.tip_multiple;
+        let spacing = match self.fair_interval(route) {
             0.0 => 1.0 / rate.max(1e-18),
-            share => share * self.routes.bound(route).len() as f64 / (warm * facts.tip_multiple),
+            fair => fair * self.routes.sharing_limiter(route).len() as f64 / (warm * facts.tip_multiple),
         };
-        (space.min(f64::from(facts.dispatchers) * least as f64) * self.routes[route].stretch) as Nanos
+        (spacing.min(f64::from(facts.dispatchers) * least as f64) * self.routes[route].jitter) as Nanos
     }
 
-    /// When the ramp of a cold route, or what a struck one bears, allows the next send.
-    pub(super) fn bears_at(&self, number: usize) -> Nanos {
+    /// When the ramp of a cold route, or the spacing of an ejected one, allows the next send.
+    pub(super) fn spaced_until(&self, number: usize) -> Nanos {
         let (route, cold) = (&self.routes[number], self.facts.cold_share);
         let mut at = 0;
         if let Some(since) = route.cold_since.filter(|_| !route.suspect) {
             let ramp = ((self.now - since) as f64 / self.facts.ramp as f64).min(1.0);
-            at = route.sent_at + self.space(number, cold + (1.0 - cold) * ramp, COLD_REST);
+            at = route.sent_at + self.spacing(number, cold + (1.0 - cold) * ramp, COLD_SPACING);
         }
-        if route.struck {
-            // Those told when a shut route opens come apart.
-            let space = self.space(number, cold, STRUCK_REST);
-            at = at.max(route.sent_at.max(route.closed_until.saturating_sub(space / 2)) + space);
+        if route.ejected {
+            // All dispatchers learn from a retry-after when the route opens: they come at different times.
+            let spacing = self.spacing(number, cold, EJECTED_SPACING);
+            at = at.max(route.sent_at.max(route.suspended_until.saturating_sub(spacing / 2)) + spacing);
         }
         at
     }
-}
 
-impl Route {
-    /// Lets the route's traffic fade up to now and adds to it, while the route is open and sound.
-    pub(super) fn count(&mut self, now: Nanos, relayed: f64) {
-        if self.open() && !self.struck {
-            let faded = (-((now - self.traffic_at) as f64) / TRAFFIC_SPAN).exp();
-            self.traffic = self.traffic * faded + relayed;
-            self.traffic_at = now;
-        }
+    /// Brings the traffic of a route up to date, and adds to it.
+    pub(super) fn update_traffic(&mut self, route: usize, delivered: f64) {
+        self.routes[route].update_traffic(self.now, delivered, TRAFFIC_SPAN);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
-//! bellsill delivers mails to other firms' systems. This library holds its decisions and nothing of any wire:
-//! [`control`] decides, [`interface`] names what goes in and what comes out.
+//! bellsill delivers messages to other firms' systems. This library holds its decisions and nothing of any wire:
+//! [`control`] decides, [`interface`] declares its inputs and its actions.
 
-pub mod chance;
 pub mod control;
 pub mod interface;
+pub mod random;
 mod state;
--- a/src/state/keys.rs
+++ b/src/state/keys.rs
@@ -1,52 +1,65 @@
-//! The mails of each ordering key, in the order in which they were taken.
+//! The messages of each ordering key, in the order in which they were accepted.
 
+use super::NEVER;
+use super::messages::Message;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// The mails of one key.
+/// The messages of one key.
 #[derive(Default)]
-pub struct KeyLine {
+pub struct KeyQueue {
     /// Those that have not ended.
-    pub mails: VecDeque<MailId>,
-    /// Ended mails whose last connect has no outcome yet.
-    pub loose: u32,
-    /// Until then no other mail of the key goes out.
-    pub rest_until: Nanos,
+    pub messages: VecDeque<MessageId>,
+    /// Ended messages whose last attempt has no outcome yet.
+    pub unresolved: u32,
+    /// No next message of the key is sent until then.
+    pub cooldown_until: Nanos,
 }
 
-/// The lines of all keys that have anything to remember.
+/// The queues of all keys that have anything to remember.
 #[derive(Default)]
-pub struct KeyLines {
-    lines: BTreeMap<KeyId, KeyLine>,
+pub struct KeyQueues {
+    by_key: BTreeMap<KeyId, KeyQueue>,
 }
 
-impl KeyLines {
+impl KeyQueues {
     /// Whether no key has anything to remember.
     pub fn is_empty(&self) -> bool {
-        self.lines.is_empty()
+        self.by_key.is_empty()
     }
 
-    /// The line of a mail's key.
-    pub fn get(&self, key: Option<KeyId>) -> Option<&KeyLine> {
-        key.and_then(|key| self.lines.get(&key))
+    /// The queue of a message's key.
+    pub fn get(&self, key: Option<KeyId>) -> Option<&KeyQueue> {
+        key.and_then(|key| self.by_key.get(&key))
     }
 
-    /// The same, to be changed.
-    pub fn get_mut(&mut self, key: Option<KeyId>) -> Option<&mut KeyLine> {
-        key.and_then(|key| self.lines.get_mut(&key))
+    /// The queue of a message's key, for changes.
+    pub fn get_mut(&mut self, key: Option<KeyId>) -> Option<&mut KeyQueue> {
+        key.and_then(|key| self.by_key.get_mut(&key))
     }
 
-    /// Puts a mail at the end of its line.
-    pub fn join(&mut self, key: KeyId, mail: MailId) {
-        self.lines.entry(key).or_default().mails.push_back(mail);
+    /// Adds a message at the end of the queue of its key.
+    pub fn push(&mut self, key: KeyId, message: MessageId) {
+        self.by_key.entry(key).or_default().messages.push_back(message);
     }
 
-    /// Takes out a mail that has ended, with a connect still out or not, and forgets lines without use.
-    pub fn leave(&mut self, key: Option<KeyId>, mail: MailId, still_out: bool, now: Nanos) {
-        if let Some(line) = self.get_mut(key) {
-            line.mails.retain(|other| *other != mail);
-            line.loose += u32::from(still_out);
+    /// Removes a message that has ended, and drops the queues that have nothing to remember.
+    pub fn remove(&mut self, key: Option<KeyId>, message: MessageId, in_flight: bool, now: Nanos) {
+        if let Some(queue) = self.get_mut(key) {
+            queue.messages.retain(|other| *other != message);
+            queue.unresolved += u32::from(in_flight);
         }
-        self.lines.retain(|_, line| !line.mails.is_empty() || line.loose > 0 || line.rest_until > now);
+        self.by_key.retain(|_, queue| {
+            !queue.messages.is_empty() || queue.unresolved > 0 || queue.cooldown_until > now
+        });
+    }
+
+    /// From when on the order of its key lets a message be sent; [`NEVER`] while an earlier one holds it up.
+    pub fn turn_at(&self, message: &Message) -> Nanos {
+        let Some(queue) = self.get(message.key) else { return 0 };
+        if queue.messages.front() != Some(&message.id) || queue.unresolved > 0 {
+            return NEVER;
+        }
+        if message.attempts > 0 { 0 } else { queue.cooldown_until }
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,79 +1,93 @@
-//! What a dispatcher keeps in mind: records, queues and indexes. Nothing here decides; [`crate::control`] does.
+//! The state of a dispatcher: records, queues and indexes. Nothing here decides; [`crate::control`] does.
 
-pub mod connects;
-pub mod idle;
+pub mod attempts;
+pub mod idle_connections;
 pub mod keys;
-pub mod mails;
+pub mod messages;
+pub mod queues;
 pub mod routes;
 mod sends;
-mod stages;
-pub mod waiting;
+mod transitions;
 
-use crate::chance::Chance;
 use crate::interface::*;
+use crate::random::Random;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A time that does not come.
 pub const NEVER: Nanos = Nanos::MAX;
 
-/// One instance. Here is all that it knows; the methods that decide are in [`crate::control`].
+/// One instance. Its state is declared here; the methods that decide are in [`crate::control`].
 #[derive(Default)]
 pub struct Dispatcher {
     pub(crate) facts: BootFacts,
-    pub(crate) rng: Chance,
-    /// The clock as the latest event told it.
+    pub(crate) random: Random,
+    /// The time of the latest event.
     pub(crate) now: Nanos,
     /// The usual answer time of each class, over all routes.
-    pub(crate) usual: Vec<f64>,
+    pub(crate) usual_latency: Vec<f64>,
     pub(crate) routes: routes::Routes,
-    pub(crate) mails: BTreeMap<MailId, mails::Mail>,
-    /// The mails that wait: each asked, a backlog took all time.
-    pub(crate) waiting: waiting::WaitingMails,
-    pub(crate) keys: keys::KeyLines,
-    pub(crate) out: connects::ConnectsOut,
+    pub(crate) messages: BTreeMap<MessageId, messages::Message>,
+    pub(crate) waiting: queues::WaitingQueues,
+    pub(crate) keys: keys::KeyQueues,
+    pub(crate) in_flight: attempts::AttemptsInFlight,
     /// The number of the latest call.
     pub(crate) calls: u64,
-    /// Taken out by hand: nothing new goes there, whatever the list says, until it is put back.
-    pub(crate) held_out: BTreeSet<EndpointId>,
-    /// Nothing is sent until then: no slot was free, against what is counted here.
+    /// Disabled by an operator: nothing new is sent there, whatever the list says.
+    pub(crate) disabled: BTreeSet<EndpointId>,
+    /// No slot was free, contrary to the count here: nothing is sent until then.
     pub(crate) no_slot_until: Nanos,
     /// No trial of a suspect route until then.
     pub(crate) trial_until: Nanos,
-    /// The share of connects, of late, that were not answered in usual time.
-    pub(crate) missed: f64,
-    /// By kind, whether idle connections are kept.
-    pub(crate) tight: BTreeMap<usize, idle::Tight>,
-    /// Where lists come only to those who ask: when to ask.
-    pub(crate) ask_at: Nanos,
-    /// How far the next time to ask is spread.
-    pub(crate) ask_spread: Nanos,
-    /// How much sooner than its lifetime's end a mail is given up.
-    pub(crate) margin: Nanos,
-    /// The soonest wake that was asked for.
+    /// The moving share of attempts that were not answered in usual time.
+    pub(crate) missed_share: f64,
+    /// For each kind of destinations, how idle connections fared.
+    pub(crate) idle_connections: BTreeMap<usize, idle_connections::IdleConnections>,
+    /// Where lists come only on request: when to request a watch.
+    pub(crate) watch_request_at: Nanos,
+    /// Over how long the next such request is spread.
+    pub(crate) watch_request_spread: Nanos,
+    /// The soonest wake that was requested.
     pub(crate) wake_at: Nanos,
 }
 
 impl Dispatcher {
-    /// The listed endpoints that are avoided now: held out by hand, or held for silence or failing.
+    /// The state at the start of an instance.
+    pub(crate) fn new(now: Nanos, facts: BootFacts, initial_latency: f64) -> Self {
+        Dispatcher {
+            random: Random::seeded(facts.seed),
+            usual_latency: vec![initial_latency; facts.classes.len()],
+            now,
+            wake_at: NEVER,
+            watch_request_at: NEVER,
+            facts,
+            ..Self::default()
+        }
+    }
+
+    /// How many listed endpoints are avoided now: disabled by an operator, or held for silence or failures.
     pub fn avoided(&self) -> usize {
         self.routes.iter().filter(|route| route.listed && (!route.entry.serving || route.suspect)).count()
     }
 
+    /// Whether an endpoint serves and is not suspended.
+    pub fn is_open(&self, now: Nanos, endpoint: EndpointId) -> bool {
+        let route = self.routes.find(endpoint).map(|number| &self.routes[number]);
+        route.is_some_and(|route| route.entry.serving && route.suspended_until <= now)
+    }
+
+    /// Whether one more call may be in flight.
+    pub(crate) fn has_free_slot(&self) -> bool {
+        self.in_flight.count_calls(|_| true) < self.facts.slots
+    }
+
     /// The usual answer time of a class at a destination.
-    pub(crate) fn usual(&self, destination: DestinationId, class: usize) -> f64 {
-        self.usual[class] * (1.0 + self.routes.deck(destination).map_or(0.0, |deck| deck.slower))
+    pub(crate) fn usual_latency(&self, destination: DestinationId, class: usize) -> f64 {
+        let extra = self.routes.destination(destination).map_or(0.0, |known| known.extra_latency);
+        self.usual_latency[class] * (1.0 + extra)
     }
 
-    /// When the key of a mail lets it go.
-    pub(crate) fn turn_at(&self, id: MailId) -> Nanos {
-        if self.keys.is_empty() {
-            return 0;
-        }
-        let mail = &self.mails[&id];
-        let Some(line) = self.keys.get(mail.new.key) else { return 0 };
-        if line.mails.front() != Some(&id) || line.loose > 0 {
-            return NEVER;
-        }
-        if mail.new.past.connects > 0 { 0 } else { line.rest_until }
+    /// From when on the order of its key lets a message be sent.
+    pub(crate) fn turn_at(&self, id: MessageId) -> Nanos {
+        if self.keys.is_empty() { 0 } else { self.keys.turn_at(&self.messages[&id]) }
     }
 }
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -4,109 +4,117 @@
 use std::collections::BTreeMap;
 use std::ops::{Index, IndexMut};
 
-/// One endpoint, and what was learnt of it.
+/// The way to one endpoint, and what was observed of it.
 #[derive(Default)]
 pub struct Route {
-    /// `serving` there is what the list says, unless the route is held out by hand.
+    /// `serving` there is what the list says, unless the endpoint is disabled by an operator.
     pub entry: ListEntry,
     pub listed: bool,
-    /// The first route of those that share its limit, itself where it has one of its own.
-    pub gate: usize,
-    /// What the limit shows, kept at its first route.
-    pub limit: Limit,
-    /// Held for silence or failing: one trial at a time.
+    /// The route that stands for the limiter it is subject to: itself, or the first of those that share it.
+    pub limiter_route: usize,
+    /// What was observed of the limiter, on the route that stands for it.
+    pub limiter: Limiter,
+    /// Held for silence or failures: one trial at a time.
     pub suspect: bool,
-    /// Cold from then on, when it had answered again.
+    /// The start of its slow-start ramp.
     pub cold_since: Option<Nanos>,
-    /// The share of its connects that fail, of late.
-    pub fail: f64,
-    /// Suspended until then.
-    pub closed_until: Nanos,
-    /// For how long the next time if no wait is told.
-    pub wait: Nanos,
-    /// When something last went there, or its serving changed.
+    /// The moving share of its attempts that failed.
+    pub failure_share: f64,
+    pub suspended_until: Nanos,
+    /// The next suspension, for a refusal without a retry-after.
+    pub backoff: Nanos,
+    /// When something was last sent there, or its serving changed.
     pub sent_at: Nanos,
-    /// Mails relayed of late, fading while it is sound.
+    /// Messages delivered of late, decaying while it is sound.
     pub traffic: f64,
-    /// When that was reckoned.
+    /// When `traffic` was last brought up to date.
     pub traffic_at: Nanos,
     /// When it last answered in usual time.
-    pub spoke_at: Nanos,
-    /// Connections that it refused at once since it last relayed.
-    pub unmet: u32,
-    /// Stretches each space between sends to a cold or struck route, and untold waits; drawn with each send.
-    pub stretch: f64,
-    /// Something failed there, or was refused for long, since it was last sound: it will return cold.
-    pub struck: bool,
+    pub answered_at: Nanos,
+    /// Connections that it refused at once since it last delivered.
+    pub refused_connections: u32,
+    /// The factor for its spacing and its backoff, drawn anew with each send.
+    pub jitter: f64,
+    /// It failed, or refused for long, since it was last sound: it will return cold.
+    pub ejected: bool,
 }
 
 impl Route {
-    /// Takes in what the list says of the endpoint.
-    pub fn list(&mut self, entry: &ListEntry, held_out: bool, now: Nanos) {
+    /// Applies what the list says of the endpoint.
+    pub fn apply(&mut self, entry: &ListEntry, disabled: bool, now: Nanos) {
         self.listed = entry.serving;
         if entry.rate > 0.0 {
             self.entry.rate = entry.rate; // Else an answer may have told it.
         }
-        let serving = entry.serving && !held_out;
+        let serving = entry.serving && !disabled;
         if std::mem::replace(&mut self.entry.serving, serving) != serving {
             self.sent_at = now; // All dispatchers hear of its return at once.
         }
     }
 
-    /// Takes the endpoint out by hand, or puts it back. It is restarted while it is out, so it returns cold.
-    pub fn hold_out(&mut self, out: bool, now: Nanos) {
-        self.entry.serving = self.listed && !out;
+    /// Disables or enables the endpoint.
+    pub fn set_disabled(&mut self, disabled: bool, now: Nanos) {
+        self.entry.serving = self.listed && !disabled;
         self.sent_at = now;
-        self.struck = self.struck || !out;
+    }
+
+    /// Decays the traffic up to now with this time constant and adds to it, while the route is warm and not ejected.
+    pub fn update_traffic(&mut self, now: Nanos, delivered: f64, span: f64) {
+        if self.is_warm() && !self.ejected {
+            let decay = (-((now - self.traffic_at) as f64) / span).exp();
+            self.traffic = self.traffic * decay + delivered;
+            self.traffic_at = now;
+        }
     }
 
     /// Whether it is neither suspect nor cold.
-    pub fn open(&self) -> bool {
+    pub fn is_warm(&self) -> bool {
         !self.suspect && self.cold_since.is_none()
     }
 }
 
-/// What the connects of all routes that share a limit show of it.
+/// What the attempts by all routes that are subject to a limiter show of it.
 #[derive(Default)]
-pub struct Limit {
-    /// The space kept between sends.
-    pub gap: Nanos,
+pub struct Limiter {
+    /// The time kept between sends.
+    pub pacing_interval: Nanos,
     pub sent_at: Nanos,
-    /// The last refusal that told something new.
+    /// The last refusal that was news.
     pub refused_at: Nanos,
-    /// The first refusal since something was relayed.
+    /// The first refusal since something was delivered.
     pub refused_since: Option<Nanos>,
 }
 
-/// The routes of a destination.
+/// The routes of one destination.
 #[derive(Default)]
-pub struct Deck {
-    pub cards: Vec<usize>,
-    /// So many from the front have been picked in this round.
-    pub dealt: usize,
-    /// The first route of those that share the limit of the destination.
-    pub shared_gate: Option<usize>,
-    /// By how much its answer times are over the usual ones.
-    pub slower: f64,
-    /// How many answers told of that.
-    pub answers: f64,
+pub struct DestinationRoutes {
+    /// Their numbers, those picked in this round first.
+    pub routes: Vec<usize>,
+    /// How many of them were picked in this round.
+    pub picked: usize,
+    /// The route that stands for the limiter that the destination's routes share.
+    pub shared_limiter_route: Option<usize>,
+    /// By which part its answer times exceed the usual ones.
+    pub extra_latency: f64,
+    /// From how many answers that was learnt.
+    pub latency_samples: f64,
 }
 
-impl Deck {
-    /// Says under which route the limit of a new one is kept; `apart`: under itself.
-    pub fn gate(&mut self, new: usize, apart: bool) -> usize {
-        let gate = self.shared_gate.filter(|_| !apart).unwrap_or(new);
-        self.shared_gate = Some(gate).filter(|_| !apart);
-        gate
+impl DestinationRoutes {
+    /// The route that stands for the limiter of a new route.
+    pub fn limiter_route(&mut self, new: usize, separate_limits: bool) -> usize {
+        let limiter_route = self.shared_limiter_route.filter(|_| !separate_limits).unwrap_or(new);
+        self.shared_limiter_route = Some(limiter_route).filter(|_| !separate_limits);
+        limiter_route
     }
 }
 
-/// All routes; a route's number is its place here.
+/// All routes; the number of a route is its index here.
 #[derive(Default)]
 pub struct Routes {
     all: Vec<Route>,
     by_endpoint: BTreeMap<EndpointId, usize>,
-    decks: BTreeMap<DestinationId, Deck>,
+    by_destination: BTreeMap<DestinationId, DestinationRoutes>,
 }
 
 impl Routes {
@@ -119,62 +127,62 @@
         self.all.iter()
     }
 
-    /// What is kept for a destination that has had a route.
-    pub fn deck(&self, destination: DestinationId) -> Option<&Deck> {
-        self.decks.get(&destination)
+    /// What is known of a destination.
+    pub fn destination(&self, destination: DestinationId) -> Option<&DestinationRoutes> {
+        self.by_destination.get(&destination)
     }
 
-    /// The same, to be changed; made for a new destination.
-    pub fn deck_mut(&mut self, destination: DestinationId) -> &mut Deck {
-        self.decks.entry(destination).or_default()
+    /// What is known of a destination, for changes; created for a new one.
+    pub fn destination_mut(&mut self, destination: DestinationId) -> &mut DestinationRoutes {
+        self.by_destination.entry(destination).or_default()
     }
 
-    /// The routes of a destination.
-    pub fn cards(&self, destination: DestinationId) -> &[usize] {
-        self.decks.get(&destination).map_or(&[], |deck| &deck.cards)
+    /// The numbers of a destination's routes.
+    pub fn of(&self, destination: DestinationId) -> &[usize] {
+        self.by_destination.get(&destination).map_or(&[], |known| &known.routes)
     }
 
-    /// The routes that share this one's limit, itself among them.
-    pub fn bound(&self, route: usize) -> Vec<usize> {
-        let same = |&other: &usize| self[other].gate == self[route].gate;
-        self.cards(self[route].entry.destination).iter().copied().filter(same).collect()
+    /// The routes that are subject to the same limiter, this one among them.
+    pub fn sharing_limiter(&self, route: usize) -> Vec<usize> {
+        let same = |&other: &usize| self[other].limiter_route == self[route].limiter_route;
+        self.of(self[route].entry.destination).iter().copied().filter(same).collect()
     }
 
-    /// What the limit of a route shows.
-    pub fn limit(&self, route: usize) -> &Limit {
-        &self[self[route].gate].limit
+    /// The limiter that a route is subject to.
+    pub fn limiter(&self, route: usize) -> &Limiter {
+        &self[self[route].limiter_route].limiter
     }
 
-    /// The same, to be changed.
-    pub fn limit_mut(&mut self, route: usize) -> &mut Limit {
-        let gate = self[route].gate;
-        &mut self[gate].limit
+    /// The limiter that a route is subject to, for changes.
+    pub fn limiter_mut(&mut self, route: usize) -> &mut Limiter {
+        let limiter_route = self[route].limiter_route;
+        &mut self[limiter_route].limiter
     }
 
-    /// The number that the next new route gets.
+    /// The number of the next route that is added.
     pub fn next_number(&self) -> usize {
         self.all.len()
     }
 
-    /// Adds a route under the next number, or puts it in the place of one of the same destination. Names the
-    /// endpoint that is known no more.
+    /// Adds a route under the next number, or replaces one of the same destination. Returns the endpoint that was
+    /// replaced.
     pub fn put(&mut self, number: usize, route: Route) -> Option<EndpointId> {
         let endpoint = route.entry.endpoint;
-        let gone = if number == self.all.len() {
-            self.deck_mut(route.entry.destination).cards.push(number);
+        let replaced = if number == self.all.len() {
+            self.destination_mut(route.entry.destination).routes.push(number);
             self.all.push(route);
             None
         } else {
             Some(std::mem::replace(&mut self.all[number], route).entry.endpoint)
         };
-        if let Some(gone) = gone {
-            self.by_endpoint.remove(&gone);
+        if let Some(replaced) = replaced {
+            self.by_endpoint.remove(&replaced);
         }
         self.by_endpoint.insert(endpoint, number);
-        gone
+        replaced
     }
 
-    /// A whole list has come: what is not in it is gone.
+    /// Takes all endpoints for gone, before a whole list is applied.
     pub fn unlist(&mut self, now: Nanos) {
         for route in &mut self.all {
             if std::mem::take(&mut route.entry.serving) {
--- a/src/state/sends.rs
+++ b/src/state/sends.rs
@@ -1,26 +1,25 @@
-//! What is noted when a connect is sent.
+//! What is recorded when an attempt is sent.
 
-use super::{Dispatcher, connects::Connect};
+use super::{Dispatcher, attempts::Attempt};
 use crate::interface::*;
 
 impl Dispatcher {
-    /// Notes a connect of a mail that waited, as one more of the latest call.
-    pub(crate) fn note_sent(&mut self, mail: MailId, route: usize, fresh: bool) {
-        let new = self.mails[&mail].new;
-        let rests = self.now - self.routes[route].sent_at;
-        let connect = Connect {
-            at: self.now,
-            mail,
-            no: ConnectNo(new.past.connects),
+    /// Records an attempt for a waiting message, as one more of the latest call.
+    pub(crate) fn record_send(&mut self, message: MessageId, route: usize, fresh_connection: bool) {
+        let idle_for = self.now - self.routes[route].sent_at;
+        let attempt = Attempt {
+            sent_at: self.now,
+            message,
+            number: AttemptNumber(self.messages[&message].attempts),
             call: self.calls,
-            class: new.class.0,
+            class: self.messages[&message].class,
             route,
-            fresh,
-            rested: self.out.latest_of(self.calls).map_or(rests, |first| first.rested),
-            called_off: false,
+            fresh_connection,
+            idle_for: self.in_flight.latest_of(self.calls).map_or(idle_for, |first| first.idle_for),
+            cancelled: false,
         };
-        self.out.push(connect);
+        self.in_flight.push(attempt);
         self.routes[route].sent_at = self.now;
-        self.routes.limit_mut(route).sent_at = self.now;
+        self.routes.limiter_mut(route).sent_at = self.now;
     }
 }
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -351,7 +351,8 @@
     let soon = w.mail(0, 2, None, 10_200 * MS);
     let later = w.mail(3, 2, None, 12 * S);
     w.pass(300 * MS);
-    let order: Vec<MailId> = w.o.sent.iter().map(|s| s.mail).filter(|m| *m == soon || *m == later).collect();
+    let order: Vec<MessageId> =
+        w.o.sent.iter().map(|s| s.mail).filter(|m| *m == soon || *m == later).collect();
     assert_eq!(order, [soon, later]);
 }
 
@@ -388,7 +389,7 @@
 }
 
 fn past(connects: u32, ran: Option<Nanos>) -> Past {
-    Past { connects, ran: ran.map(|at| (at, ZoneId(0))) }
+    Past { attempts: connects, ran: ran.map(|at| (at, ZoneId(0))) }
 }
 
 /// On sockets a process comes back with the mails of the one before it.
@@ -411,14 +412,14 @@
 #[test]
 fn a_connect_that_comes_up_during_a_drain_or_a_wait_is_turned_back() {
     let mut w = World::new(facts());
-    assert!((0..12).all(|e| w.d.still_open(w.o.now, EndpointId(e))));
+    assert!((0..12).all(|e| w.d.is_open(w.o.now, EndpointId(e))));
     w.serve(0, false, ListScope::Update);
     w.o.ways[8] = Way::Refuses(3 * S);
     for _ in 0..4 {
         w.mail(0, 2, None, 12 * S);
     }
     w.pass(S);
-    let open = |w: &World| (0..13).filter(|e| w.d.still_open(w.o.now, EndpointId(*e))).collect::<Vec<_>>();
+    let open = |w: &World| (0..13).filter(|e| w.d.is_open(w.o.now, EndpointId(*e))).collect::<Vec<_>>();
     assert_eq!(open(&w), [1, 2, 3, 4, 5, 6, 7, 9, 10, 11]);
     w.pass(3 * S);
     assert_eq!(open(&w), (1..12).collect::<Vec<_>>());
@@ -427,7 +428,7 @@
 #[test]
 fn a_tagged_mail_that_may_have_run_is_deferred_only_where_its_window_covers_its_lifetime() {
     for (lifetime, deferred) in [(12 * S, false), (5 * S, true)] {
-        let mut w = World::new(BootFacts { max_connects: 1, ..facts() });
+        let mut w = World::new(BootFacts { max_attempts: 1, ..facts() });
         w.o.ways.fill(Way::Errs);
         let mail = w.mail(1, 0, None, lifetime);
         w.pass(S);
@@ -475,7 +476,7 @@
     let within = 10 * S;
     let mut first = vec![];
     for seed in 0..40 {
-        let mut w = World::new(BootFacts { seed, ask_within: Some(within), dispatchers: 300, ..facts() });
+        let mut w = World::new(BootFacts { seed, watch_within: Some(within), dispatchers: 300, ..facts() });
         let start = w.o.now;
         w.pass(60 * S);
         assert_eq!(w.o.asked.len(), 1, "asked again without a failure");
@@ -483,7 +484,7 @@
         // Calls in vain: the rule gives four times as long after each.
         for _ in 0..6 {
             let (lost, calls) = (w.o.now, w.o.asked.len());
-            w.d.list_lost(lost, &mut w.o);
+            w.d.watch_lost(lost, &mut w.o);
             w.pass(40 * S - 1);
             assert_eq!(w.o.asked.len(), calls + 1);
             assert!(calls == 1 || w.o.asked[calls] >= lost + within / 2, "in vain and again at once");
@@ -491,7 +492,7 @@
         // It serves for a while; the watch breaks, which is no failed call.
         w.list(ListScope::Update);
         let (lost, calls) = (w.o.now, w.o.asked.len());
-        w.d.list_lost(lost, &mut w.o);
+        w.d.watch_lost(lost, &mut w.o);
         w.pass(within - 1);
         assert_eq!(w.o.asked.len(), calls + 1);
     }
@@ -504,7 +505,7 @@
 fn pushed_lists_are_not_asked_for() {
     let mut w = World::new(facts());
     w.pass(60 * S);
-    w.d.list_lost(w.o.now, &mut w.o);
+    w.d.watch_lost(w.o.now, &mut w.o);
     w.pass(60 * S);
     assert!(w.o.asked.is_empty());
 }
@@ -550,7 +551,7 @@
 fn a_time_out_leaves_a_tagged_mail_time_to_be_repeated_or_is_as_long_as_a_once_only_one_s() {
     let first = |window, hung: bool| {
         let mut f = facts();
-        f.classes[1].repeat = Repeat::Tagged { window, same_zone: false };
+        f.classes[1].repeat = Repeat::Deduplicated { window, same_zone: false };
         let mut w = World::lone(f);
         if hung {
             // Found out by mails that may run again.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -41,7 +41,7 @@
             2 => w.serve(to, true, ListScope::Whole),
             3 if whom % 8 == 0 => w.restart(),
             3 if whom % 8 == 1 => w.resume(),
-            4 => w.withdraw(MailId(w.o.sent.last().map_or(1, |s| s.mail.0))),
+            4 => w.withdraw(MessageId(w.o.sent.last().map_or(1, |s| s.mail.0))),
             5 => w.o.ways.iter_mut().skip(usize::from(whom % 3) * 4).take(4).for_each(|x| *x = way(whom)),
             6 => w.o.ways.fill(Way::Answers(100 * MS)),
             n => {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -29,7 +29,7 @@
 
 pub struct Sent {
     pub at: Nanos,
-    pub mail: MailId,
+    pub mail: MessageId,
     pub to: u32,
     pub time_out: Nanos,
 }
@@ -58,7 +58,7 @@
 
 enum Due {
     Wake,
-    End(MailId, Outcome),
+    End(MessageId, Outcome),
 }
 
 pub struct Outside {
@@ -67,18 +67,18 @@
     pub entries: Vec<ListEntry>,
     pub ways: Vec<Way>,
     pub sent: Vec<Sent>,
-    pub deferred: Vec<(MailId, Nanos)>,
-    pub bounced: Vec<MailId>,
-    pub relayed: Vec<MailId>,
+    pub deferred: Vec<(MessageId, Nanos)>,
+    pub bounced: Vec<MessageId>,
+    pub relayed: Vec<MessageId>,
     pub lines: Vec<String>,
     pub hung_up: Vec<u32>,
     pub forgotten: Vec<u32>,
     pub asked: Vec<Nanos>,
     /// What each answer tells of the limit.
     pub limit: f64,
-    mails: BTreeMap<MailId, Known>,
-    order: BTreeMap<KeyId, Vec<MailId>>,
-    rests: BTreeMap<KeyId, (Nanos, MailId)>,
+    mails: BTreeMap<MessageId, Known>,
+    order: BTreeMap<KeyId, Vec<MessageId>>,
+    rests: BTreeMap<KeyId, (Nanos, MessageId)>,
     told: BTreeMap<u64, Nanos>,
     due: BTreeMap<(Nanos, u64), Due>,
     seq: u64,
@@ -95,42 +95,42 @@
         repeat,
         ordered,
     };
-    let tagged = |same_zone| Repeat::Tagged { window: 6 * S, same_zone };
+    let tagged = |same_zone| Repeat::Deduplicated { window: 6 * S, same_zone };
     BootFacts {
         seed: 7,
         dispatchers: 1,
         classes: vec![
-            class(1.0, Repeat::Redeliverable, false),
+            class(1.0, Repeat::Idempotent, false),
             class(2.0, tagged(false), false),
             class(2.0, tagged(true), true),
-            class(4.0, Repeat::OnceOnly, true),
+            class(4.0, Repeat::AtMostOnce, true),
         ],
-        apart: vec![false, true],
+        separate_limits: vec![false, true],
         batch: vec![],
         halves: false,
         slots: 8,
         holding_room: 60,
-        own_door: false,
-        max_connects: 6,
+        own_admission: false,
+        max_attempts: 6,
         connect_timeout: S,
-        max_come_back: 2 * S,
+        max_retry_after: 2 * S,
         cold_share: 0.2,
         ramp: 10 * S,
         tip_multiple: 2.0,
         tip_window: 2 * S,
-        key_rest: 100 * MS,
-        ask_within: None,
+        key_cooldown: 100 * MS,
+        watch_within: None,
         tick: 5 * MS,
     }
 }
 
 impl Outside {
-    pub fn taken_at(&self, mail: MailId) -> Nanos {
+    pub fn taken_at(&self, mail: MessageId) -> Nanos {
         self.mails[&mail].due - 12 * S
     }
     fn gate(&self, to: u32) -> u64 {
         let e = &self.entries[to as usize];
-        if self.facts.apart[e.kind.0] { 100 + u64::from(to) } else { e.destination.0 }
+        if self.facts.separate_limits[e.kind.0] { 100 + u64::from(to) } else { e.destination.0 }
     }
     fn later(&mut self, at: Nanos, what: Due) {
         self.seq += 1;
@@ -139,14 +139,14 @@
     /// What rule 2 says of one more connect, or of a deferral (which names no zone).
     fn may_repeat(&self, mail: &Known, zone: Option<usize>) -> bool {
         match (mail.ran, self.facts.classes[mail.class].repeat) {
-            (None, _) | (_, Repeat::Redeliverable) => true,
-            (Some(_), Repeat::OnceOnly) => false,
-            (Some((at, first)), Repeat::Tagged { window, same_zone }) => {
+            (None, _) | (_, Repeat::Idempotent) => true,
+            (Some(_), Repeat::AtMostOnce) => false,
+            (Some((at, first)), Repeat::Deduplicated { window, same_zone }) => {
                 self.now < at + window && (!same_zone || zone == Some(first))
             }
         }
     }
-    fn end(&mut self, id: MailId) {
+    fn end(&mut self, id: MessageId) {
         let mail = self.mails.get_mut(&id).expect("a final answer for a mail that was taken");
         assert!(!mail.ended, "rule 1: a second final answer for {id:?}");
         assert!(self.now <= mail.due, "rule 1: {id:?} answered late");
@@ -158,7 +158,7 @@
 }
 
 impl Outlet for Outside {
-    fn connect(&mut self, id: MailId, endpoint: EndpointId, time_out: Nanos) {
+    fn attempt(&mut self, id: MessageId, endpoint: EndpointId, time_out: Nanos) {
         let (now, to) = (self.now, endpoint.0);
         let entry = self.entries[to as usize];
         let mail = &self.mails[&id];
@@ -171,7 +171,7 @@
         assert!(now >= told, "rule 5: {id:?} sent {} ns before the end of a told wait", told - now);
         if let Some(key) = mail.key {
             assert_eq!(self.order[&key].first(), Some(&id), "rule 6: {id:?} sent out of turn");
-            let other = |(m, k): (&MailId, &Known)| k.key == Some(key) && *m != id && k.out.is_some();
+            let other = |(m, k): (&MessageId, &Known)| k.key == Some(key) && *m != id && k.out.is_some();
             assert!(!self.mails.iter().any(other), "rule 6: an earlier connect has no outcome yet");
             if let Some(&(until, by)) = self.rests.get(&key) {
                 assert!(now >= until || by == id, "rule 6: {id:?} sent while its key rests");
@@ -186,7 +186,7 @@
         mail.out = Some((to, now));
         mail.connects += 1;
         mail.call = same.map_or(self.seq + 1, |c| c.no);
-        assert!(mail.connects <= self.facts.max_connects && now + time_out <= mail.due);
+        assert!(mail.connects <= self.facts.max_attempts && now + time_out <= mail.due);
         let (after, outcome) = match self.ways[to as usize] {
             Way::Answers(after) => (after, Outcome::Relayed),
             Way::Hangs => (time_out + 1, Outcome::TimedOut),
@@ -211,25 +211,25 @@
         self.sent.push(Sent { at: now, mail: id, to, time_out });
         self.later(now + after.max(1), Due::End(id, outcome));
     }
-    fn defer(&mut self, id: MailId, come_back: Nanos) {
+    fn defer(&mut self, id: MessageId, come_back: Nanos) {
         let mail = &self.mails[&id];
         assert!(mail.out.is_none() || mail.ended, "rule 2: {id:?} deferred with a connect out");
         let zone = mail.ran.map(|_| usize::MAX);
         assert!(self.may_repeat(mail, zone), "rule 2: {id:?} deferred though it may have run");
-        assert!(come_back <= self.facts.max_come_back);
+        assert!(come_back <= self.facts.max_retry_after);
         self.end(id);
         self.deferred.push((id, come_back));
     }
-    fn bounce(&mut self, id: MailId) {
+    fn bounce(&mut self, id: MessageId) {
         self.end(id);
         self.bounced.push(id);
     }
-    fn call_off(&mut self, id: MailId, no: ConnectNo) {
+    fn cancel(&mut self, id: MessageId, no: AttemptNumber) {
         assert_eq!(no.0 + 1, self.mails[&id].connects, "called off a connect that is not out");
         self.due.retain(|_, d| !matches!(d, Due::End(m, _) if *m == id));
         self.later(self.now + 1, Due::End(id, Outcome::CalledOff));
     }
-    fn hang_up(&mut self, endpoint: EndpointId) {
+    fn close_idle(&mut self, endpoint: EndpointId) {
         self.hung_up.push(endpoint.0);
     }
     fn forget(&mut self, endpoint: EndpointId) {
@@ -238,7 +238,7 @@
         assert!(!out, "forgotten with a connect out");
         self.forgotten.push(endpoint.0);
     }
-    fn ask(&mut self) {
+    fn request_watch(&mut self) {
         self.asked.push(self.now);
     }
     fn wake(&mut self, after: Nanos) {
@@ -309,7 +309,7 @@
     pub fn list(&mut self, scope: ListScope) {
         let entries: Vec<ListEntry> =
             self.o.entries.iter().filter(|e| scope == ListScope::Update || e.serving).copied().collect();
-        self.d.list_news(self.o.now, scope, &entries, &mut self.o);
+        self.d.apply_list(self.o.now, scope, &entries, &mut self.o);
     }
 
     /// An endpoint starts or stops to serve, and the news of it comes.
@@ -318,15 +318,15 @@
         self.list(scope);
     }
 
-    pub fn mail(&mut self, class: usize, dest: u64, key: Option<u64>, lifetime: Nanos) -> MailId {
+    pub fn mail(&mut self, class: usize, dest: u64, key: Option<u64>, lifetime: Nanos) -> MessageId {
         let key = key.filter(|_| self.o.facts.classes[class].ordered).map(KeyId);
         let due = self.o.now + lifetime;
         self.taken += 1;
         let known = Known { class, key, dest, due, connects: 0, out: None, ran: None, ended: false, call: 0 };
-        self.hand(MailId(self.taken), known)
+        self.hand(MessageId(self.taken), known)
     }
 
-    pub fn mail_with_past(&mut self, class: usize, dest: u64, past: Past) -> MailId {
+    pub fn mail_with_past(&mut self, class: usize, dest: u64, past: Past) -> MessageId {
         let (due, ran) = (self.o.now + 12 * S, past.ran.map(|(at, zone)| (at, zone.0)));
         self.taken += 1;
         let known = Known {
@@ -334,19 +334,19 @@
             key: None,
             dest,
             due,
-            connects: past.connects,
+            connects: past.attempts,
             out: None,
             ran,
             ended: false,
             call: 0,
         };
-        self.hand(MailId(self.taken), known)
+        self.hand(MessageId(self.taken), known)
     }
 
     /// Hands a mail to the decisions, with the past that is known of it.
-    fn hand(&mut self, id: MailId, mail: Known) -> MailId {
+    fn hand(&mut self, id: MessageId, mail: Known) -> MessageId {
         let new = self.note(id, mail);
-        self.d.mails_taken(self.o.now, [new], &mut self.o);
+        self.d.accept(self.o.now, [new], &mut self.o);
         id
     }
 
@@ -364,18 +364,19 @@
             ended: false,
             call: 0,
         };
-        let all: Vec<NewMail> = (first..first + count).map(|id| self.note(MailId(id), known())).collect();
+        let all: Vec<NewMessage> =
+            (first..first + count).map(|id| self.note(MessageId(id), known())).collect();
         self.taken += count;
-        self.d.mails_taken(self.o.now, all, &mut self.o);
+        self.d.accept(self.o.now, all, &mut self.o);
     }
 
-    fn note(&mut self, id: MailId, mail: Known) -> NewMail {
+    fn note(&mut self, id: MessageId, mail: Known) -> NewMessage {
         if let Some(key) = mail.key {
             self.o.order.entry(key).or_default().push(id);
         }
         let (class, destination) = (ClassId(mail.class), DestinationId(mail.dest));
-        let past = Past { connects: mail.connects, ran: mail.ran.map(|(at, zone)| (at, ZoneId(zone))) };
-        let new = NewMail { id, class, key: mail.key, destination, due: mail.due, past };
+        let past = Past { attempts: mail.connects, ran: mail.ran.map(|(at, zone)| (at, ZoneId(zone))) };
+        let new = NewMessage { id, class, key: mail.key, destination, due: mail.due, past };
         self.o.mails.insert(id, mail);
         new
     }
@@ -404,11 +405,11 @@
         }
     }
 
-    pub fn withdraw(&mut self, id: MailId) {
+    pub fn withdraw(&mut self, id: MessageId) {
         if self.o.mails.get(&id).is_some_and(|m| !m.ended) {
             self.o.end(id);
         }
-        self.d.mail_withdrawn(self.o.now, id, &mut self.o);
+        self.d.message_withdrawn(self.o.now, id, &mut self.o);
     }
 
     /// Lets time pass; all that falls due on the way happens, and rule 1 is checked after each of it.
@@ -432,7 +433,7 @@
         assert!(lost.is_none(), "rule 1: {:?} has no final answer", lost.map(|l| l.0));
     }
 
-    fn ended(&mut self, id: MailId, outcome: Outcome) {
+    fn ended(&mut self, id: MessageId, outcome: Outcome) {
         let now = self.o.now;
         let mail = self.o.mails.get_mut(&id).expect("an end for a mail that was taken");
         let (to, at) = mail.out.take().expect("an end for a connect that is out");
@@ -440,9 +441,9 @@
         if outcome.may_have_run() {
             mail.ran.get_or_insert((at, zone));
         }
-        let (key, over, no) = (mail.key, mail.ended, ConnectNo(mail.connects - 1));
+        let (key, over, no) = (mail.key, mail.ended, AttemptNumber(mail.connects - 1));
         if let (Outcome::TimedOut | Outcome::CalledOff | Outcome::Reset, Some(key)) = (outcome, key) {
-            self.o.rests.insert(key, (now + self.o.facts.key_rest, id));
+            self.o.rests.insert(key, (now + self.o.facts.key_cooldown, id));
         }
         if let Outcome::Full(wait) = outcome {
             let gate = self.o.gate(to);
@@ -454,7 +455,14 @@
             self.o.relayed.push(id);
         }
         let over = over || outcome == Outcome::Relayed;
-        let end = ConnectEnd { mail: id, no, outcome, over, took: now - at, limit: self.o.limit };
-        self.d.connect_ended(now, end, &mut self.o);
+        let end = AttemptEnd {
+            message: id,
+            number: no,
+            outcome,
+            over,
+            took: now - at,
+            reported_limit: self.o.limit,
+        };
+        self.d.attempt_ended(now, end, &mut self.o);
     }
 }
