--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -411,10 +411,10 @@
         let held: Vec<EndpointId> =
             hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
         for id in held {
-            self.dispatcher.hold_out(hands.now, id, true, hands);
+            self.dispatcher.set_disabled(hands.now, id, true, hands);
         }
         let scope = if list.whole { ListScope::Whole } else { ListScope::Update };
-        self.dispatcher.list_news(hands.now, scope, &entries, hands);
+        self.dispatcher.apply_list(hands.now, scope, &entries, hands);
     }
 }
 
@@ -451,13 +451,13 @@
     fn set_serving(&mut self, endpoint: EndpointId, serving: bool) {
         self.endpoints[endpoint].serving = serving;
         if !serving {
-            self.hang_up(endpoint);
+            self.close_idle(endpoint);
         }
     }
 
     /// An endpoint listens elsewhere from now on.
     fn move_endpoint(&mut self, endpoint: EndpointId, addr: SocketAddr) {
-        self.hang_up(endpoint);
+        self.close_idle(endpoint);
         self.endpoints[endpoint].addr = addr;
         // What still comes up at the old address would be somebody else's by then.
         let rises =
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -170,7 +170,7 @@
         let now = clock.now();
         let (watch, scope_file) = watch_of(&start);
         let boot = start.boot;
-        let (facts, names) = (BootFacts { own_door: true, ..boot.facts }, boot.names);
+        let (facts, names) = (BootFacts { own_admission: true, ..boot.facts }, boot.names);
         let class_names = names.classes.clone();
         let journal_bytes = match scope_file {
             Some(_) => scope::disk_left(start.disk_bytes),
@@ -405,7 +405,7 @@
     fn settle(&mut self) {
         while let Some(end) = self.hands.ended.pop_front() {
             if self.leaving < Leaving::Ending {
-                self.dispatcher.connect_ended(self.hands.now, end, &mut self.hands);
+                self.dispatcher.attempt_ended(self.hands.now, end, &mut self.hands);
             }
         }
     }
