Control role: tests of a dispatcher's list against it, over breaks, moves and deaths

Change: random.rs writes, moves, breaks, looks up and falls behind in 2 x 400 fixed cases and compares the list with the directory at the end; failover.rs has three processes die in turn. A destination there has its endpoints in one region: where it has them in two, the list keeps the other region's entries without being told of them once the first region's bucket is filled (`complete_bucket` gives up the cached destination with all of its endpoints).

--- /dev/null
+++ b/controlplane/tests/failover.rs
@@ -0,0 +1,70 @@
+//! A dispatcher's list over the death of the control processes that it watches.
+
+mod common;
+
+use bellsill_directory::line::EndpointState::{Draining, Up};
+use bellsill_placement::{BucketId, Layout, RegionName, ZoneName};
+use bellsill_watch::{BucketMap, ScopedList};
+use common::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+struct Buckets(Layout);
+
+impl BucketMap for Buckets {
+    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
+        Some(self.0.bucket_of(self.0.region_of(&zone.into())?, destination))
+    }
+}
+
+/// The list of `north-a`, in the layout of the control processes of these tests.
+fn new_list() -> ScopedList {
+    let zones = [("north-1", "north"), ("north-2", "north"), ("south-1", "south"), ("south-2", "south")];
+    let zones = zones.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)));
+    ScopedList::new(Arc::new(Buckets(Layout::new(zones, 8).expect("a layout"))), 16)
+}
+
+/// Watches with what the list knows until it is at this version with all buckets; how many were told anew on the way.
+fn watch_until(list: &mut ScopedList, address: SocketAddr, version: u64) -> usize {
+    let mut watch = Watch::open(address, &list.query("north-a"));
+    let mut gained = 0;
+    while list.version().0 < version || list.complete_buckets().count() < 8 {
+        let line = watch.next().expect("a line");
+        gained += list.apply(line).expect("a line that can be applied").gained.len();
+    }
+    gained
+}
+
+#[test]
+fn a_dispatcher_whose_control_process_dies_goes_on_at_another_without_a_whole_list() {
+    let places = [Place::new(), Place::new(), Place::new()];
+    let states = [(); 3].map(|()| tempfile::tempdir().expect("a directory"));
+    let writer = places[0].start_writer(states[0].path());
+    writer.declare();
+    let version = writer.write(&entries(0..100, Up));
+    let followers = [1, 2].map(|n| places[n].start_follower(states[n].path(), places[0].address));
+    followers.iter().for_each(|follower| drop(follower.wait_for_version(version)));
+
+    let mut list = new_list();
+    assert_eq!(watch_until(&mut list, places[1].address, version), 8);
+    assert_eq!(list.entries().count(), 100);
+    let [first, second] = followers;
+    first.stop().expect("an end");
+    let version = writer.write(&entries(0..10, Draining));
+    assert_eq!(watch_until(&mut list, places[2].address, version), 0);
+    assert_eq!(list.entries().filter(|entry| entry.state == Draining).count(), 10);
+    assert_eq!(second.figures()["watches_told_anew"], 0);
+
+    // All die; one comes back alone, with what it had.
+    writer.stop().expect("an end");
+    second.stop().expect("an end");
+    let first = places[1].start_follower(states[1].path(), places[0].address);
+    let mut behind = Watch::open(places[1].address, &list.query("north-a"));
+    let writer = places[0].start_writer(states[0].path());
+    first.wait_for_version(version);
+    let line = behind.next().expect("a line");
+    assert!(line.gained.is_empty() && line.version.0 == version, "nothing older is told: {line:?}");
+    let version = writer.write(&entry(50, Draining));
+    assert_eq!(watch_until(&mut list, places[1].address, version), 0);
+    assert_eq!(list.counters().duplicate_entries, 0);
+}
--- /dev/null
+++ b/controlplane/tests/random.rs
@@ -0,0 +1,269 @@
+//! A dispatcher's list and two control processes' directories, without sockets: whatever is written, moved, cut off and
+//! looked up in whatever order, the list ends as the directory is. The cases are the same in each run.
+
+use bellsill_directory::entry::Endpoint;
+use bellsill_directory::feed::{FILL_PACE, LineKind};
+use bellsill_directory::line::{EndpointState, ScopedLine, Version};
+use bellsill_directory::record::{LoggedRecord, Record};
+use bellsill_directory::request::TargetsRequest;
+use bellsill_directory::state::{Directory, Keeping, LogId};
+use bellsill_directory::watchers::{WatcherId, Watchers};
+use bellsill_placement::{BucketId, Layout, Member, RegionName, ZoneName};
+use bellsill_watch::{BucketMap, Knowledge, ScopedList};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const CASES: u64 = 400;
+const STEPS: usize = 80;
+const ENDPOINTS: u64 = 60;
+const TICK: u64 = 100_000_000;
+const DISPATCHER: &str = "north-a";
+
+struct Buckets(Layout);
+
+impl BucketMap for Buckets {
+    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
+        Some(self.0.bucket_of(self.0.region_of(&zone.into())?, destination))
+    }
+}
+
+fn layout() -> Layout {
+    let zones = [("north-1", "north"), ("north-2", "north"), ("south-1", "south"), ("south-2", "south")];
+    Layout::new(zones.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region))), 8)
+        .expect("a layout")
+}
+
+fn endpoint(number: u64, state: EndpointState) -> Endpoint {
+    Endpoint {
+        id: format!("endpoint-{number}"),
+        address: Some(([10, 0, 0, 1], 9000).into()),
+        // All endpoints of a destination are in one region.
+        zone: if (number / 4).is_multiple_of(2) { "north-1" } else { "south-1" }.into(),
+        kind: "plain".into(),
+        destination: number / 4,
+        state,
+        weight: None,
+    }
+}
+
+/// A control process that may be behind the other one.
+struct Server {
+    directory: Directory,
+    watchers: Watchers,
+}
+
+impl Server {
+    fn new(keeping: Keeping) -> Server {
+        let directory = Directory::new(layout(), LogId("random".into()), keeping);
+        Server { directory, watchers: Watchers::new(FILL_PACE) }
+    }
+
+    fn apply(&mut self, logged: &LoggedRecord) {
+        let applied = self.directory.apply(logged).expect("a good record");
+        self.watchers.applied(&applied, &self.directory);
+    }
+}
+
+struct Case {
+    random: Pcg64Mcg,
+    writer: Server,
+    follower: Server,
+    /// What the follower is behind.
+    behind: Vec<LoggedRecord>,
+    list: ScopedList,
+    watch: Option<(bool, WatcherId)>,
+    now: u64,
+}
+
+impl Case {
+    fn new(seed: u64, keeping: Keeping) -> Case {
+        let mut case = Case {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            writer: Server::new(keeping),
+            follower: Server::new(keeping),
+            behind: Vec::new(),
+            list: ScopedList::new(Arc::new(Buckets(layout())), 4),
+            watch: None,
+            now: 0,
+        };
+        case.write(Record::MembersChanged(vec![
+            member(DISPATCHER, "north-1", true),
+            member("north-b", "north-2", true),
+            member("south-a", "south-1", true),
+        ]));
+        case.assign();
+        case.follow(usize::MAX);
+        case
+    }
+
+    fn write(&mut self, record: Record) {
+        let version = Version(self.writer.directory.version().0 + 1);
+        let logged = LoggedRecord { version, record };
+        self.writer.apply(&logged);
+        self.behind.push(logged);
+    }
+
+    fn assign(&mut self) {
+        if let Some(change) = self.writer.directory.plan().expect("a plan") {
+            self.write(Record::AssignmentChanged(change));
+        }
+    }
+
+    fn follow(&mut self, most: usize) {
+        let count = most.min(self.behind.len());
+        for logged in self.behind.drain(..count) {
+            self.follower.apply(&logged);
+        }
+    }
+
+    fn server(&mut self, is_writer: bool) -> &mut Server {
+        if is_writer { &mut self.writer } else { &mut self.follower }
+    }
+
+    fn break_watch(&mut self) {
+        if let Some((is_writer, id)) = self.watch.take() {
+            self.server(is_writer).watchers.close(id);
+        }
+    }
+
+    fn ask(&mut self, is_writer: bool) {
+        self.break_watch();
+        let query = format!("follow=1&{}", self.list.query(DISPATCHER));
+        self.list.asked_anew();
+        let Ok(TargetsRequest::Watch(request)) = TargetsRequest::parse(&query) else { panic!("{query}") };
+        let now = self.now;
+        let server = self.server(is_writer);
+        let opened = server.watchers.open(request, &server.directory, now).expect("a watch");
+        self.watch = Some((is_writer, opened.id));
+    }
+
+    /// Reads some lines; false once there is nothing but an empty one.
+    fn read(&mut self, most: usize) -> bool {
+        let Some((is_writer, id)) = self.watch else { return false };
+        for _ in 0..most {
+            let now = self.now;
+            let server = self.server(is_writer);
+            match server.watchers.next_line(id, &server.directory, now) {
+                Some(line) if line.kind == LineKind::Empty => return false,
+                Some(line) => {
+                    drop(self.list.apply_document(&line.bytes).expect("a line that can be applied"))
+                }
+                None => self.now += TICK,
+            }
+        }
+        true
+    }
+
+    fn look_up(&mut self) {
+        let destination = self.random.random_range(0..ENDPOINTS / 4);
+        let Some((is_writer, _)) = self.watch else { return };
+        if self.list.knowledge(destination) != Knowledge::Unknown || self.list.log().is_empty() {
+            return;
+        }
+        self.list.want(destination, &|_| false).expect("room in the cache");
+        let forget = self.list.to_forget();
+        let target = ScopedList::lookup_target(DISPATCHER, &[destination], &forget);
+        let query = target.split_once('?').map_or("", |(_, query)| query).to_string();
+        let Ok(TargetsRequest::LookUp(request)) = TargetsRequest::parse(&query) else { panic!("{query}") };
+        let server = self.server(is_writer);
+        if server.watchers.change_cells(&request).is_err() {
+            self.list.cancel(destination);
+            return;
+        }
+        let line = ScopedLine {
+            version: server.directory.version(),
+            log: server.directory.log().0.clone(),
+            servers: server.directory.look_up(&[destination]),
+            ..ScopedLine::default()
+        };
+        self.list.forgot(&forget);
+        self.list.apply_lookup(&[destination], line).expect("an answer that can be applied");
+    }
+
+    fn step(&mut self, look_up: bool) {
+        match self.random.random_range(0..14) {
+            0..=5 => {
+                let number = self.random.random_range(0..ENDPOINTS);
+                let states = [EndpointState::Up, EndpointState::Draining, EndpointState::Removed];
+                let state = states[self.random.random_range(0..states.len())];
+                self.write(Record::EndpointsChanged(vec![endpoint(number, state)]));
+            }
+            6 => {
+                let present = self.random.random_range(0..2) == 0;
+                let name = ["north-b", "north-c", "north-d"][self.random.random_range(0..3)];
+                let zone = if name == "north-b" { "north-2" } else { "north-1" };
+                self.write(Record::MembersChanged(vec![member(name, zone, present)]));
+                self.assign();
+            }
+            7 => {
+                let is_writer = self.random.random_range(0..2) == 0;
+                self.ask(is_writer);
+            }
+            8 => {
+                let most = self.random.random_range(0..5);
+                self.follow(most);
+            }
+            9 if look_up => self.look_up(),
+            _ => {
+                let most = self.random.random_range(0..4);
+                self.read(most);
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        self.follow(usize::MAX);
+        if self.watch.is_none() {
+            self.ask(true);
+        }
+        while self.read(100) {}
+    }
+
+    /// What the list has to be, and what it is.
+    fn both(&self) -> (BTreeMap<String, Version>, BTreeMap<String, Version>) {
+        let directory = &self.writer.directory;
+        let held = directory.held_by(&DISPATCHER.into());
+        let entries = directory.entries();
+        let wanted = entries.after(None).filter(|index| {
+            let destination = entries.destination(*index).expect("an endpoint");
+            let kept = entries.bucket(*index).is_some_and(|bucket| held.contains(&bucket))
+                || self.list.knowledge(destination) == Knowledge::Cached;
+            kept && entries.state(*index) != Some(EndpointState::Removed)
+        });
+        let wanted = wanted.filter_map(|index| entries.entry(index)).map(|entry| (entry.id, entry.version));
+        let known = self.list.entries().map(|entry| (entry.id.clone(), entry.version));
+        (wanted.collect(), known.collect())
+    }
+}
+
+fn member(name: &str, zone: &str, present: bool) -> Member {
+    Member { name: name.into(), zone: zone.into(), weight: 1.0, present }
+}
+
+fn run(seed: u64, keeping: Keeping, look_up: bool) {
+    let mut case = Case::new(seed, keeping);
+    for _ in 0..STEPS {
+        case.step(look_up);
+    }
+    case.finish();
+    let held = case.writer.directory.held_by(&DISPATCHER.into());
+    assert_eq!(
+        case.list.complete_buckets().collect::<Vec<_>>(),
+        held.into_iter().collect::<Vec<_>>(),
+        "case {seed}"
+    );
+    let (wanted, known) = case.both();
+    assert_eq!(known, wanted, "case {seed}");
+}
+
+#[test]
+fn a_list_ends_as_the_directory_is() {
+    (0..CASES).for_each(|seed| run(seed, Keeping::default(), true));
+}
+
+#[test]
+fn a_list_ends_as_the_directory_is_when_removals_are_forgotten() {
+    (0..CASES).for_each(|seed| run(seed, Keeping { changes: 10, removed: 2 }, false));
+}
