--- a/controlplane/src/lib.rs
+++ b/controlplane/src/lib.rs
@@ -5,13 +5,13 @@
 
 pub mod config;
 pub mod figures;
+pub mod presence;
 pub mod process;
 
 mod connections;
 mod disk;
 mod follower;
 mod http_server;
-mod presence;
 mod server;
 mod writer;
 
--- a/directory/src/whole_scope.rs
+++ b/directory/src/whole_scope.rs
@@ -16,8 +16,9 @@
 enum Transfer {
     /// To be begun.
     Due,
-    /// Endpoints at places after this one are still to come.
-    After(Option<EntryIndex>),
+    /// Endpoints at places after this one are still to come, but for those that changed after the transfer was begun: these
+    /// are told as changes.
+    After { place: Option<EntryIndex>, begun: Version },
 }
 
 /// What one control process is told, and how far.
@@ -75,12 +76,13 @@
 
     /// The next piece of a transfer, or its end; call only when all changes have been told.
     pub fn next_piece(&mut self, directory: &Directory) -> Option<WholeLine> {
-        let Some(Transfer::After(place)) = self.transfer else { return None };
+        let Some(Transfer::After { place, begun }) = self.transfer else { return None };
         let mut line = WholeLine { version: self.told, ..WholeLine::default() };
         let mut room = LONGEST_LINE - BYTES_BESIDE_ENTRIES;
         let mut last = place;
-        for index in directory.entries().after(place) {
-            let Some(entry) = directory.entries().entry(index) else { continue };
+        let entries = directory.entries();
+        for index in entries.after(place).filter(|index| entries.version(*index) <= Some(begun)) {
+            let Some(entry) = entries.entry(index) else { continue };
             let Some(left) = room.checked_sub(longest_on_line(&entry)) else { break };
             room = left;
             line.servers.push(entry);
@@ -88,7 +90,7 @@
         }
         let ended = line.servers.is_empty();
         line.transfer = Some(if ended { TransferStep::End } else { TransferStep::Piece });
-        self.transfer = (!ended).then_some(Transfer::After(last));
+        self.transfer = (!ended).then_some(Transfer::After { place: last, begun });
         Some(line)
     }
 
@@ -101,7 +103,7 @@
     fn begin_transfer(&mut self, directory: &Directory) -> WholeLine {
         self.begun = true;
         self.told = directory.version();
-        self.transfer = Some(Transfer::After(None));
+        self.transfer = Some(Transfer::After { place: None, begun: self.told });
         let version = directory.version();
         let members = directory.members().iter().cloned();
         WholeLine {
--- a/directory/tests/feed.rs
+++ b/directory/tests/feed.rs
@@ -7,7 +7,7 @@
 use bellsill_directory::line::{EndpointState, Version};
 use bellsill_directory::record::Record;
 use bellsill_directory::request::{LookUpRequest, TargetsRequest};
-use bellsill_directory::state::Keeping;
+use bellsill_directory::state::{Keeping, LogId, Restore, RestorePoint};
 use bellsill_directory::watchers::{WatchRefused, Watchers};
 use bellsill_directory::whole_line::{TransferStep, WholeLine};
 use common::*;
@@ -302,6 +302,59 @@
     }
 }
 
+#[test]
+fn a_transfer_with_changes_between_its_pieces_gives_the_same_directory() {
+    let mut control = Control::new(Keeping::default());
+    control.write_endpoints(0..2000, EndpointState::Up);
+    let opened =
+        control.watchers.open(watch("follow=1&since=0&scope=all"), &control.directory, 0).expect("a watch");
+    let mut restore = None;
+    let mut pieces = 0;
+    let copy = loop {
+        let line = control.watchers.next_line(opened.id, &control.directory, control.now).expect("a line");
+        let line: WholeLine = serde_json::from_slice(&line.bytes).expect("a line");
+        match (line.transfer, &mut restore) {
+            (Some(TransferStep::Begin), _) => restore = Some(begin(line)),
+            (Some(TransferStep::Piece), Some(restore)) => {
+                pieces += 1;
+                line.servers.into_iter().for_each(|entry| restore.endpoint(entry).expect("an endpoint"));
+            }
+            (Some(TransferStep::End), _) => break restore.expect("a beginning").finish(),
+            (None, Some(restore)) => {
+                let records = line.into_records().expect("records");
+                records.iter().for_each(|logged| restore.apply(logged).expect("a record"));
+                continue;
+            }
+            _ => panic!("out of order"),
+        }
+        control.write_endpoint(pieces, EndpointState::Removed);
+        control.write_endpoint(1990 - pieces, EndpointState::Draining);
+        control.write_endpoint(5000 + pieces, EndpointState::Up);
+    };
+    assert!(pieces > 5);
+    assert_eq!(copy.version(), control.directory.version());
+    assert_eq!(copy.entries().len(), control.directory.entries().len());
+    let differing = control.directory.entries().after(None).filter(|index| {
+        let entry = control.directory.entries().entry(*index).expect("an endpoint");
+        let copied = copy.entries().find(&entry.id).and_then(|index| copy.entries().entry(index));
+        copied.as_ref() != Some(&entry)
+    });
+    assert_eq!(differing.count(), 0);
+}
+
+/// What a follower makes of the first line of a transfer.
+fn begin(line: WholeLine) -> Restore {
+    let point = RestorePoint {
+        log: LogId(line.log),
+        version: line.version,
+        forgotten: line.forgotten.expect("a version"),
+    };
+    let mut restore = Restore::begin(layout(), point, Keeping::default());
+    restore.members(line.members.into_iter().map(|line| line.member).collect()).expect("members");
+    restore.assignment(&line.table.expect("a table")).expect("an assignment");
+    restore
+}
+
 #[test]
 fn a_change_reaches_only_the_watchers_that_it_concerns() {
     let mut control = control();
