Control role: a writer that nobody follows any more takes nobody out

Cause: cut off from its followers, a writer hears of no dispatcher but its own: after the grace it would have moved nearly every bucket, and back when it is heard again (writer.rs `writer_second`; found by reading). Change: a writer that was followed, and is by nobody any more, leaves the members as they are; a figure counts the seconds. Without any follower since the start, as in an installation of one process, it goes on as before.

--- a/controlplane/src/figures.rs
+++ b/controlplane/src/figures.rs
@@ -29,6 +29,8 @@
     pub writes: u64,
     pub records: u64,
     pub syncs: u64,
+    /// As a writer: seconds in which no control process followed any more, and nobody was taken out.
+    pub seconds_without_followers: u64,
     /// Requests that were not served, by why.
     pub refused: Refusals,
     /// Connections closed for reading too slowly, and for not saying what they want in time.
--- a/controlplane/src/server.rs
+++ b/controlplane/src/server.rs
@@ -3,7 +3,7 @@
 use crate::config::Role;
 use crate::connections::{ConnectionId, Purpose};
 use crate::http_server::{self, LONGEST_HEAD, Method, Received, Request, Response, WATCH_HEAD};
-use crate::process::{ControlProcess, SECOND};
+use crate::process::{ControlProcess, RoleState, SECOND};
 use bellsill_directory::line::{ScopedLine, Version};
 use bellsill_directory::request::{LookUpRequest, RequestedScope, TargetsRequest, WatchRequest};
 use bellsill_directory::watchers::{WatchRefused, WatcherId};
@@ -264,6 +264,9 @@
                 self.figures.watches_begun += 1;
                 self.figures.watches_told_anew += u64::from(anew && !whole);
                 self.figures.transfers_begun += u64::from(transfer && whole);
+                if let (true, RoleState::Writer(writer)) = (whole, &mut self.role) {
+                    writer.followed();
+                }
                 if let Some(id) = opened.replaced.and_then(|replaced| self.watching.remove(&replaced)) {
                     self.close(id);
                 }
--- a/controlplane/src/writer.rs
+++ b/controlplane/src/writer.rs
@@ -22,11 +22,45 @@
     presence: Presence,
     /// The members may call for another assignment.
     plan_due: bool,
+    followers: Followers,
+}
+
+/// Whether other control processes follow the writer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Followers {
+    /// None has since the start.
+    NeverSeen,
+    Some,
+    /// All that did are gone: more likely the writer is cut off from them than all of them are dead.
+    Lost,
 }
 
 impl Writer {
     pub fn new(now: Nanos, restart_grace: Duration) -> Writer {
-        Writer { presence: Presence::new(now, restart_grace.as_nanos() as Nanos), plan_due: true }
+        Writer {
+            presence: Presence::new(now, restart_grace.as_nanos() as Nanos),
+            plan_due: true,
+            followers: Followers::NeverSeen,
+        }
+    }
+}
+
+impl Writer {
+    /// A control process follows, if only for a moment.
+    pub fn followed(&mut self) {
+        self.followers = Followers::Some;
+    }
+
+    fn count_followers(&mut self, count: usize) {
+        let followers = match (count, self.followers) {
+            (0, Followers::NeverSeen) => Followers::NeverSeen,
+            (0, _) => Followers::Lost,
+            _ => Followers::Some,
+        };
+        if followers != self.followers && followers == Followers::Lost {
+            log::warn!("no control process follows any more: nobody is taken out until one does");
+        }
+        self.followers = followers;
     }
 }
 
@@ -141,7 +175,13 @@
             return Ok(());
         };
         self.watchers.members().for_each(|member| writer.presence.heard_of(member, self.now));
-        let changed = writer.presence.changed(directory.members(), self.now);
+        writer.count_followers(self.watchers.followers());
+        // A writer that is cut off would move nearly every bucket. Who is heard of meanwhile comes in when it is not any more.
+        let changed = match writer.followers {
+            Followers::Lost => Vec::new(),
+            _ => writer.presence.changed(directory.members(), self.now),
+        };
+        self.figures.seconds_without_followers += u64::from(writer.followers == Followers::Lost);
         let plan_due = std::mem::replace(&mut writer.plan_due, false) || !changed.is_empty();
         for members in changed.chunks(MOST_MEMBERS_IN_RECORD) {
             log::info!("members that are present or no longer present: {}", described(members));
--- a/controlplane/tests/following.rs
+++ b/controlplane/tests/following.rs
@@ -132,6 +132,25 @@
     writer.wait_for("three to be present", |figures| figures["members_present"] == 3);
 }
 
+#[test]
+fn a_writer_that_lost_all_its_followers_takes_nobody_out_until_one_returns() {
+    let (place, state) = (Place::new(), tempfile::tempdir().expect("a directory"));
+    let (follower_place, follower_state) = (Place::new(), tempfile::tempdir().expect("a directory"));
+    let writer = place.start(state.path(), "role = \"writer\"", "restart_grace_seconds = 2");
+    let follower = follower_place.start_follower(follower_state.path(), place.address);
+    follower.wait_for("a configuration", |figures| figures["transfers_taken"] == 1);
+    follower.stop().expect("an end");
+    let seconds =
+        |figures: &serde_json::Value| figures["seconds_without_followers"].as_u64().expect("a count");
+    writer.wait_for("the loss", |figures| seconds(figures) > 0);
+    writer.declare();
+    let declared = seconds(&writer.figures());
+    writer.wait_for("more than the grace", |figures| seconds(figures) > declared + 4);
+    assert_eq!(writer.figures()["members_present"], 4);
+    let _follower = follower_place.start_follower(follower_state.path(), place.address);
+    writer.wait_for("the absent to be taken out", |figures| figures["members_present"] == 0);
+}
+
 /// What a follower makes of an answer of the writer, after it has the configuration: the figures once it refused.
 fn refused_by_follower(lines: &[Vec<u8>]) -> serde_json::Value {
     let (place, state) = (Place::new(), tempfile::tempdir().expect("a directory"));
--- a/directory/src/watchers.rs
+++ b/directory/src/watchers.rs
@@ -68,6 +68,11 @@
         self.feeds.is_empty()
     }
 
+    /// How many watchers have the whole scope: the control processes that follow this one.
+    pub fn followers(&self) -> usize {
+        self.whole.len()
+    }
+
     pub fn get(&self, id: WatcherId) -> Option<&Feed> {
         self.feeds.get(&id)
     }
