--- a/placement/src/share.rs
+++ b/placement/src/share.rs
@@ -6,31 +6,31 @@
 /// What rounding may add to a share that is a whole number.
 const ROUNDING: f64 = 1e-9;
 
-/// The fair share of one member, in replicas.
+/// The fair share of one member, in replicas, and the bounds that follow from it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Share {
     exact: f64,
-}
-
-impl Share {
     /// What a member is given where others have enough.
-    pub fn floor(self) -> usize {
-        (self.exact + ROUNDING).floor() as usize
-    }
-
+    pub floor: usize,
     /// What a member is given where all have their floor.
-    pub fn ceiling(self) -> usize {
-        (self.exact - ROUNDING).ceil().max(0.0) as usize
-    }
-
+    pub ceiling: usize,
     /// The most that a member holds.
-    pub fn most(self) -> usize {
-        (self.exact * (1.0 + LOAD_TOLERANCE) - ROUNDING).ceil().max(0.0) as usize
+    pub most: usize,
+}
+
+impl Share {
+    fn new(exact: f64) -> Share {
+        Share {
+            exact,
+            floor: (exact + ROUNDING).floor() as usize,
+            ceiling: (exact - ROUNDING).ceil().max(0.0) as usize,
+            most: (exact * (1.0 + LOAD_TOLERANCE) - ROUNDING).ceil().max(0.0) as usize,
+        }
     }
 
     /// Whether a load is so low that the member is given its floor, though others must give replicas away.
     pub fn is_deficient(self, load: usize) -> bool {
-        load < self.floor() && (load as f64) < self.exact * (1.0 - LOAD_TOLERANCE)
+        load < self.floor && (load as f64) < self.exact * (1.0 - LOAD_TOLERANCE)
     }
 
     /// How far a load is above the share.
@@ -59,7 +59,7 @@
         zone_weights[member.zone] += member.weight;
     }
     let scales = zone_scales(&zone_weights, f64::from(buckets), replicas);
-    members.iter().map(|member| Share { exact: member.weight * scales[member.zone] }).collect()
+    members.iter().map(|member| Share::new(member.weight * scales[member.zone])).collect()
 }
 
 /// Replicas for each unit of weight, by zone: the same in all zones but those that would hold a bucket twice.
