--- a/controlplane/src/figures.rs
+++ b/controlplane/src/figures.rs
@@ -29,6 +29,9 @@
     pub writes: u64,
     pub records: u64,
     pub syncs: u64,
+    /// At the start: bytes of records cut short that were dropped, and snapshots that were not used.
+    pub torn_bytes: u64,
+    pub rejected_snapshots: usize,
     /// As a writer: seconds in which no control process followed any more, and nobody was taken out.
     pub seconds_without_followers: u64,
     /// Requests that were not served, by why.
--- a/controlplane/src/follower.rs
+++ b/controlplane/src/follower.rs
@@ -281,7 +281,7 @@
         };
         let directory = restore.finish();
         self.sync()?;
-        self.storage.write_snapshot(&directory)?;
+        self.storage.begin_with(&directory)?;
         log::info!(
             "the configuration is at version {} with {} endpoints",
             directory.version().0,
--- a/controlplane/src/process.rs
+++ b/controlplane/src/process.rs
@@ -108,10 +108,10 @@
     ) -> Result<ControlProcess, RunError> {
         let begun = Instant::now();
         let (mut storage, mut directory) =
-            Storage::open(&config.state, config.layout.clone(), Keeping::default())?;
+            Storage::open(&config.state, &config.name, config.layout.clone(), Keeping::default())?;
         if directory.is_none() && config.role == Role::Writer {
             let new = Directory::new(config.layout.clone(), new_log_id()?, Keeping::default());
-            storage.write_snapshot(&new)?;
+            storage.begin_with(&new)?;
             directory = Some(new);
         }
         if let Some(directory) = directory.as_ref().filter(|_| storage.is_log_long()) {
@@ -121,6 +121,11 @@
             Role::Writer => RoleState::Writer(Writer::new(0, config.restart_grace)),
             Role::Follower { writer } => RoleState::Follower(Follower::new(writer, 0)),
         };
+        let figures = Figures {
+            torn_bytes: storage.torn_bytes(),
+            rejected_snapshots: storage.rejected_snapshots(),
+            ..Figures::default()
+        };
         let process = ControlProcess {
             now: 0,
             connections: Connections::new(listener, stop.wake)?,
@@ -131,7 +136,7 @@
             storage,
             unsynced: Vec::new(),
             role,
-            figures: Figures::default(),
+            figures,
             clock: Instant::now(),
             next_tick: 0,
             next_second: 0,
