--- a/watch/tests/calls.rs
+++ b/watch/tests/calls.rs
@@ -278,6 +278,29 @@
     assert!(watch.list().unwrap().to_forget().is_empty());
 }
 
+#[test]
+fn a_new_watch_leaves_nothing_to_forget() {
+    let (mut watch, call, _) = served();
+    for destination in 41..=45 {
+        watch.want(SECOND, destination, &nothing_in_use).unwrap();
+    }
+    assert_eq!(watch.list().unwrap().to_forget(), [41]);
+    let rested = timer(&watch.broken(SECOND, call), Timer::Reconnect).unwrap();
+    watch.timer_fired(rested, Timer::Reconnect);
+    assert!(watch.list().unwrap().to_forget().is_empty(), "its request names what is kept");
+}
+
+#[test]
+fn a_body_that_ends_is_a_watch_that_ends() {
+    for mut watch in [plain(), scoped(1)] {
+        let (call, ..) = begin(&mut watch);
+        let text = format!("{HEAD}{}0\r\n\r\n", chunk("{\"version\":4}\n"));
+        let received = receives(&mut watch, SECOND, call, &text);
+        assert_eq!(received.documents.len(), 1, "what came before counts");
+        assert!(received.commands.contains(&Command::Close(call)));
+    }
+}
+
 /// Whoever has the sockets, as far as a watch sees it: open connections, and timers.
 struct Sockets {
     watch: Watch,
--- a/watch/tests/scoped_list.rs
+++ b/watch/tests/scoped_list.rs
@@ -100,6 +100,16 @@
     assert_eq!(list.query("d1"), "since=2&log=beef&dispatcher=d1&buckets=1&cells=47");
 }
 
+#[test]
+fn what_another_log_does_not_assign_is_lost() {
+    let mut list = started();
+    list.apply(ScopedLine { log: "beef".into(), gained: buckets(&[2]), ..line(2, vec![]) }).unwrap();
+    assert_eq!(list.query("d1"), "since=2&log=beef&dispatcher=d1", "nothing is complete");
+    let filled = ScopedLine { filled: buckets(&[2]), ..line(2, vec![entry("p", 20, 1)]) };
+    assert_eq!(list.apply(filled).unwrap().dropped.len(), 2);
+    assert_eq!(names(&list), ["p"]);
+}
+
 #[test]
 fn a_line_that_goes_back_or_is_a_whole_list_is_refused_and_nothing_of_it_is_applied() {
     let mut list = started();
@@ -130,6 +140,12 @@
     assert_eq!(target, "/api/targets?dispatcher=d1&cells=44&forget=42,43");
     list.forgot(&[42, 43]);
     assert!(list.to_forget().is_empty());
+    // What is wanted again is not forgotten by the same request.
+    list.want(42, &nothing_in_use).unwrap();
+    list.want(45, &nothing_in_use).unwrap();
+    list.want(42, &nothing_in_use).unwrap();
+    assert!(!list.to_forget().contains(&42));
+    list.want(46, &|destination| destination != 42).unwrap();
     // Entries that come for what gave way are passed over.
     list.apply(line(6, vec![entry("e42", 42, 6)])).unwrap();
     assert_eq!(list.counters().entries_out_of_scope, 1);
