--- a/placement/src/hash.rs
+++ b/placement/src/hash.rs
@@ -20,12 +20,30 @@
 }
 
 /// The weighted rendezvous score of a member for a bucket; the lowest wins, with a chance in proportion to the weight.
-/// The logarithm is of a library of its own so that it is the same on every platform.
-pub(crate) fn rendezvous_score(bucket: BucketId, member_hash: u64, weight: f64) -> f64 {
-    let mut key = [0; 12];
-    key[..8].copy_from_slice(&member_hash.to_le_bytes());
-    key[8..].copy_from_slice(&bucket.0.to_le_bytes());
-    -libm::log(unit_interval(xxh3_64(&key))) / weight
+#[derive(Clone, Copy)]
+pub(crate) struct RendezvousScore {
+    /// Uniform in 0 (without) to 1 (with).
+    uniform: f64,
+    weight: f64,
+}
+
+impl RendezvousScore {
+    pub fn new(bucket: BucketId, member_hash: u64, weight: f64) -> RendezvousScore {
+        let mut key = [0; 12];
+        key[..8].copy_from_slice(&member_hash.to_le_bytes());
+        key[8..].copy_from_slice(&bucket.0.to_le_bytes());
+        RendezvousScore { uniform: unit_interval(xxh3_64(&key)), weight }
+    }
+
+    /// The score. Its logarithm is of a library of its own so that it is the same on every platform.
+    pub fn value(self) -> f64 {
+        -libm::log(self.uniform) / self.weight
+    }
+
+    /// A number that the score is not below, without a logarithm: it spares most of them where the lowest is sought.
+    pub fn lower_bound(self) -> f64 {
+        (1.0 - self.uniform) / self.weight
+    }
 }
 
 /// A hash as a number above 0 and up to 1.
--- a/placement/src/region_plan.rs
+++ b/placement/src/region_plan.rs
@@ -10,7 +10,7 @@
 //! That always works while the zone does not hold every bucket, since the bounds of the other zones suffice for one
 //! replica of each bucket.
 
-use crate::hash::rendezvous_score;
+use crate::hash::RendezvousScore;
 use crate::share::Share;
 use crate::{BucketId, REPLICAS};
 
@@ -27,30 +27,48 @@
     deficient: bool,
     /// The buckets it holds, numbered within the region.
     held: Vec<usize>,
+    /// How much more it can hold; kept because it is asked for far more often than it changes.
+    room: Option<Room>,
 }
 
 impl Candidate {
     pub fn new(name_hash: u64, weight: f64, zone: usize, share: Share) -> Candidate {
-        Candidate { name_hash, weight, zone, share, deficient: false, held: Vec::new() }
+        Candidate { name_hash, weight, zone, share, deficient: false, held: Vec::new(), room: None }
     }
 
     fn load(&self) -> usize {
         self.held.len()
     }
 
-    fn room(&self) -> Option<Room> {
+    fn add(&mut self, bucket: usize) {
+        self.held.push(bucket);
+        self.room = self.room_now();
+    }
+
+    fn remove(&mut self, bucket: usize) {
+        let place = self.held.iter().position(|held| *held == bucket).expect("the holder holds it");
+        self.held.swap_remove(place);
+        self.room = self.room_now();
+    }
+
+    fn set_deficient(&mut self, deficient: bool) {
+        self.deficient = deficient;
+        self.room = self.room_now();
+    }
+
+    fn room_now(&self) -> Option<Room> {
         let load = self.load();
         match () {
-            () if load < self.share.floor() && self.deficient => Some(Room::FarBelowShare),
-            () if load < self.share.floor() => Some(Room::BelowShare),
-            () if load < self.share.ceiling() => Some(Room::AtShare),
-            () if load < self.share.most() => Some(Room::WithinBound),
+            () if load < self.share.floor && self.deficient => Some(Room::FarBelowShare),
+            () if load < self.share.floor => Some(Room::BelowShare),
+            () if load < self.share.ceiling => Some(Room::AtShare),
+            () if load < self.share.most => Some(Room::WithinBound),
             () => None,
         }
     }
 
     fn over_bound(&self) -> usize {
-        self.load().saturating_sub(self.share.most())
+        self.load().saturating_sub(self.share.most)
     }
 
     fn excess(&self) -> f64 {
@@ -112,10 +130,10 @@
         plan.kept = current.into_iter().map(|holders| plan.in_different_zones(holders)).collect();
         plan.holders = plan.kept.clone();
         for (bucket, holders) in plan.kept.iter().enumerate() {
-            holders.iter().flatten().for_each(|holder| plan.candidates[*holder].held.push(bucket));
+            holders.iter().flatten().for_each(|holder| plan.candidates[*holder].add(bucket));
         }
         for candidate in &mut plan.candidates {
-            candidate.deficient = candidate.share.is_deficient(candidate.load());
+            candidate.set_deficient(candidate.share.is_deficient(candidate.load()));
         }
         plan
     }
@@ -123,7 +141,7 @@
     /// The least number of moves of any plan with the same bounds, before the run: every replica without a holder and
     /// every one above a bound must leave, and every replica that a member lacks must come.
     pub fn least_possible(&self) -> usize {
-        let lacking = |candidate: &Candidate| candidate.share.floor() - candidate.load();
+        let lacking = |candidate: &Candidate| candidate.share.floor - candidate.load();
         let without_holder =
             self.replicas * self.holders.len() - self.candidates.iter().map(Candidate::load).sum::<usize>();
         let above_bound: usize = self.candidates.iter().map(Candidate::over_bound).sum();
@@ -176,24 +194,30 @@
 
     /// The candidate outside of a zone that has the most room, and among such ones the best score.
     fn best_receiver(&self, bucket: usize, excluded_zone: Option<usize>) -> Option<usize> {
-        let mut best: Option<(Room, f64, usize)> = None;
-        for (number, candidate) in self.candidates.iter().enumerate() {
-            let Some(room) = candidate.room() else { continue };
-            let worse = best.is_some_and(|(best_room, ..)| best_room < room);
-            if worse || Some(candidate.zone) == excluded_zone {
-                continue;
-            }
+        let room_of = |candidate: &Candidate| {
+            let excluded = Some(candidate.zone) == excluded_zone;
+            if excluded { None } else { candidate.room }
+        };
+        let most_room = Some(self.candidates.iter().filter_map(room_of).min()?);
+        let numbered = self.candidates.iter().enumerate();
+        let with_most_room = numbered.filter(|(_, candidate)| room_of(candidate) == most_room);
+        self.best_score(bucket, with_most_room.map(|(number, _)| number))
+    }
+
+    fn best_score(&self, bucket: usize, numbers: impl Iterator<Item = usize>) -> Option<usize> {
+        let (mut best, mut best_value) = (None, f64::INFINITY);
+        for number in numbers {
             let score = self.score(bucket, number);
-            if best.is_none_or(|(best_room, best_score, _)| (room, score) < (best_room, best_score)) {
-                best = Some((room, score, number));
+            if score.lower_bound() < best_value && score.value() < best_value {
+                (best, best_value) = (Some(number), score.value());
             }
         }
-        best.map(|(.., number)| number)
+        best
     }
 
     fn spread_moved_replicas(&mut self) {
         for receiver in 0..self.candidates.len() {
-            while self.candidates[receiver].load() < self.candidates[receiver].share.floor() {
+            while self.candidates[receiver].load() < self.candidates[receiver].share.floor {
                 if !self.take_from_any(receiver, Takes::OnlyMoved) {
                     break;
                 }
@@ -205,13 +229,13 @@
         while let Some(receiver) = self.most_deficient() {
             let filled = self.take_from_any(receiver, Takes::Any) || self.take_through_another_zone(receiver);
             if !filled {
-                self.candidates[receiver].deficient = false;
+                self.candidates[receiver].set_deficient(false);
             }
         }
     }
 
     fn most_deficient(&self) -> Option<usize> {
-        let lacks = |number: &usize| self.candidates[*number].room() == Some(Room::FarBelowShare);
+        let lacks = |number: &usize| self.candidates[*number].room == Some(Room::FarBelowShare);
         (0..self.candidates.len()).filter(lacks).min_by(|a, b| self.compare_excess(*a, *b))
     }
 
@@ -236,7 +260,7 @@
     fn donors(&self) -> Vec<usize> {
         let above_share = |number: &usize| {
             let candidate = &self.candidates[*number];
-            candidate.load() > candidate.share.floor()
+            candidate.load() > candidate.share.floor
         };
         (0..self.candidates.len()).filter(above_share).collect()
     }
@@ -254,9 +278,9 @@
     /// Gives one replica to the member furthest below its share that can take it.
     fn give_to_any(&mut self, donor: usize) -> bool {
         let mut receivers: Vec<usize> =
-            (0..self.candidates.len()).filter(|number| self.candidates[*number].room().is_some()).collect();
+            (0..self.candidates.len()).filter(|number| self.candidates[*number].room.is_some()).collect();
         receivers.sort_by(|a, b| {
-            self.candidates[*a].room().cmp(&self.candidates[*b].room()).then(self.compare_excess(*a, *b))
+            self.candidates[*a].room.cmp(&self.candidates[*b].room).then(self.compare_excess(*a, *b))
         });
         for receiver in &receivers {
             if let Some(replica) = self.replica_for(donor, *receiver, Takes::Any) {
@@ -282,7 +306,7 @@
     fn make_room_outside(&mut self, zone: usize) -> Option<usize> {
         let in_zone = |number: &usize| {
             let candidate = &self.candidates[*number];
-            candidate.zone == zone && candidate.room().is_some()
+            candidate.zone == zone && candidate.room.is_some()
         };
         let receiver =
             (0..self.candidates.len()).filter(in_zone).min_by(|a, b| self.compare_excess(*a, *b))?;
@@ -312,7 +336,7 @@
         let receiver_zone = Some(self.candidates[receiver].zone);
         let rank = |replica: &Replica| {
             let other = Replica { slot: replica.other_slot(), ..*replica };
-            (!self.has_moved(*replica), self.has_moved(other), self.score(replica.bucket, receiver))
+            (!self.has_moved(*replica), self.has_moved(other), self.score(replica.bucket, receiver).value())
         };
         let replicas = self.candidates[donor].held.iter().map(|bucket| self.replica_of(*bucket, donor));
         replicas
@@ -342,12 +366,9 @@
     fn set_holder(&mut self, replica: Replica, receiver: usize) {
         let before = self.holders[replica.bucket][replica.slot].replace(receiver);
         if let Some(donor) = before {
-            let held = &mut self.candidates[donor].held;
-            let place =
-                held.iter().position(|bucket| *bucket == replica.bucket).expect("the holder holds it");
-            held.swap_remove(place);
+            self.candidates[donor].remove(replica.bucket);
         }
-        self.candidates[receiver].held.push(replica.bucket);
+        self.candidates[receiver].add(replica.bucket);
     }
 
     fn in_different_zones(&self, holders: Holders) -> Holders {
@@ -359,10 +380,10 @@
         }
     }
 
-    fn score(&self, bucket: usize, number: usize) -> f64 {
+    fn score(&self, bucket: usize, number: usize) -> RendezvousScore {
         let candidate = &self.candidates[number];
         let offset = u32::try_from(bucket).expect("buckets are numbered by 32 bits");
-        rendezvous_score(BucketId(self.first_bucket.0 + offset), candidate.name_hash, candidate.weight)
+        RendezvousScore::new(BucketId(self.first_bucket.0 + offset), candidate.name_hash, candidate.weight)
     }
 
     fn compare_excess(&self, a: usize, b: usize) -> std::cmp::Ordering {
