--- a/placement/src/hash.rs
+++ b/placement/src/hash.rs
@@ -40,9 +40,15 @@
         -libm::log(self.uniform) / self.weight
     }
 
-    /// A number that the score is not below, without a logarithm: it spares most of them where the lowest is sought.
-    pub fn lower_bound(self) -> f64 {
-        (1.0 - self.uniform) / self.weight
+    /// Orders the scores of one member as their values do, without a logarithm.
+    pub fn order_for_one_member(self) -> f64 {
+        -self.uniform
+    }
+
+    /// Whether the score is below another. Since it is not below `(1 - uniform) / weight`, most comparisons need no
+    /// logarithm.
+    pub fn is_below(self, other: f64) -> bool {
+        1.0 - self.uniform < other * self.weight && self.value() < other
     }
 }
 
--- a/placement/src/region_plan.rs
+++ b/placement/src/region_plan.rs
@@ -13,6 +13,7 @@
 use crate::hash::RendezvousScore;
 use crate::share::Share;
 use crate::{BucketId, REPLICAS};
+use std::cmp::Ordering;
 
 /// The holders of one bucket, as numbers of candidates.
 pub(crate) type Holders = [Option<usize>; REPLICAS];
@@ -27,13 +28,30 @@
     deficient: bool,
     /// The buckets it holds, numbered within the region.
     held: Vec<usize>,
-    /// How much more it can hold; kept because it is asked for far more often than it changes.
+    // What follows from the load is kept, because it is asked for far more often than the load changes.
+    /// How much more it can hold.
     room: Option<Room>,
+    /// By how many replicas it is above its bound.
+    over_bound: usize,
+    /// How far it is above its share.
+    excess: f64,
 }
 
 impl Candidate {
     pub fn new(name_hash: u64, weight: f64, zone: usize, share: Share) -> Candidate {
-        Candidate { name_hash, weight, zone, share, deficient: false, held: Vec::new(), room: None }
+        let mut candidate = Candidate {
+            name_hash,
+            weight,
+            zone,
+            share,
+            deficient: false,
+            held: Vec::new(),
+            room: None,
+            over_bound: 0,
+            excess: 0.0,
+        };
+        candidate.update();
+        candidate
     }
 
     fn load(&self) -> usize {
@@ -42,18 +60,24 @@
 
     fn add(&mut self, bucket: usize) {
         self.held.push(bucket);
-        self.room = self.room_now();
+        self.update();
     }
 
     fn remove(&mut self, bucket: usize) {
         let place = self.held.iter().position(|held| *held == bucket).expect("the holder holds it");
         self.held.swap_remove(place);
-        self.room = self.room_now();
+        self.update();
     }
 
     fn set_deficient(&mut self, deficient: bool) {
         self.deficient = deficient;
+        self.update();
+    }
+
+    fn update(&mut self) {
         self.room = self.room_now();
+        self.over_bound = self.load().saturating_sub(self.share.most);
+        self.excess = self.share.excess(self.load());
     }
 
     fn room_now(&self) -> Option<Room> {
@@ -66,14 +90,6 @@
             () => None,
         }
     }
-
-    fn over_bound(&self) -> usize {
-        self.load().saturating_sub(self.share.most)
-    }
-
-    fn excess(&self) -> f64 {
-        self.share.excess(self.load())
-    }
 }
 
 /// How much room a candidate has; the first is chosen before the others.
@@ -85,6 +101,20 @@
     WithinBound,
 }
 
+/// A candidate that a replica may be placed on.
+#[derive(Clone, Copy)]
+struct Receiver {
+    room: Room,
+    score: f64,
+    number: usize,
+}
+
+impl Receiver {
+    fn compare(&self, other: &Receiver) -> Ordering {
+        self.room.cmp(&other.room).then(self.score.total_cmp(&other.score))
+    }
+}
+
 /// One of the two replicas of a bucket of the region.
 #[derive(Clone, Copy)]
 struct Replica {
@@ -110,6 +140,8 @@
 pub(crate) struct RegionPlan {
     first_bucket: BucketId,
     candidates: Vec<Candidate>,
+    /// How many zones have candidates.
+    zones: usize,
     /// The holders that could stay when the plan began.
     kept: Vec<Holders>,
     holders: Vec<Holders>,
@@ -125,8 +157,9 @@
         current: Vec<Holders>,
         replicas: usize,
     ) -> RegionPlan {
+        let zones = candidates.iter().map(|candidate| candidate.zone + 1).max().unwrap_or(0);
         let mut plan =
-            RegionPlan { first_bucket, candidates, kept: Vec::new(), holders: Vec::new(), replicas };
+            RegionPlan { first_bucket, candidates, zones, kept: Vec::new(), holders: Vec::new(), replicas };
         plan.kept = current.into_iter().map(|holders| plan.in_different_zones(holders)).collect();
         plan.holders = plan.kept.clone();
         for (bucket, holders) in plan.kept.iter().enumerate() {
@@ -138,16 +171,25 @@
         plan
     }
 
-    /// The least number of moves of any plan with the same bounds, before the run: every replica without a holder and
-    /// every one above a bound must leave, and every replica that a member lacks must come.
+    /// The least number of moves of any plan with the same bounds, before the run. Every replica without a holder and
+    /// every one above a bound must go somewhere, and every replica that a member lacks must come; one move may do both,
+    /// but not where a replica without a holder goes to the zone of its bucket's other replica.
     pub fn least_possible(&self) -> usize {
-        let lacking = |candidate: &Candidate| candidate.share.floor - candidate.load();
-        let without_holder =
-            self.replicas * self.holders.len() - self.candidates.iter().map(Candidate::load).sum::<usize>();
-        let above_bound: usize = self.candidates.iter().map(Candidate::over_bound).sum();
-        let must_come: usize =
-            self.candidates.iter().filter(|candidate| candidate.deficient).map(lacking).sum();
-        must_come.max(without_holder + above_bound)
+        let mut must_go: usize = self.candidates.iter().map(|candidate| candidate.over_bound).sum();
+        let mut must_go_elsewhere = vec![0; self.zones];
+        for holders in &self.holders {
+            let present: Vec<usize> = holders.iter().flatten().copied().collect();
+            must_go += self.replicas.saturating_sub(present.len());
+            if let ([holder], REPLICAS) = (present.as_slice(), self.replicas) {
+                must_go_elsewhere[self.candidates[*holder].zone] += 1;
+            }
+        }
+        let mut lacking = vec![0; self.zones];
+        for candidate in self.candidates.iter().filter(|candidate| candidate.deficient) {
+            lacking[candidate.zone] += candidate.share.floor - candidate.load();
+        }
+        let of_one_zone = must_go_elsewhere.iter().zip(&lacking).map(|(go, come)| go + come).max();
+        must_go.max(lacking.iter().sum()).max(of_one_zone.unwrap_or(0))
     }
 
     /// Places every replica.
@@ -173,49 +215,62 @@
 
     fn place_replicas_without_holder(&mut self) {
         for bucket in 0..self.holders.len() {
-            for slot in 0..REPLICAS {
-                let present = self.holders[bucket].iter().flatten().count();
-                if self.holders[bucket][slot].is_none() && present < self.replicas {
-                    self.place(Replica { bucket, slot });
-                }
+            if self.lacks_replica(bucket) {
+                self.place_bucket(bucket);
             }
         }
     }
 
-    fn place(&mut self, replica: Replica) {
-        let other_zone = self.other_zone(replica);
-        let receiver = self
-            .best_receiver(replica.bucket, other_zone)
-            .or_else(|| other_zone.and_then(|zone| self.make_room_outside(zone)));
-        if let Some(receiver) = receiver {
-            self.set_holder(replica, receiver);
+    fn lacks_replica(&self, bucket: usize) -> bool {
+        self.holders[bucket].iter().flatten().count() < self.replicas
+    }
+
+    fn place_bucket(&mut self, bucket: usize) {
+        let receivers = self.best_receivers(bucket);
+        for slot in 0..REPLICAS {
+            if self.holders[bucket][slot].is_none() && self.lacks_replica(bucket) {
+                self.place(Replica { bucket, slot }, &receivers);
+            }
         }
     }
 
-    /// The candidate outside of a zone that has the most room, and among such ones the best score.
-    fn best_receiver(&self, bucket: usize, excluded_zone: Option<usize>) -> Option<usize> {
-        let room_of = |candidate: &Candidate| {
-            let excluded = Some(candidate.zone) == excluded_zone;
-            if excluded { None } else { candidate.room }
+    fn place(&mut self, replica: Replica, receivers: &[Option<Receiver>]) {
+        let other_zone = self.other_zone(replica);
+        let elsewhere = receivers.iter().enumerate().filter(|(zone, _)| Some(*zone) != other_zone);
+        let best = elsewhere.filter_map(|(_, receiver)| *receiver).min_by(Receiver::compare);
+        let number = match best {
+            Some(receiver) => Some(receiver.number),
+            None => other_zone.and_then(|zone| self.make_room_outside(zone)),
         };
-        let most_room = Some(self.candidates.iter().filter_map(room_of).min()?);
-        let numbered = self.candidates.iter().enumerate();
-        let with_most_room = numbered.filter(|(_, candidate)| room_of(candidate) == most_room);
-        self.best_score(bucket, with_most_room.map(|(number, _)| number))
+        if let Some(number) = number {
+            self.set_holder(replica, number);
+        }
     }
 
-    fn best_score(&self, bucket: usize, numbers: impl Iterator<Item = usize>) -> Option<usize> {
-        let (mut best, mut best_value) = (None, f64::INFINITY);
-        for number in numbers {
+    /// For each zone the candidate that has the most room, and among such ones the best score.
+    fn best_receivers(&self, bucket: usize) -> Vec<Option<Receiver>> {
+        let mut best: Vec<Option<Receiver>> = vec![None; self.zones];
+        let held_in =
+            |zone| self.holders[bucket].iter().flatten().any(|holder| self.candidates[*holder].zone == zone);
+        let occupied: Vec<bool> = (0..self.zones).map(held_in).collect();
+        for (number, candidate) in self.candidates.iter().enumerate() {
+            let (Some(room), false) = (candidate.room, occupied[candidate.zone]) else { continue };
+            let best = &mut best[candidate.zone];
+            if best.is_some_and(|best| best.room < room) {
+                continue;
+            }
             let score = self.score(bucket, number);
-            if score.lower_bound() < best_value && score.value() < best_value {
-                (best, best_value) = (Some(number), score.value());
+            if best.is_none_or(|best| room < best.room || score.is_below(best.score)) {
+                *best = Some(Receiver { room, score: score.value(), number });
             }
         }
         best
     }
 
     fn spread_moved_replicas(&mut self) {
+        if self.moved_replicas() == 0 {
+            return;
+        }
         for receiver in 0..self.candidates.len() {
             while self.candidates[receiver].load() < self.candidates[receiver].share.floor {
                 if !self.take_from_any(receiver, Takes::OnlyMoved) {
@@ -242,19 +297,30 @@
     /// Takes one replica from the member furthest above its share that has one for the receiver.
     fn take_from_any(&mut self, receiver: usize, takes: Takes) -> bool {
         let mut donors = self.donors();
-        while let Some(donor) = remove_greatest(&mut donors, |a, b| self.compare_surplus(a, b)) {
-            if let Some(replica) = self.replica_for(donor, receiver, takes) {
-                self.set_holder(replica, receiver);
-                return true;
-            }
+        if donors.is_empty() {
+            return false;
         }
-        false
+        // The first nearly always has one, so the others are sorted only where it has not.
+        donors.select_nth_unstable_by(0, |a, b| self.compare_surplus(*a, *b));
+        if self.take_from(donors[0], receiver, takes) {
+            return true;
+        }
+        donors[1..].sort_unstable_by(|a, b| self.compare_surplus(*a, *b));
+        donors[1..].iter().any(|donor| self.take_from(*donor, receiver, takes))
+    }
+
+    fn take_from(&mut self, donor: usize, receiver: usize, takes: Takes) -> bool {
+        let replica = self.replica_for(donor, receiver, takes);
+        if let Some(replica) = replica {
+            self.set_holder(replica, receiver);
+        }
+        replica.is_some()
     }
 
     /// Takes one replica from the member furthest above its share by way of a member of a third zone.
     fn take_through_another_zone(&mut self, receiver: usize) -> bool {
-        let greatest = remove_greatest(&mut self.donors(), |a, b| self.compare_surplus(a, b));
-        greatest.is_some_and(|donor| self.give_through_another_zone(donor, receiver))
+        let donor = self.donors().into_iter().min_by(|a, b| self.compare_surplus(*a, *b));
+        donor.is_some_and(|donor| self.give_through_another_zone(donor, receiver))
     }
 
     fn donors(&self) -> Vec<usize> {
@@ -267,7 +333,7 @@
 
     fn relieve_overloaded(&mut self) {
         for donor in 0..self.candidates.len() {
-            while self.candidates[donor].over_bound() > 0 {
+            while self.candidates[donor].over_bound > 0 {
                 if !self.give_to_any(donor) {
                     break;
                 }
@@ -283,8 +349,7 @@
             self.candidates[*a].room.cmp(&self.candidates[*b].room).then(self.compare_excess(*a, *b))
         });
         for receiver in &receivers {
-            if let Some(replica) = self.replica_for(donor, *receiver, Takes::Any) {
-                self.set_holder(replica, *receiver);
+            if self.take_from(donor, *receiver, Takes::Any) {
                 return true;
             }
         }
@@ -292,14 +357,8 @@
     }
 
     fn give_through_another_zone(&mut self, donor: usize, receiver: usize) -> bool {
-        let Some(between) = self.make_room_by(receiver) else { return false };
-        match self.replica_for(donor, between, Takes::Any) {
-            Some(replica) => {
-                self.set_holder(replica, between);
-                true
-            }
-            None => false,
-        }
+        let between = self.make_room_by(receiver);
+        between.is_some_and(|between| self.take_from(donor, between, Takes::Any))
     }
 
     /// Makes room on a member outside of a zone, and names that member.
@@ -336,7 +395,11 @@
         let receiver_zone = Some(self.candidates[receiver].zone);
         let rank = |replica: &Replica| {
             let other = Replica { slot: replica.other_slot(), ..*replica };
-            (!self.has_moved(*replica), self.has_moved(other), self.score(replica.bucket, receiver).value())
+            (
+                !self.has_moved(*replica),
+                self.has_moved(other),
+                self.score(replica.bucket, receiver).order_for_one_member(),
+            )
         };
         let replicas = self.candidates[donor].held.iter().map(|bucket| self.replica_of(*bucket, donor));
         replicas
@@ -386,22 +449,13 @@
         RendezvousScore::new(BucketId(self.first_bucket.0 + offset), candidate.name_hash, candidate.weight)
     }
 
-    fn compare_excess(&self, a: usize, b: usize) -> std::cmp::Ordering {
-        self.candidates[a].excess().total_cmp(&self.candidates[b].excess())
+    fn compare_excess(&self, a: usize, b: usize) -> Ordering {
+        self.candidates[a].excess.total_cmp(&self.candidates[b].excess)
     }
 
-    fn compare_surplus(&self, a: usize, b: usize) -> std::cmp::Ordering {
-        let over_bound = |number: usize| self.candidates[number].over_bound();
-        over_bound(a).cmp(&over_bound(b)).then(self.compare_excess(a, b))
+    /// Orders members by how far they are above their bound, then above their share, the furthest first.
+    fn compare_surplus(&self, a: usize, b: usize) -> Ordering {
+        let over_bound = |number: usize| self.candidates[number].over_bound;
+        over_bound(b).cmp(&over_bound(a)).then(self.compare_excess(b, a)).then(a.cmp(&b))
     }
 }
-
-/// Removes the greatest number of a list by an order; the earliest among equal ones.
-fn remove_greatest(
-    numbers: &mut Vec<usize>,
-    compare: impl Fn(usize, usize) -> std::cmp::Ordering,
-) -> Option<usize> {
-    let places = (0..numbers.len()).rev();
-    let greatest = places.max_by(|a, b| compare(numbers[*a], numbers[*b]))?;
-    Some(numbers.swap_remove(greatest))
-}
--- a/placement/tests/fleet.rs
+++ b/placement/tests/fleet.rs
@@ -4,7 +4,9 @@
 
 use bellsill_placement::{Assignment, AssignmentChange, Member, MemberName};
 use common::*;
+use rustix::time::{ClockId, clock_gettime};
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// A change moves at most this much of the least possible.
 const MOST_AGAINST_LEAST: f64 = 1.1;
@@ -124,3 +126,115 @@
     assert!(change.is_empty());
     assert_eq!((change.moved_replicas, change.least_possible), (0, 0));
 }
+
+/// The processor time that this thread has taken.
+fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(u64::try_from(time.tv_sec).unwrap(), u32::try_from(time.tv_nsec).unwrap())
+}
+
+#[test]
+fn plans_for_the_whole_fleet_are_fast() {
+    /// What one plan may take of processor time; other programs may be busy.
+    const BUDGET: Duration = Duration::from_millis(200);
+    let (assignment, mut members) = placed();
+    let empty = Assignment::empty(assignment.layout().clone());
+    let plan_time = |from: &Assignment, members: &[Member]| {
+        let begin = processor_time();
+        from.plan(members).unwrap();
+        processor_time() - begin
+    };
+    let first = plan_time(&empty, &members);
+    let unchanged = plan_time(&assignment, &members);
+    set_present(&mut members, false, |_, member| member.zone.as_str().ends_with("zone-0"));
+    let zones_lost = plan_time(&assignment, &members);
+    let mut without_zones = assignment;
+    step(&mut without_zones, &members);
+    set_present(&mut members, true, |_, _| true);
+    let zones_back = plan_time(&without_zones, &members);
+    println!(
+        "first {first:?}, unchanged {unchanged:?}, a zone of each region lost {zones_lost:?}, back {zones_back:?}"
+    );
+    assert!([first, unchanged, zones_lost, zones_back].into_iter().all(|time| time < BUDGET));
+}
+
+#[test]
+fn a_zone_that_is_back_takes_one_replica_of_a_bucket_at_most() {
+    let (mut assignment, mut members) = placed();
+    set_present(&mut members, false, |_, member| member.zone == zone(2, 1));
+    step(&mut assignment, &members);
+    set_present(&mut members, true, |_, _| true);
+    let change = step(&mut assignment, &members);
+    let buckets = change.moved.len();
+    assert_eq!(buckets, change.moved_replicas, "a holder stays while the other is filled");
+}
+
+#[test]
+fn members_that_join() {
+    let (mut assignment, mut members) = placed();
+    for (joined, place) in [(1, zone(0, 0)), (30, zone(3, 2)), (86, zone(6, 3))] {
+        let first = members.len();
+        members.extend((first..first + joined).map(|number| member(number, place.clone())));
+        let least = fair_shares_of_empty(&assignment, &members);
+        step_within("joined", &mut assignment, &members, least);
+    }
+}
+
+#[test]
+fn weights_that_change() {
+    let (mut assignment, mut members) = placed();
+    let layout = assignment.layout().clone();
+    let region_size = |members: &[Member], of: &Member| {
+        members.iter().filter(|m| layout.region_of(&m.zone) == layout.region_of(&of.zone)).count()
+    };
+    for (number, weight) in [(5, 2.0), (500, 0.5), (1000, 4.0)] {
+        let others = (region_size(&members, &members[number]) - 1) as f64;
+        members[number].weight = weight;
+        let held = assignment.buckets_of(&members[number].name).len() as f64;
+        let share = f64::from(2 * layout.buckets_per_region()) * weight / (others + weight);
+        let least = if weight > 1.0 { share.floor() - held } else { held - (share * 1.1).ceil() };
+        step_within("weight", &mut assignment, &members, least as usize);
+    }
+}
+
+#[test]
+fn a_long_row_of_changes_stays_near_the_least_possible() {
+    const CHANGES: usize = 150;
+    let (mut assignment, mut members) = placed();
+    let mut random = 42_u64;
+    let mut next = |below: usize| {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (random >> 33) as usize % below
+    };
+    let (mut moved, mut least) = (0, 0);
+    for _ in 0..CHANGES {
+        for _ in 0..=next(20) {
+            let number = next(members.len());
+            match next(4) {
+                0 => members[number].weight = [0.5, 1.0, 2.0][next(3)],
+                _ => members[number].present = !members[number].present,
+            }
+        }
+        let change = step(&mut assignment, &members);
+        let most = (change.least_possible as f64 * MOST_AGAINST_LEAST).ceil();
+        assert!(
+            change.moved_replicas as f64 <= most,
+            "{} of {}",
+            change.moved_replicas,
+            change.least_possible
+        );
+        moved += change.moved_replicas;
+        least += change.least_possible;
+    }
+    println!("{CHANGES} changes: moved {moved}, least {least}");
+}
+
+#[test]
+fn what_a_lost_zone_writes() {
+    let (mut assignment, mut members) = placed();
+    set_present(&mut members, false, |_, member| member.zone == zone(0, 0));
+    let change = serde_json::to_string(&step(&mut assignment, &members)).unwrap().len();
+    let table = serde_json::to_string(&assignment.to_table()).unwrap().len();
+    println!("a change {change} bytes, a table {table} bytes");
+    assert!(change < 150_000 && table < 300_000, "{change} {table}");
+}
