Lab: bellsill-lab capacity measures slopes by size

Cause: what a dispatcher costs at sizes far beyond a test was known from single readings (docs/lab.md, by hand, some since changed by the code); nobody could run them again, and no reading had an error. Ruled out as a means: lab's experiments, whose world is built for tens of endpoints (each with a listener of its own, lab/src/sockets/endpoints.rs). Change: lab/src/capacity, one module a family: known (memory, start), message and decisions (processor time by destinations known, messages held, destinations down; through a process and alone), change, held (with restart), wasted (virtual time); fit by least squares with a 95 % interval of the slope (statrs); report as JSON. lab/src/sockets: two functions visible inside the crate.

--- /dev/null
+++ b/lab/src/capacity/decisions.rs
@@ -0,0 +1,180 @@
+//! The decisions alone, called in this process: processor time of a message's calls by what a dispatcher knows and holds.
+
+use super::bench::Bench;
+use super::fit::Point;
+use super::report::{Series, SeriesId};
+use anyhow::Result;
+use bellsill::control::Dispatcher;
+use bellsill::interface::*;
+use rustix::time::{ClockId, clock_gettime};
+
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MILLISECOND;
+/// The virtual time at which a dispatcher starts, and after which all that was held has been refused once.
+const START: Nanos = 1_000 * SECOND;
+const LOADED: Nanos = START + SECOND;
+/// Between two messages, and from a connect to its answer.
+const SPACE: Nanos = MILLISECOND;
+const ANSWER_AFTER: Nanos = MILLISECOND / 2;
+const LIFETIME: Nanos = 3_600 * SECOND;
+/// A destination that is down tells to come back after the whole measurement.
+const DOWN_FOR: Nanos = 3_600 * SECOND;
+
+/// The facts of a dispatcher of the full fleet, with one queue class.
+pub fn facts(seed: u64, dispatchers: u32) -> BootFacts {
+    let class = ClassFacts {
+        importance: 1.0,
+        target_delay: 2 * SECOND,
+        lifetime: LIFETIME,
+        late_share: 0.4,
+        repeat: Repeat::Redeliverable,
+        ordered: false,
+    };
+    BootFacts {
+        seed,
+        dispatchers,
+        classes: vec![class],
+        apart: vec![false],
+        slots: 64,
+        holding_room: 4_000_000,
+        own_door: true,
+        max_connects: 1_000_000,
+        connect_timeout: SECOND,
+        max_come_back: LIFETIME,
+        cold_share: 0.2,
+        ramp: 10 * SECOND,
+        tip_multiple: 2.0,
+        tip_window: 3 * SECOND,
+        tick: 5 * MILLISECOND,
+        ..BootFacts::default()
+    }
+}
+
+/// An entry of the list for the one endpoint of a destination.
+pub fn entry(destination: u32) -> ListEntry {
+    ListEntry {
+        endpoint: EndpointId(destination),
+        destination: DestinationId(u64::from(destination)),
+        serving: true,
+        ..ListEntry::default()
+    }
+}
+
+/// A message that has not been tried.
+pub fn message(id: u64, destination: u32, due: Nanos) -> NewMail {
+    NewMail {
+        id: MailId(id),
+        class: ClassId(0),
+        key: None,
+        destination: DestinationId(u64::from(destination)),
+        due,
+        past: Past::default(),
+    }
+}
+
+/// Collects the connects that the decisions order; the rest is of no interest here.
+#[derive(Default)]
+struct Connects(Vec<(MailId, EndpointId)>);
+
+impl Outlet for Connects {
+    fn connect(&mut self, mail: MailId, endpoint: EndpointId, _: Nanos) {
+        self.0.push((mail, endpoint));
+    }
+    fn defer(&mut self, _: MailId, _: Nanos) {}
+    fn bounce(&mut self, _: MailId) {}
+    fn call_off(&mut self, _: MailId, _: ConnectNo) {}
+    fn hang_up(&mut self, _: EndpointId) {}
+    fn forget(&mut self, _: EndpointId) {}
+    fn ask(&mut self) {}
+    fn wake(&mut self, _: Nanos) {}
+    fn log(&mut self, _: &str) {}
+}
+
+struct Bed {
+    dispatcher: Dispatcher,
+    connects: Connects,
+    now: Nanos,
+    next_id: u64,
+}
+
+impl Bed {
+    /// A dispatcher that knows `known` destinations, the last `down` of which are down.
+    fn new(known: u32) -> Bed {
+        let mut connects = Connects::default();
+        let mut dispatcher = Dispatcher::boot(START, facts(1, 1_900));
+        let entries: Vec<ListEntry> = (1..=known).map(entry).collect();
+        dispatcher.list_news(START, ListScope::Whole, &entries, &mut connects);
+        Bed { dispatcher, connects, now: START, next_id: 1 }
+    }
+
+    fn take(&mut self, destination: u32) {
+        let new = message(self.next_id, destination, self.now + LIFETIME);
+        self.next_id += 1;
+        self.dispatcher.mails_taken(self.now, [new], &mut self.connects);
+    }
+
+    /// Answers all connects that are out.
+    fn answer(&mut self, outcome: Outcome, took: Nanos) {
+        for (mail, _) in std::mem::take(&mut self.connects.0) {
+            let over = outcome == Outcome::Relayed;
+            let end = ConnectEnd { mail, no: ConnectNo(0), outcome, over, took, limit: 0.0 };
+            self.dispatcher.connect_ended(self.now, end, &mut self.connects);
+        }
+    }
+
+    /// Holds messages for the last `down` of `known` destinations in turn; each is refused once.
+    fn hold(&mut self, known: u32, down: u32, held: u32) {
+        for i in 0..held {
+            self.take(known - i % down);
+            self.answer(Outcome::Full(DOWN_FOR), MILLISECOND);
+        }
+        self.now = LOADED;
+    }
+
+    /// One message from its taking to its answer.
+    fn relay(&mut self, destination: u32) {
+        self.now += SPACE;
+        self.take(destination);
+        self.now += ANSWER_AFTER;
+        self.answer(Outcome::Relayed, ANSWER_AFTER);
+    }
+}
+
+/// The processor time of this thread until now.
+fn own_processor_us() -> f64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as f64 * 1e6 + time.tv_nsec as f64 / 1e3
+}
+
+/// Microseconds of a message's calls where `down` of `known` destinations hold `held` messages.
+fn message_us(known: u32, down: u32, held: u32, messages: u32) -> f64 {
+    let mut bed = Bed::new(known);
+    if held > 0 {
+        bed.hold(known, down, held);
+    }
+    let serving = known - down;
+    let before = own_processor_us();
+    for i in 0..messages {
+        bed.relay(1 + i % serving);
+    }
+    (own_processor_us() - before) / f64::from(messages)
+}
+
+/// Measures by destinations known, by messages held, and by destinations down.
+pub fn measure(bench: &Bench) -> Result<Vec<Series>> {
+    let sizes = &bench.sizes;
+    let (serving, messages) = (sizes.serving, sizes.decisions);
+    let series = |id: SeriesId, at: &[u32], measured: &dyn Fn(u32) -> f64| {
+        let point = |size: &u32| Point { size: f64::from(*size), value: measured(*size) };
+        Series::fitted(id, at.iter().map(point).collect())
+    };
+    Ok(vec![
+        series(SeriesId::DecisionTimeByKnown, &sizes.known, &|known| message_us(known, 0, 0, messages))?,
+        series(SeriesId::DecisionTimeByHeld, &sizes.message_held, &|held| {
+            message_us(serving + 1, 1, held, messages)
+        })?,
+        series(SeriesId::DecisionTimeByDown, &sizes.message_down, &|down| {
+            message_us(serving + down, down, down, messages)
+        })?,
+    ])
+}
--- a/lab/src/command_line.rs
+++ b/lab/src/command_line.rs
@@ -86,6 +86,8 @@
         #[arg(short, long, default_value = "report.html")]
         output: PathBuf,
     },
+    /// Measures what a dispatcher costs by what it knows and holds, and fits slopes.
+    Capacity(crate::capacity::CapacityArgs),
     /// Says what is wrong with experiments; starts nothing.
     Check {
         #[arg(required = true)]
@@ -153,6 +155,7 @@
 
 fn act(what: What) -> Result<bool> {
     match what {
+        What::Capacity(args) => crate::capacity::act(&args).map(|()| true),
         What::Check { files } => {
             let mut fine = true;
             for file in &files {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! a load generator, an auditor of the six rules, experiments and reports. `docs/lab.md` says how to use it.
 
 pub mod audit;
+pub mod capacity;
 pub mod command_line;
 pub mod compare;
 pub mod experiment;
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -396,11 +396,11 @@
 }
 
 /// The value of a header of this name.
-fn header<'b>(head: &httparse::Request<'_, 'b>, name: &str) -> Option<&'b [u8]> {
+pub(crate) fn header<'b>(head: &httparse::Request<'_, 'b>, name: &str) -> Option<&'b [u8]> {
     head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
 }
 
-fn content_length(head: &httparse::Request) -> Option<usize> {
+pub(crate) fn content_length(head: &httparse::Request) -> Option<usize> {
     std::str::from_utf8(header(head, "content-length")?).ok()?.trim().parse().ok()
 }
 
