Capacity: the figures of the full size, from measured slopes, and their ranking

Cause: what the fleet of 1,900 dispatchers and 730,000 destinations needs was reckoned by hand, so nobody could say which need comes first, or check it after a change. Change: lab/src/capacity/model works every figure out by a formula in code (one row a need, for three designs: today, scoped configuration, scoped and routed), under failures, and ranks the needs over their budgets; page prints docs/CAPACITY.md from a saved run (docs/lab/capacity.json), and a test holds the page to it up to its last section. Processor time a message is now the median of three processes at each size.

--- a/lab/src/capacity/bench.rs
+++ b/lab/src/capacity/bench.rs
@@ -21,6 +21,8 @@
     pub message_down: Vec<u32>,
     /// Messages measured at each size, through a process and through the decisions alone.
     pub messages: usize,
+    /// Processes measured one after the other at each size; the median counts.
+    pub repeats: usize,
     pub decisions: u32,
     /// Destinations known where lists are told, and how many lists of each kind.
     pub change_known: Vec<u32>,
@@ -44,13 +46,14 @@
             message_held: vec![0, 1_000, 5_000, 15_000, 40_000],
             message_down: vec![0, 100, 200, 400, 800],
             messages: 1_500,
+            repeats: 3,
             decisions: 2_000,
             change_known: vec![1_000, 10_000, 30_000, 60_000],
-            changes: 50,
-            wholes: 3,
+            changes: 200,
+            wholes: 8,
             whole_lines: vec![60_000, 100_000],
             held: vec![1_000, 5_000, 20_000, 50_000],
-            dispatchers: vec![3, 30, 300, 1_900],
+            dispatchers: vec![2, 3, 30, 300, 1_900],
             traffic: Traffic {
                 destinations: 200,
                 down: 10,
@@ -71,6 +74,7 @@
             message_held: vec![0, 10, 20, 40],
             message_down: vec![0, 5, 10, 20],
             messages: 40,
+            repeats: 1,
             decisions: 40,
             change_known: vec![10, 20, 40, 80],
             changes: 3,
--- a/lab/src/capacity/message.rs
+++ b/lab/src/capacity/message.rs
@@ -6,6 +6,7 @@
 use super::listing::{Destination, destinations};
 use super::report::{Series, SeriesId};
 use anyhow::{Context, Result};
+use statrs::statistics::{Data, OrderStatistics};
 use std::time::Duration;
 
 /// Messages that are held are numbered from here, apart from those of the load.
@@ -70,8 +71,9 @@
     situation: impl Fn(u32) -> Situation,
 ) -> Result<Series> {
     let point = |size: &u32| {
-        let value = message_us(bench, situation(*size)).with_context(|| format!("{id:?} at {size}"))?;
-        Ok(Point { size: f64::from(*size), value })
+        let once = |_| message_us(bench, situation(*size)).with_context(|| format!("{id:?} at {size}"));
+        let times: Vec<f64> = (0..bench.sizes.repeats).map(once).collect::<Result<_>>()?;
+        Ok(Point { size: f64::from(*size), value: Data::new(times).median() })
     };
     Ok(Series::fitted(id, sizes.iter().map(point).collect::<Result<_>>()?)?)
 }
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -10,6 +10,8 @@
 mod known;
 mod listing;
 mod message;
+pub mod model;
+pub mod page;
 mod peers;
 mod process;
 pub mod report;
@@ -39,19 +41,35 @@
     /// Where files are written while it runs; removed at its end.
     #[arg(long, default_value = "target/lab/work")]
     work: PathBuf,
+    /// Reads what was measured from this file instead of measuring.
+    #[arg(long, conflicts_with = "json")]
+    from: Option<PathBuf>,
+    /// Prints the page docs/CAPACITY.md.
+    #[arg(long)]
+    page: bool,
 }
 
 /// Does what the command line asks for.
 pub fn act(args: &CapacityArgs) -> Result<()> {
-    let options = Options { program: args.program.clone(), work: args.work.clone(), sizes: Sizes::full() };
-    let capacity = run(&options, &mut |what| eprintln!("measuring: {what}"))?;
+    let capacity = match &args.from {
+        Some(path) => read(path)?,
+        None => run_full(args)?,
+    };
     if let Some(path) = &args.json {
         write(path, &capacity)?;
     }
-    println!("{}", capacity.series_table());
+    match args.page {
+        true => print!("{}", page::page(&capacity)?),
+        false => print!("{}", capacity.series_table()),
+    }
     Ok(())
 }
 
+fn run_full(args: &CapacityArgs) -> Result<Capacity> {
+    let options = Options { program: args.program.clone(), work: args.work.clone(), sizes: Sizes::full() };
+    run(&options, &mut |what| eprintln!("measuring: {what}"))
+}
+
 /// What a run is made of.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -83,6 +101,7 @@
         load_before,
         load_after: load()?,
         wall_seconds: started.elapsed().as_secs_f64(),
+        own_peak_bytes: process::own_peak_bytes()?,
         body_bytes: BODY_BYTES,
         messages_per_second: bench.rate,
     };
--- a/lab/src/capacity/process.rs
+++ b/lab/src/capacity/process.rs
@@ -185,6 +185,11 @@
     Ok(nanoseconds.context("nanoseconds in schedstat")? / 1e3)
 }
 
+/// The largest memory of this process until now, in bytes.
+pub fn own_peak_bytes() -> Result<f64> {
+    kilobytes(&std::fs::read_to_string("/proc/self/status")?, "VmHWM:")
+}
+
 fn kilobytes(status: &str, field: &str) -> Result<f64> {
     let line = status.lines().find_map(|line| line.strip_prefix(field));
     let value =
--- a/lab/src/capacity/report.rs
+++ b/lab/src/capacity/report.rs
@@ -104,6 +104,8 @@
     pub load_before: f64,
     pub load_after: f64,
     pub wall_seconds: f64,
+    /// The largest memory of the laboratory's own process.
+    pub own_peak_bytes: f64,
     pub body_bytes: usize,
     pub messages_per_second: f64,
 }
@@ -184,7 +186,7 @@
 }
 
 fn point_text(point: &Point) -> String {
-    format!("{}: {}", figure(point.size), figure(point.value))
+    format!("{}: {}", count(point.size), figure(point.value))
 }
 
 /// A figure with three significant digits, thousands in groups.
@@ -205,6 +207,14 @@
     grouped(&text)
 }
 
+/// A whole number with all its digits, others with three.
+pub fn count(value: f64) -> String {
+    match value.fract() == 0.0 {
+        true => grouped(&format!("{value:.0}")),
+        false => figure(value),
+    }
+}
+
 fn grouped(text: &str) -> String {
     let (whole, rest) = text.split_once('.').map_or((text, None), |(whole, rest)| (whole, Some(rest)));
     let (sign, digits) = whole.strip_prefix('-').map_or(("", whole), |digits| ("-", digits));
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -4,11 +4,17 @@
 
 use bellsill_lab::capacity::bench::Sizes;
 use bellsill_lab::capacity::fit::{Fit, Point};
+use bellsill_lab::capacity::model::failures::{Failure, consequence};
+use bellsill_lab::capacity::model::ranking::{Ranking, rank};
+use bellsill_lab::capacity::model::rows::{self, RowId};
+use bellsill_lab::capacity::model::{Design, Inputs, Slopes};
+use bellsill_lab::capacity::page;
 use bellsill_lab::capacity::report::{Capacity, Finding, SeriesId, figure};
 use bellsill_lab::capacity::wasted::{self, Traffic};
 use bellsill_lab::capacity::{self, Options};
 use common::dispatcher;
 use serde_json::Value;
+use std::path::Path;
 
 fn points(of: &[(f64, f64)]) -> Vec<Point> {
     of.iter().map(|(size, value)| Point { size: *size, value: *value }).collect()
@@ -89,6 +95,10 @@
     );
     assert!(loaded, "{:?}", capacity.findings);
 
+    let page = page::page(&capacity).unwrap();
+    assert!(page.contains("## Ranking") && page.contains("### A control machine"), "{page}");
+    assert!(page::page(&Capacity::default()).is_err(), "a run without its series");
+
     let before = serde_json::to_value(&capacity).unwrap();
     let again: Capacity = serde_json::from_str(&before.to_string()).unwrap();
     let after = serde_json::to_value(&again).unwrap();
@@ -106,3 +116,124 @@
     let nobody_down = wasted::play(Traffic { down: 0, ..traffic }, 3).unwrap();
     assert_eq!(nobody_down.at_down, 0);
 }
+
+fn through_nought(slope: f64) -> Fit {
+    Fit { intercept: 0.0, slope, slope_error: 0.0 }
+}
+
+/// Slopes in round figures: bytes and microseconds.
+fn given() -> Slopes {
+    Slopes {
+        memory_by_known: through_nought(2_000.0),
+        start_by_known: through_nought(5.0),
+        message_by_known: Fit { intercept: 100.0, ..through_nought(0.003) },
+        message_by_held: through_nought(0.02),
+        message_by_down: through_nought(1.0),
+        whole_bytes: through_nought(100.0),
+        whole_time: through_nought(3.0),
+        change_bytes: Fit { intercept: 150.0, ..through_nought(0.0) },
+        change_time: through_nought(0.01),
+        memory_by_held: through_nought(1_000.0),
+        journal_by_held: through_nought(570.0),
+        restart_by_held: through_nought(3.0),
+        wasted: Fit { intercept: 0.02, ..through_nought(0.01) },
+    }
+}
+
+fn need(id: RowId, design: Design) -> f64 {
+    let inputs = Inputs::design(given(), design);
+    let row = rows::all().into_iter().find(|row| row.id == id).unwrap();
+    (row.value)(&inputs)
+}
+
+#[test]
+fn needs_at_the_full_size_follow_from_given_slopes() {
+    let assigned = 2.0 * 730_000.0 / 1_900.0;
+    let memory = [Design::Today, Design::Scoped, Design::Routed]
+        .map(|design| need(RowId::ConfigurationMemory, design));
+    assert!(near(memory[0], 1.46e9), "{memory:?}");
+    assert!(near(memory[1], 2_000.0 * (assigned + 4_096.0)), "{memory:?}");
+    assert!(near(memory[2], 2_000.0 * assigned), "{memory:?}");
+
+    let each = 1_400_000.0 / 1_900.0;
+    assert!(near(need(RowId::MessageItself, Design::Today), each * 100e-6));
+    assert!(near(need(RowId::DestinationSearch, Design::Today), each * 0.003e-6 * 730_000.0));
+    assert!(near(need(RowId::HeldPass, Design::Today), each * 0.02e-6 * 2.1e9 / 1_900.0));
+    assert!(near(need(RowId::DownLines, Design::Today), each * 1e-6 * 0.049 * 730_000.0));
+    assert!(near(need(RowId::DownLines, Design::Routed), each * 1e-6 * 0.049 * assigned));
+    assert!(near(need(RowId::ChangeWire, Design::Today), 3_300.0 / 86_400.0 * 150.0));
+    assert!(near(need(RowId::WholeTime, Design::Today), 2.19));
+    assert!(near(need(RowId::LongestLine, Design::Today), 73e6));
+    assert_eq!(need(RowId::LongestLine, Design::Scoped), 65_536.0);
+
+    let missed = 1.0 - (assigned + 4_096.0) / 730_000.0;
+    assert!(near(need(RowId::LookUpWire, Design::Scoped), each * missed * 400.0));
+    assert_eq!(need(RowId::LookUpWire, Design::Today), 0.0);
+    assert_eq!(need(RowId::LookUpWire, Design::Routed), 0.0);
+    assert!(near(need(RowId::ControlLookUpWire, Design::Scoped), 1_400_000.0 / 9.0 * missed * 400.0));
+}
+
+#[test]
+fn the_ranking_goes_by_the_part_at_which_a_budget_is_reached() {
+    let Ranking { all, first } = rank(given(), Design::Today);
+    let ids: Vec<RowId> = all.iter().map(|ranked| ranked.row.id).collect();
+    let expected = [
+        RowId::ConfigurationMemory,
+        RowId::LongestLine,
+        RowId::DownLines,
+        RowId::HeldPass,
+        RowId::DestinationSearch,
+    ];
+    assert_eq!(ids, expected);
+    assert_eq!(first, Some(0));
+    assert!(near(all[0].part, 64e6 / 1.46e9), "{}", all[0].part);
+    // Messages and what each costs both grow: the root of the part counts.
+    let cores = need(RowId::DownLines, Design::Today);
+    assert!(near(all[2].part, (0.964 / cores).sqrt()), "{}", all[2].part);
+}
+
+#[test]
+fn of_needs_close_together_the_one_that_carries_the_others_comes_first() {
+    let slopes =
+        Slopes { memory_by_known: through_nought(900.0), whole_bytes: through_nought(150.0), ..given() };
+    let Ranking { all, first } = rank(slopes, Design::Today);
+    assert_eq!(all[0].row.id, RowId::LongestLine);
+    assert!(all[1].part < 2.0 * all[0].part);
+    assert_eq!(first.map(|place| all[place].row.id), Some(RowId::ConfigurationMemory));
+    let alone = Slopes { memory_by_known: through_nought(100.0), ..slopes };
+    let Ranking { all, first } = rank(alone, Design::Today);
+    assert_eq!(first.map(|place| all[place].row.id), Some(RowId::LongestLine), "memory is not close");
+}
+
+#[test]
+fn with_scoped_configuration_asking_comes_first_and_with_routing_it_is_gone() {
+    let scoped = rank(given(), Design::Scoped);
+    assert_eq!(scoped.first.map(|place| scoped.all[place].row.id), Some(RowId::LookUpWire));
+    let routed = rank(given(), Design::Routed);
+    assert!(routed.all.iter().all(|ranked| ranked.row.id != RowId::LookUpWire));
+    assert_eq!(routed.first.map(|place| routed.all[place].row.id), Some(RowId::HeldPass));
+}
+
+#[test]
+fn failures_follow_from_given_slopes() {
+    let machine = consequence(given(), Design::Today, Failure::Machine);
+    assert!(near(machine.bytes_told, 73e6) && near(machine.seconds_each, 73e6 / 17e3), "{machine:?}");
+    assert!(near(machine.held_away, 2.1e9 / 1_900.0), "{machine:?}");
+    let tenth = consequence(given(), Design::Scoped, Failure::TenthAtOnce);
+    assert!(near(tenth.dispatchers, 190.0) && near(tenth.more_load, 1.0 / 9.0), "{tenth:?}");
+    assert!(near(tenth.bytes_told, 190.0 * 100.0 * 2.0 * 730_000.0 / 1_900.0), "{tenth:?}");
+    assert!(near(tenth.seconds_all, tenth.bytes_told / (1_900.0 * 17e3)), "{tenth:?}");
+    let cut = consequence(given(), Design::Today, Failure::RegionCutOff);
+    assert!(near(cut.bytes_told, 1_900.0 / 7.0 * 137.5 * 150.0), "{cut:?}");
+    assert_eq!((cut.messages_moved, cut.held_away), (0.0, 0.0));
+}
+
+#[test]
+fn the_page_is_what_the_saved_run_says() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs");
+    let saved = capacity::read(&docs.join("lab/capacity.json")).unwrap();
+    let made = page::page(&saved).unwrap();
+    let stands = std::fs::read_to_string(docs.join("CAPACITY.md")).unwrap();
+    let before_runs = |text: &str| text.split(page::SCOPED_RUNS).next().map(str::to_string);
+    assert_eq!(before_runs(&stands), before_runs(&made), "write it anew with capacity --from --page");
+}
