--- a/lab/src/command_line.rs
+++ b/lab/src/command_line.rs
@@ -2,6 +2,7 @@
 //! asked for cannot be done, nothing was started.
 
 use crate::experiment::{self, BadExperiment, Experiment, Vary};
+use crate::hollow::options::HollowOptions;
 use crate::run::{self, How, RunLine};
 use crate::spec::Drive;
 use anyhow::{Context, Result};
@@ -86,6 +87,11 @@
         #[arg(short, long, default_value = "report.html")]
         output: PathBuf,
     },
+    /// Runs hollow dispatchers and control processes on loopback, and measures them.
+    Hollow(HollowOptions),
+    /// Carries dispatchers for `hollow`, which starts it.
+    #[command(hide = true)]
+    HollowWorker { options: String },
     /// Says what is wrong with experiments; starts nothing.
     Check {
         #[arg(required = true)]
@@ -153,6 +159,8 @@
 
 fn act(what: What) -> Result<bool> {
     match what {
+        What::Hollow(options) => crate::hollow::scenario::play(options),
+        What::HollowWorker { options } => crate::hollow::worker::run(&options).map(|()| true),
         What::Check { files } => {
             let mut fine = true;
             for file in &files {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod command_line;
 pub mod compare;
 pub mod experiment;
+pub mod hollow;
 pub mod ledger;
 pub mod load;
 pub mod measure;
