--- a/lab/src/capacity/decisions.rs
+++ b/lab/src/capacity/decisions.rs
@@ -27,20 +27,20 @@
         target_delay: 2 * SECOND,
         lifetime: LIFETIME,
         late_share: 0.4,
-        repeat: Repeat::Redeliverable,
+        repeat: Repeat::Idempotent,
         ordered: false,
     };
     BootFacts {
         seed,
         dispatchers,
         classes: vec![class],
-        apart: vec![false],
+        separate_limits: vec![false],
         slots: 64,
         holding_room: 4_000_000,
-        own_door: true,
-        max_connects: 1_000_000,
+        own_admission: true,
+        max_attempts: 1_000_000,
         connect_timeout: SECOND,
-        max_come_back: LIFETIME,
+        max_retry_after: LIFETIME,
         cold_share: 0.2,
         ramp: 10 * SECOND,
         tip_multiple: 2.0,
@@ -61,9 +61,9 @@
 }
 
 /// A message that has not been tried.
-pub fn message(id: u64, destination: u32, due: Nanos) -> NewMail {
-    NewMail {
-        id: MailId(id),
+pub fn message(id: u64, destination: u32, due: Nanos) -> NewMessage {
+    NewMessage {
+        id: MessageId(id),
         class: ClassId(0),
         key: None,
         destination: DestinationId(u64::from(destination)),
@@ -72,27 +72,27 @@
     }
 }
 
-/// Collects the connects that the decisions order; the rest is of no interest here.
+/// Collects the attempts that the decisions order; the rest is of no interest here.
 #[derive(Default)]
-struct Connects(Vec<(MailId, EndpointId)>);
+struct Connects(Vec<(MessageId, EndpointId)>);
 
 impl Outlet for Connects {
-    fn connect(&mut self, mail: MailId, endpoint: EndpointId, _: Nanos) {
+    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, _: Nanos) {
         self.0.push((mail, endpoint));
     }
-    fn defer(&mut self, _: MailId, _: Nanos) {}
-    fn bounce(&mut self, _: MailId) {}
-    fn call_off(&mut self, _: MailId, _: ConnectNo) {}
-    fn hang_up(&mut self, _: EndpointId) {}
+    fn defer(&mut self, _: MessageId, _: Nanos) {}
+    fn bounce(&mut self, _: MessageId) {}
+    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
+    fn close_idle(&mut self, _: EndpointId) {}
     fn forget(&mut self, _: EndpointId) {}
-    fn ask(&mut self) {}
+    fn request_watch(&mut self) {}
     fn wake(&mut self, _: Nanos) {}
     fn log(&mut self, _: &str) {}
 }
 
 struct Bed {
     dispatcher: Dispatcher,
-    connects: Connects,
+    attempts: Connects,
     now: Nanos,
     next_id: u64,
 }
@@ -100,25 +100,32 @@
 impl Bed {
     /// A dispatcher that knows `known` destinations, the last `down` of which are down.
     fn new(known: u32) -> Bed {
-        let mut connects = Connects::default();
+        let mut attempts = Connects::default();
         let mut dispatcher = Dispatcher::boot(START, facts(1, 1_900));
         let entries: Vec<ListEntry> = (1..=known).map(entry).collect();
-        dispatcher.list_news(START, ListScope::Whole, &entries, &mut connects);
-        Bed { dispatcher, connects, now: START, next_id: 1 }
+        dispatcher.apply_list(START, ListScope::Whole, &entries, &mut attempts);
+        Bed { dispatcher, attempts, now: START, next_id: 1 }
     }
 
     fn take(&mut self, destination: u32) {
         let new = message(self.next_id, destination, self.now + LIFETIME);
         self.next_id += 1;
-        self.dispatcher.mails_taken(self.now, [new], &mut self.connects);
+        self.dispatcher.accept(self.now, [new], &mut self.attempts);
     }
 
-    /// Answers all connects that are out.
+    /// Answers all attempts that are out.
     fn answer(&mut self, outcome: Outcome, took: Nanos) {
-        for (mail, _) in std::mem::take(&mut self.connects.0) {
+        for (mail, _) in std::mem::take(&mut self.attempts.0) {
             let over = outcome == Outcome::Relayed;
-            let end = ConnectEnd { mail, no: ConnectNo(0), outcome, over, took, limit: 0.0 };
-            self.dispatcher.connect_ended(self.now, end, &mut self.connects);
+            let end = AttemptEnd {
+                message: mail,
+                number: AttemptNumber(0),
+                outcome,
+                over,
+                took,
+                reported_limit: 0.0,
+            };
+            self.dispatcher.attempt_ended(self.now, end, &mut self.attempts);
         }
     }
 
--- a/lab/src/capacity/wasted.rs
+++ b/lab/src/capacity/wasted.rs
@@ -57,26 +57,26 @@
 enum Event {
     Arrival,
     Wake { dispatcher: usize },
-    Answer { dispatcher: usize, mail: MailId, attempt: u32, relayed: bool },
+    Answer { dispatcher: usize, mail: MessageId, attempt: u32, relayed: bool },
 }
 
 /// What one dispatcher's decisions answered in one call.
 #[derive(Default)]
 struct Answers {
-    connects: Vec<(MailId, EndpointId)>,
+    attempts: Vec<(MessageId, EndpointId)>,
     wake: Option<Nanos>,
 }
 
 impl Outlet for Answers {
-    fn connect(&mut self, mail: MailId, endpoint: EndpointId, _: Nanos) {
-        self.connects.push((mail, endpoint));
+    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, _: Nanos) {
+        self.attempts.push((mail, endpoint));
     }
-    fn defer(&mut self, _: MailId, _: Nanos) {}
-    fn bounce(&mut self, _: MailId) {}
-    fn call_off(&mut self, _: MailId, _: ConnectNo) {}
-    fn hang_up(&mut self, _: EndpointId) {}
+    fn defer(&mut self, _: MessageId, _: Nanos) {}
+    fn bounce(&mut self, _: MessageId) {}
+    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
+    fn close_idle(&mut self, _: EndpointId) {}
     fn forget(&mut self, _: EndpointId) {}
-    fn ask(&mut self) {}
+    fn request_watch(&mut self) {}
     fn wake(&mut self, after: Nanos) {
         self.wake = Some(after);
     }
@@ -92,9 +92,9 @@
     random: Pcg64Mcg,
     next_id: u64,
     /// Attempts made of messages that were tried and are not relayed.
-    attempts: std::collections::HashMap<MailId, u32>,
+    attempts: std::collections::HashMap<MessageId, u32>,
     /// Messages whose first attempt has been counted.
-    tried: BTreeSet<MailId>,
+    tried: BTreeSet<MessageId>,
     wasted: Wasted,
 }
 
@@ -122,9 +122,9 @@
     fn new(traffic: Traffic, dispatchers: u32) -> Fleet {
         let entries: Vec<ListEntry> = (1..=traffic.destinations).map(entry).collect();
         let boot = |i: u32| {
-            let facts = BootFacts { own_door: false, ..facts(traffic.seed + u64::from(i), dispatchers) };
+            let facts = BootFacts { own_admission: false, ..facts(traffic.seed + u64::from(i), dispatchers) };
             let mut dispatcher = Dispatcher::boot(START, facts);
-            dispatcher.list_news(START, ListScope::Whole, &entries, &mut Answers::default());
+            dispatcher.apply_list(START, ListScope::Whole, &entries, &mut Answers::default());
             dispatcher
         };
         Fleet {
@@ -155,7 +155,7 @@
                 self.wasted.messages_to_down += u64::from(destination <= self.traffic.down);
                 let new = message(self.next_id, destination, now + LIFETIME);
                 self.next_id += 1;
-                self.ask(dispatcher, |d, out| d.mails_taken(now, [new], out));
+                self.ask(dispatcher, |d, out| d.accept(now, [new], out));
             }
             Event::Wake { dispatcher } => self.ask(dispatcher, |d, out| d.woken(now, out)),
             Event::Answer { dispatcher, mail, attempt, relayed } => {
@@ -163,9 +163,15 @@
                     true => (Outcome::Relayed, ANSWER_AFTER),
                     false => (Outcome::Unconnected, 0),
                 };
-                let end =
-                    ConnectEnd { mail, no: ConnectNo(attempt), outcome, over: relayed, took, limit: 0.0 };
-                self.ask(dispatcher, |d, out| d.connect_ended(now, end, out));
+                let end = AttemptEnd {
+                    message: mail,
+                    number: AttemptNumber(attempt),
+                    outcome,
+                    over: relayed,
+                    took,
+                    reported_limit: 0.0,
+                };
+                self.ask(dispatcher, |d, out| d.attempt_ended(now, end, out));
             }
         }
     }
@@ -174,7 +180,7 @@
     fn ask(&mut self, dispatcher: usize, call: impl FnOnce(&mut Dispatcher, &mut Answers)) {
         let mut answers = Answers::default();
         call(&mut self.dispatchers[dispatcher], &mut answers);
-        for (mail, endpoint) in answers.connects {
+        for (mail, endpoint) in answers.attempts {
             let relayed = endpoint.0 > self.traffic.down;
             let attempts = self.attempts.entry(mail).or_default();
             let attempt = *attempts;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod command_line;
 pub mod compare;
 pub mod experiment;
+pub mod hollow;
 pub mod ledger;
 pub mod load;
 pub mod measure;
