--- a/watch/src/scoped_list.rs
+++ b/watch/src/scoped_list.rs
@@ -538,6 +538,15 @@
         }
     }
 
+    /// A destination that was wanted is so no longer, and was not told.
+    pub fn cancel(&mut self, destination: u64) -> Applied {
+        let mut applied = Applied::default();
+        if self.cache.state(destination) == Some(CellState::Pending) {
+            self.forget_cell(destination, &mut applied);
+        }
+        applied
+    }
+
     fn forget_cell(&mut self, destination: u64, applied: &mut Applied) {
         self.revision += 1;
         self.cache.remove(destination);
--- a/watch/tests/scoped_list.rs
+++ b/watch/tests/scoped_list.rs
@@ -170,6 +170,16 @@
     assert_eq!(list.to_forget(), [48]);
 }
 
+#[test]
+fn what_is_wanted_no_longer_is_not_asked_for_and_what_is_known_stays() {
+    let mut list = started();
+    [47, 48].into_iter().for_each(|destination| drop(list.want(destination, &nothing_in_use).unwrap()));
+    list.apply_lookup(&[47], answer(5, vec![entry("x", 47, 4)])).unwrap();
+    [47, 48].into_iter().for_each(|destination| drop(list.cancel(destination)));
+    assert_eq!((list.knowledge(47), list.knowledge(48)), (Knowledge::Cached, Knowledge::Unknown));
+    assert_eq!((list.pending().count(), list.to_forget()), (0, vec![48]));
+}
+
 #[test]
 fn with_all_in_use_the_cache_grows_as_far_as_a_control_process_tells() {
     let mut list = started();
