--- a/directory/src/state.rs
+++ b/directory/src/state.rs
@@ -1,13 +1,18 @@
 //! The configuration as one control process has it: endpoints, members and the assignment, at one version.
 
-use crate::entries::{EntryIndex, EntryTable, TableFull};
+mod error;
+mod restore;
+
+pub use error::{ApplyError, EndpointRefused, MemberRefused};
+pub use restore::{Restore, RestorePoint};
+
+use crate::entries::{EntryIndex, EntryTable};
 use crate::entry::{Endpoint, HEAVIEST_WEIGHT, is_member_name};
 use crate::history::{self, History};
 use crate::line::{EndpointEntry, EndpointState, Version};
 use crate::record::{LoggedRecord, Record};
 use bellsill_placement::{
-    Assignment, AssignmentChange, BucketId, Epoch, Layout, Member, MemberName, PlacementError, TableError,
-    ZoneName,
+    Assignment, AssignmentChange, BucketId, Epoch, Layout, Member, MemberName, PlacementError, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
@@ -47,107 +52,6 @@
     Assignment(BTreeSet<MemberName>),
 }
 
-/// Why an endpoint is not taken.
-#[derive(Clone, Debug, PartialEq)]
-pub enum EndpointRefused {
-    UnknownZone(String),
-    /// A known endpoint is named with another destination, or in another region.
-    Moved(String),
-    Full(TableFull),
-}
-
-impl std::fmt::Display for EndpointRefused {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            EndpointRefused::UnknownZone(zone) => {
-                write!(
-                    f,
-                    "zone: {zone} is not one of this installation; the control processes' `zones` declare it"
-                )
-            }
-            EndpointRefused::Moved(id) => {
-                write!(
-                    f,
-                    "cell, zone: {id} keeps its destination and region; remove it and declare another id"
-                )
-            }
-            EndpointRefused::Full(TableFull::Endpoints) => write!(f, "there are too many endpoints"),
-            EndpointRefused::Full(TableFull::Names) => {
-                write!(f, "zone, kind: there are too many different ones")
-            }
-        }
-    }
-}
-
-/// Why a member is not taken.
-#[derive(Clone, Debug, PartialEq)]
-pub enum MemberRefused {
-    Name(String),
-    UnknownZone(String),
-    Weight(f64),
-    TooMany,
-}
-
-impl std::fmt::Display for MemberRefused {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            MemberRefused::Name(name) => {
-                write!(f, "name: expected letters, digits and - _ . : alone, not {name:?}")
-            }
-            MemberRefused::UnknownZone(zone) => {
-                write!(
-                    f,
-                    "zone: {zone} is not one of this installation; the control processes' `zones` declare it"
-                )
-            }
-            MemberRefused::Weight(weight) => {
-                write!(f, "weight: expected a number from 0 to {HEAVIEST_WEIGHT}, not {weight}")
-            }
-            MemberRefused::TooMany => write!(f, "there would be more than {MOST_MEMBERS} members"),
-        }
-    }
-}
-
-/// Why a record is not applied; the directory stays as it was.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ApplyError {
-    VersionOutOfOrder {
-        expected: Version,
-        found: Version,
-    },
-    Endpoint(EndpointRefused),
-    Member(MemberRefused),
-    Placement(PlacementError),
-    /// The table of a snapshot or transfer cannot be taken.
-    Table(TableError),
-    /// The zones or buckets are not those of this process.
-    OtherLayout,
-    /// An endpoint of a snapshot or transfer cannot be read.
-    Entry(String),
-}
-
-impl std::fmt::Display for ApplyError {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            ApplyError::VersionOutOfOrder { expected, found } => {
-                write!(f, "version {} came where {} was expected", found.0, expected.0)
-            }
-            ApplyError::Endpoint(refused) => write!(f, "an endpoint is refused: {refused}"),
-            ApplyError::Member(refused) => write!(f, "a member is refused: {refused}"),
-            ApplyError::Placement(error) => write!(f, "the assignment: {error}"),
-            ApplyError::Table(error) => write!(f, "the assignment: {error}"),
-            ApplyError::OtherLayout => write!(
-                f,
-                "the zones or buckets_per_region are others than those configured here; \
-                 all control processes of an installation need the same, from its first start on"
-            ),
-            ApplyError::Entry(error) => write!(f, "an endpoint cannot be read: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for ApplyError {}
-
 /// The configuration at one version.
 pub struct Directory {
     log: LogId,
@@ -378,79 +282,3 @@
         }
     }
 }
-
-/// A directory that is being put together from a snapshot, or from what the writer transfers.
-pub struct Restore {
-    directory: Directory,
-}
-
-/// Where a snapshot or transfer stands.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RestorePoint {
-    pub log: LogId,
-    pub version: Version,
-    pub forgotten: Version,
-}
-
-impl Restore {
-    /// Begins with nothing, at this point.
-    pub fn begin(layout: Layout, point: RestorePoint, keeping: Keeping) -> Restore {
-        let mut directory = Directory::new(layout, point.log, keeping);
-        directory.version = point.version;
-        directory.forgotten = point.forgotten;
-        directory.history = History::new(point.version, keeping.changes);
-        Restore { directory }
-    }
-
-    pub fn version(&self) -> Version {
-        self.directory.version
-    }
-
-    /// Takes in all members.
-    pub fn members(&mut self, members: Vec<Member>) -> Result<(), ApplyError> {
-        self.directory.check_members(&members).map_err(|(_, refused)| ApplyError::Member(refused))?;
-        members.into_iter().for_each(|member| self.directory.put_member(member));
-        Ok(())
-    }
-
-    /// Takes in the assignment; its members are already there.
-    pub fn assignment(&mut self, table: &bellsill_placement::AssignmentTable) -> Result<(), ApplyError> {
-        if table.layout != self.directory.layout {
-            return Err(ApplyError::OtherLayout);
-        }
-        let assignment = Assignment::from_table(table, &self.directory.members).map_err(ApplyError::Table)?;
-        self.directory.assignment = assignment;
-        Ok(())
-    }
-
-    /// Takes in an endpoint, unless a later state of it is there already.
-    pub fn endpoint(&mut self, entry: EndpointEntry) -> Result<(), ApplyError> {
-        let version = entry.version;
-        if version > self.directory.version {
-            return Err(ApplyError::VersionOutOfOrder { expected: self.directory.version, found: version });
-        }
-        let endpoint = Endpoint::try_from(entry).map_err(|error| ApplyError::Entry(error.to_string()))?;
-        let known = self.directory.entries.find(&endpoint.id);
-        if known.and_then(|index| self.directory.entries.version(index)).is_some_and(|known| known >= version)
-        {
-            return Ok(());
-        }
-        self.directory
-            .check_endpoints(std::slice::from_ref(&endpoint))
-            .map_err(|(_, e)| ApplyError::Endpoint(e))?;
-        self.directory.put_endpoint(&endpoint, version).map_err(ApplyError::Endpoint)?;
-        Ok(())
-    }
-
-    /// Takes in a record that follows what is there.
-    pub fn apply(&mut self, logged: &LoggedRecord) -> Result<(), ApplyError> {
-        self.directory.apply(logged).map(drop)
-    }
-
-    /// All has been taken in.
-    pub fn finish(mut self) -> Directory {
-        self.directory.removed.make_contiguous().sort_unstable();
-        self.directory.forget_oldest_removed();
-        self.directory
-    }
-}
