A cached destination with endpoints in two regions stays cached while a bucket lacks some

Cause: when one region's bucket of a destination was filled, its cell left the cache and was named in forget, so that the other region's entries stayed in the list and nobody told their changes: a draining endpoint would have gone on being called. Found by the random test of lists against feeds, which had then been kept to one region each. The line: ScopedList::complete_bucket removed the cell whenever one of its endpoints was in the filled bucket. Change: the cell goes only when each known endpoint of the destination is in a complete bucket. The random test has destinations in two regions again, every third one: stricter than before.

--- a/controlplane/tests/random.rs
+++ b/controlplane/tests/random.rs
@@ -35,12 +35,21 @@
         .expect("a layout")
 }
 
+/// Every third destination has endpoints in both regions, the others in one.
+fn zone_of(number: u64) -> &'static str {
+    let destination = number / 4;
+    let north = match destination % 3 {
+        0 => number.is_multiple_of(2),
+        _ => destination.is_multiple_of(2),
+    };
+    if north { "north-1" } else { "south-1" }
+}
+
 fn endpoint(number: u64, state: EndpointState) -> Endpoint {
     Endpoint {
         id: format!("endpoint-{number}"),
         address: Some(([10, 0, 0, 1], 9000).into()),
-        // All endpoints of a destination are in one region.
-        zone: if (number / 4).is_multiple_of(2) { "north-1" } else { "south-1" }.into(),
+        zone: zone_of(number).into(),
         kind: "plain".into(),
         destination: number / 4,
         state,
--- a/watch/src/scoped_list.rs
+++ b/watch/src/scoped_list.rs
@@ -380,6 +380,7 @@
                 self.counters.swept_entries += 1;
                 applied.dropped.extend(self.take_entry(&name));
             } else if let Some(destination) = self.destination_of.get(&name).copied()
+                && self.all_in_complete_buckets(destination)
                 && self.cache.remove(destination)
             {
                 self.forgotten.insert(destination);
@@ -387,6 +388,14 @@
         }
     }
 
+    /// Whether changes of every known endpoint of a destination are told by its buckets. A destination may have endpoints in
+    /// several regions, and a bucket has those of one: the others are told for as long as the destination is cached.
+    fn all_in_complete_buckets(&self, destination: u64) -> bool {
+        let complete = |bucket: BucketId| self.buckets.get(&bucket) == Some(&BucketState::Complete);
+        let endpoints = self.destinations.get(&destination).into_iter().flat_map(BTreeMap::values);
+        endpoints.into_iter().all(|kept| kept.bucket.is_some_and(complete))
+    }
+
     /// The names of the endpoints of a bucket.
     fn members_of(&self, bucket: BucketId) -> Vec<String> {
         self.members.get(&bucket).into_iter().flatten().cloned().collect()
