--- a/lab/src/capacity/model/mod.rs
+++ b/lab/src/capacity/model/mod.rs
@@ -12,8 +12,8 @@
 /// What of the design is in place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Design {
-    /// The program as it is: every dispatcher knows all destinations, messages come to any dispatcher.
-    Today,
+    /// Without an installation file: every dispatcher knows all destinations, messages come to any dispatcher.
+    Unscoped,
     /// Scoped configuration: two dispatchers hold each destination; the others ask for it.
     Scoped,
     /// Besides, each message goes to a dispatcher that holds its destination.
@@ -21,12 +21,12 @@
 }
 
 impl Design {
-    pub const ALL: [Design; 3] = [Design::Today, Design::Scoped, Design::Routed];
+    pub const ALL: [Design; 3] = [Design::Unscoped, Design::Scoped, Design::Routed];
 
     /// The heading of the design's column.
     pub fn title(self) -> &'static str {
         match self {
-            Design::Today => "today",
+            Design::Unscoped => "unscoped",
             Design::Scoped => "scoped",
             Design::Routed => "scoped and routed",
         }
@@ -91,7 +91,7 @@
     pub fn assigned(&self) -> f64 {
         let size = &self.size;
         match self.design {
-            Design::Today => size.destinations,
+            Design::Unscoped => size.destinations,
             Design::Scoped | Design::Routed => size.replicas * size.destinations / size.dispatchers,
         }
     }
@@ -100,7 +100,7 @@
     pub fn known(&self) -> f64 {
         let cached = match self.design {
             Design::Scoped => self.size.cached_destinations,
-            Design::Today | Design::Routed => 0.0,
+            Design::Unscoped | Design::Routed => 0.0,
         };
         (self.assigned() + cached).min(self.size.destinations)
     }
@@ -108,7 +108,7 @@
     /// The dispatchers that one destination's messages come to.
     pub fn dispatchers_per_destination(&self) -> f64 {
         match self.design {
-            Design::Today | Design::Scoped => self.size.dispatchers,
+            Design::Unscoped | Design::Scoped => self.size.dispatchers,
             Design::Routed => self.size.replicas,
         }
     }
@@ -122,7 +122,7 @@
     /// Messages a second at one dispatcher for destinations whose configuration it does not have.
     pub fn look_ups_per_second(&self) -> f64 {
         let missed = match self.design {
-            Design::Today | Design::Routed => 0.0,
+            Design::Unscoped | Design::Routed => 0.0,
             Design::Scoped => 1.0 - self.known() / self.size.destinations,
         };
         self.size.messages_per_dispatcher() * missed
--- a/lab/src/capacity/model/rows.rs
+++ b/lab/src/capacity/model/rows.rs
@@ -133,8 +133,9 @@
     pub rests_on: Option<RowId>,
 }
 
-const SCOPED: Mechanism = Mechanism::NoneYet {
-    wanted: "scoped configuration (contract: docs/configuration.md, placement/, directory/)",
+const SCOPED: Mechanism = Mechanism::InPlace {
+    name: "scoped configuration",
+    file: "placement/, directory/, controlplane/, watch/src/scoped_list.rs",
 };
 const ROUTED: Mechanism = Mechanism::NoneYet { wanted: "messages routed to a holder of their destination" };
 
@@ -183,7 +184,7 @@
     let mut rows = vec![
         Row {
             what: "destinations known",
-            formula: "today N; scoped 2 N / D and the cache; routed 2 N / D",
+            formula: "unscoped N; scoped 2 N / D and the cache; routed 2 N / D",
             value: |i| i.known(),
             mechanism: SCOPED,
             ..EMPTY
@@ -235,7 +236,10 @@
             slope: Some(|s| s.message_by_known),
             value: |i| i.message_cores(i.slopes.message_by_known.slope * i.known()),
             budget: Some(|b, _| b.message_cores),
-            mechanism: Mechanism::NoneYet { wanted: "an index in Endpoints::serve, daemon/src/endpoints.rs" },
+            mechanism: Mechanism::InPlace {
+                name: "an index of destinations",
+                file: "daemon/src/endpoints.rs",
+            },
             rests_on: Some(RowId::ConfigurationMemory),
             ..row
         },
@@ -246,20 +250,21 @@
             slope: Some(|s| s.message_by_held),
             value: |i| i.message_cores(i.slopes.message_by_held.slope * i.size.backlog_per_dispatcher()),
             budget: Some(|b, _| b.message_cores),
-            mechanism: Mechanism::NoneYet {
-                wanted: "a count of calls out in Daemon::turn, daemon/src/event_loop.rs",
+            mechanism: Mechanism::InPlace {
+                name: "messages are looked through on the way out alone",
+                file: "daemon/src/event_loop.rs, Daemon::may_end",
             },
             ..row
         },
         Row {
             id: RowId::DownLines,
             what: "passes over destinations down that messages wait for",
-            formula: "E / D × time a message a destination down × those met (today, scoped u N; routed u 2 N / D)",
+            formula: "E / D × time a message a destination down × those met (unscoped, scoped u N; routed u 2 N / D)",
             slope: Some(|s| s.message_by_down),
             value: |i| i.message_cores(i.slopes.message_by_down.slope * i.down_destinations()),
             budget: Some(|b, _| b.message_cores),
             mechanism: Mechanism::NoneYet {
-                wanted: "messages routed to a holder; an order of waiting lines by when they open in src/control.rs",
+                wanted: "messages routed to a holder; an order of waiting queues by when they open, src/state/queues.rs",
             },
             rests_on: Some(RowId::LookUpWire),
             ..row
@@ -279,7 +284,10 @@
             slope: Some(|s| s.change_bytes),
             value: |i| i.slopes.change_bytes.at(i.known()) * i.changes_told_per_second(),
             budget: Some(|b, _| b.control_bytes_per_second),
-            mechanism: Mechanism::InPlace { name: "the watch", file: "daemon/src/discovery.rs" },
+            mechanism: Mechanism::InPlace {
+                name: "the watch",
+                file: "watch/src/watch.rs, daemon/src/discovery.rs",
+            },
             ..row
         },
         Row {
@@ -291,7 +299,7 @@
             slope: Some(|s| s.change_time),
             value: |i| i.slopes.change_time.slope * i.known() * MICROSECOND * i.changes_told_per_second(),
             budget: Some(|b, _| b.control_cores),
-            mechanism: Mechanism::InPlace { name: "Daemon::list", file: "daemon/src/discovery.rs" },
+            mechanism: Mechanism::InPlace { name: "Daemon::list", file: "daemon/src/event_loop.rs" },
             ..row
         },
         Row {
@@ -411,16 +419,17 @@
             id: RowId::LongestLine,
             kind: Kind::Wire,
             what: "the longest line; a dispatcher skips one that is longer than the budget",
-            formula: "today bytes a destination on the wire × N; scoped at most LONGEST_LINE",
+            formula: "unscoped bytes a destination on the wire × N; scoped at most LONGEST_LINE",
             unit: Unit::Bytes,
             slope: Some(|s| s.whole_bytes),
             value: |i| match i.design {
-                super::Design::Today => i.assigned_bytes(),
+                super::Design::Unscoped => i.assigned_bytes(),
                 super::Design::Scoped | super::Design::Routed => i.assigned_bytes().min(LONGEST_LINE as f64),
             },
             budget: Some(|b, _| b.line_bytes),
-            mechanism: Mechanism::NoneYet {
-                wanted: "lines of at most 64 KiB, directory/src/line.rs (types only)",
+            mechanism: Mechanism::InPlace {
+                name: "lines of at most 64 KiB",
+                file: "directory/src/line.rs, directory/src/feed.rs",
             },
             rests_on: Some(RowId::ConfigurationMemory),
             ..row
@@ -428,7 +437,7 @@
         Row {
             kind: Kind::Wire,
             what: "a change, over all dispatchers",
-            formula: "bytes a change × (today D; scoped and routed 2)",
+            formula: "bytes a change × (unscoped D; scoped and routed 2)",
             unit: Unit::Bytes,
             slope: Some(|s| s.change_bytes),
             value: |i| {
@@ -506,7 +515,7 @@
     vec![
         Row {
             what: "dispatchers that call it",
-            formula: "today and scoped D; routed 2",
+            formula: "unscoped and scoped D; routed 2",
             value: |i| i.dispatchers_per_destination(),
             mechanism: ROUTED,
             ..row
--- a/lab/src/capacity/page.rs
+++ b/lab/src/capacity/page.rs
@@ -75,13 +75,13 @@
 fn role_table(role: Role, slopes: Slopes) -> String {
     let rows: Vec<Vec<String>> =
         all().iter().filter(|row| row.role == role).map(|row| row_cells(row, slopes)).collect();
-    let [today, scoped, routed] = Design::ALL.map(Design::title);
+    let [unscoped, scoped, routed] = Design::ALL.map(Design::title);
     let head = [
         "what",
         "of what",
         "formula",
         "measured slope",
-        today,
+        unscoped,
         scoped,
         routed,
         "budget",
@@ -95,7 +95,7 @@
 fn note(role: Role) -> &'static str {
     match role {
         Role::ControlMachine => {
-            "\nIts processor time is not measured: there is no such process yet; today the platform's discovery tells the list.\n"
+            "\nIts processor time and memory are measured with the fleet of hollow dispatchers, at the end of this page. Unscoped, the platform's\ndiscovery tells the list, and there is no such process.\n"
         }
         Role::Backlog => {
             "\nNo budget is given for memory and disk of messages. Spread evenly; a destination's backlog may be far from even.\n"
@@ -149,7 +149,7 @@
             value(Unit::Cores, budgets.message_cores),
             "assumed: the daemon is one thread",
         ),
-        row("", "budget: the longest line", bytes(budgets.line_bytes), "daemon/src/discovery.rs, LINE_MOST"),
+        row("", "budget: the longest line", bytes(budgets.line_bytes), "watch/src/watch.rs"),
         row(
             "",
             "budget: wire of a control machine",
@@ -208,9 +208,9 @@
 fn failure_table(slopes: Slopes) -> String {
     let size = FullSize::DESIGN;
     let cells = |failure: &Failure| {
-        let [today, scoped, routed] = Design::ALL.map(|design| consequence(slopes, design, *failure));
+        let [unscoped, scoped, routed] = Design::ALL.map(|design| consequence(slopes, design, *failure));
         let both = |unit: Unit, of: fn(&super::model::failures::Consequence) -> f64| {
-            [today, scoped].map(|consequence| value(unit, of(&consequence)))
+            [unscoped, scoped].map(|consequence| value(unit, of(&consequence)))
         };
         let mut cells = vec![
             failure.title(&size),
@@ -230,11 +230,11 @@
         "dispatchers",
         "messages that go elsewhere",
         "more for the others",
-        "told, today",
+        "told, unscoped",
         "told, scoped",
-        "each at 17 KB/s, today",
+        "each at 17 KB/s, unscoped",
         "each, scoped",
-        "all from 9 machines, today",
+        "all from 9 machines, unscoped",
         "all, scoped",
         "messages held there",
     ];
@@ -296,7 +296,7 @@
     let down = capacity.largest(SeriesId::MessageTimeByDown)?.size;
     let known = capacity.largest(SeriesId::MessageTimeByKnown)?.size;
     let inputs = |design| Slopes::of(capacity).map(|slopes| Inputs::design(slopes, design));
-    let today = inputs(Design::Today)?;
+    let unscoped = inputs(Design::Unscoped)?;
     Ok(format!(
         "Processor time a message is measured up to {} messages held, {} destinations down and {} destinations known, and taken for\n\
          straight up to {}, {} and {}: its values at the full size say by what it is too much, not how much it will be.\n",
@@ -304,8 +304,8 @@
         count(down),
         count(known),
         figure(size.backlog_per_dispatcher()),
-        figure(today.down_destinations()),
-        count(today.known()),
+        figure(unscoped.down_destinations()),
+        count(unscoped.known()),
     ))
 }
 
@@ -338,7 +338,7 @@
 {findings}
 ## At the full size
 
-Three designs beside one another. *Today*: every dispatcher knows all destinations. *Scoped*: two dispatchers hold each destination's
+Three designs beside one another. *Unscoped*, without an installation file: every dispatcher knows all destinations. *Scoped*: two dispatchers hold each destination's
 configuration, the others ask for it when a message comes. *Scoped and routed*: besides, messages go to a dispatcher that holds their
 destination; what passing them on costs is not in it. In brackets the need over its budget.
 
@@ -349,7 +349,7 @@
 Worked out from the slopes above. Those that begin anew are told all that is assigned to them, those that were cut off the changes that
 they missed. Times are at what a dispatcher may take for control, and for all of them at what the nine control machines may be asked for
 together. Messages held on a machine that does not come back are lost with its disk: nothing keeps a second copy of a journal (**none
-yet**). Today's whole list is longer than the longest line, so a dispatcher that is told it knows no more than before (above); it begins
+yet**). The unscoped whole list is longer than the longest line, so a dispatcher that is told it knows no more than before (above); it begins
 from the list in its configuration file.
 
 {}
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -149,33 +149,33 @@
 #[test]
 fn needs_at_the_full_size_follow_from_given_slopes() {
     let assigned = 2.0 * 730_000.0 / 1_900.0;
-    let memory = [Design::Today, Design::Scoped, Design::Routed]
+    let memory = [Design::Unscoped, Design::Scoped, Design::Routed]
         .map(|design| need(RowId::ConfigurationMemory, design));
     assert!(near(memory[0], 1.46e9), "{memory:?}");
     assert!(near(memory[1], 2_000.0 * (assigned + 4_096.0)), "{memory:?}");
     assert!(near(memory[2], 2_000.0 * assigned), "{memory:?}");
 
     let each = 1_400_000.0 / 1_900.0;
-    assert!(near(need(RowId::MessageItself, Design::Today), each * 100e-6));
-    assert!(near(need(RowId::DestinationSearch, Design::Today), each * 0.003e-6 * 730_000.0));
-    assert!(near(need(RowId::HeldPass, Design::Today), each * 0.02e-6 * 2.1e9 / 1_900.0));
-    assert!(near(need(RowId::DownLines, Design::Today), each * 1e-6 * 0.049 * 730_000.0));
+    assert!(near(need(RowId::MessageItself, Design::Unscoped), each * 100e-6));
+    assert!(near(need(RowId::DestinationSearch, Design::Unscoped), each * 0.003e-6 * 730_000.0));
+    assert!(near(need(RowId::HeldPass, Design::Unscoped), each * 0.02e-6 * 2.1e9 / 1_900.0));
+    assert!(near(need(RowId::DownLines, Design::Unscoped), each * 1e-6 * 0.049 * 730_000.0));
     assert!(near(need(RowId::DownLines, Design::Routed), each * 1e-6 * 0.049 * assigned));
-    assert!(near(need(RowId::ChangeWire, Design::Today), 3_300.0 / 86_400.0 * 150.0));
-    assert!(near(need(RowId::WholeTime, Design::Today), 2.19));
-    assert!(near(need(RowId::LongestLine, Design::Today), 73e6));
+    assert!(near(need(RowId::ChangeWire, Design::Unscoped), 3_300.0 / 86_400.0 * 150.0));
+    assert!(near(need(RowId::WholeTime, Design::Unscoped), 2.19));
+    assert!(near(need(RowId::LongestLine, Design::Unscoped), 73e6));
     assert_eq!(need(RowId::LongestLine, Design::Scoped), 65_536.0);
 
     let missed = 1.0 - (assigned + 4_096.0) / 730_000.0;
     assert!(near(need(RowId::LookUpWire, Design::Scoped), each * missed * 400.0));
-    assert_eq!(need(RowId::LookUpWire, Design::Today), 0.0);
+    assert_eq!(need(RowId::LookUpWire, Design::Unscoped), 0.0);
     assert_eq!(need(RowId::LookUpWire, Design::Routed), 0.0);
     assert!(near(need(RowId::ControlLookUpWire, Design::Scoped), 1_400_000.0 / 9.0 * missed * 400.0));
 }
 
 #[test]
 fn the_ranking_goes_by_the_part_at_which_a_budget_is_reached() {
-    let Ranking { all, first } = rank(given(), Design::Today);
+    let Ranking { all, first } = rank(given(), Design::Unscoped);
     let ids: Vec<RowId> = all.iter().map(|ranked| ranked.row.id).collect();
     let expected = [
         RowId::ConfigurationMemory,
@@ -188,7 +188,7 @@
     assert_eq!(first, Some(0));
     assert!(near(all[0].part, 64e6 / 1.46e9), "{}", all[0].part);
     // Messages and what each costs both grow: the root of the part counts.
-    let cores = need(RowId::DownLines, Design::Today);
+    let cores = need(RowId::DownLines, Design::Unscoped);
     assert!(near(all[2].part, (0.964 / cores).sqrt()), "{}", all[2].part);
 }
 
@@ -196,12 +196,12 @@
 fn of_needs_close_together_the_one_that_carries_the_others_comes_first() {
     let slopes =
         Slopes { memory_by_known: through_nought(900.0), whole_bytes: through_nought(150.0), ..given() };
-    let Ranking { all, first } = rank(slopes, Design::Today);
+    let Ranking { all, first } = rank(slopes, Design::Unscoped);
     assert_eq!(all[0].row.id, RowId::LongestLine);
     assert!(all[1].part < 2.0 * all[0].part);
     assert_eq!(first.map(|place| all[place].row.id), Some(RowId::ConfigurationMemory));
     let alone = Slopes { memory_by_known: through_nought(100.0), ..slopes };
-    let Ranking { all, first } = rank(alone, Design::Today);
+    let Ranking { all, first } = rank(alone, Design::Unscoped);
     assert_eq!(first.map(|place| all[place].row.id), Some(RowId::LongestLine), "memory is not close");
 }
 
@@ -216,14 +216,14 @@
 
 #[test]
 fn failures_follow_from_given_slopes() {
-    let machine = consequence(given(), Design::Today, Failure::Machine);
+    let machine = consequence(given(), Design::Unscoped, Failure::Machine);
     assert!(near(machine.bytes_told, 73e6) && near(machine.seconds_each, 73e6 / 17e3), "{machine:?}");
     assert!(near(machine.held_away, 2.1e9 / 1_900.0), "{machine:?}");
     let tenth = consequence(given(), Design::Scoped, Failure::TenthAtOnce);
     assert!(near(tenth.dispatchers, 190.0) && near(tenth.more_load, 1.0 / 9.0), "{tenth:?}");
     assert!(near(tenth.bytes_told, 190.0 * 100.0 * 2.0 * 730_000.0 / 1_900.0), "{tenth:?}");
     assert!(near(tenth.seconds_all, tenth.bytes_told / (1_900.0 * 17e3)), "{tenth:?}");
-    let cut = consequence(given(), Design::Today, Failure::RegionCutOff);
+    let cut = consequence(given(), Design::Unscoped, Failure::RegionCutOff);
     assert!(near(cut.bytes_told, 1_900.0 / 7.0 * 137.5 * 150.0), "{cut:?}");
     assert_eq!((cut.messages_moved, cut.held_away), (0.0, 0.0));
 }
