Tests: what a scoped dispatcher does where nothing goes as planned

Change: four more tests with the stand-in: a lost bucket with messages that wait, a restart with a message whose destination is not known yet, what does not give way, a line that cannot be taken.

--- a/daemon/tests/common/control.rs
+++ b/daemon/tests/common/control.rs
@@ -26,6 +26,10 @@
     cells: BTreeSet<u64>,
     /// Watches end when it changes.
     epoch: u64,
+    /// The dispatcher's buckets are another's.
+    taken_away: bool,
+    /// The next line says to be a whole list.
+    whole_list_next: bool,
     /// Lookups are answered 503.
     lookups_fail: bool,
     watch_queries: Vec<String>,
@@ -69,6 +73,16 @@
         self.state.lock().unwrap().epoch += 1;
     }
 
+    /// Assigns the dispatcher's buckets to another one.
+    pub fn take_buckets_away(&self) {
+        self.state.lock().unwrap().taken_away = true;
+    }
+
+    /// Tells a line that no dispatcher may take.
+    pub fn tell_whole_list(&self) {
+        self.state.lock().unwrap().whole_list_next = true;
+    }
+
     pub fn fail_lookups(&self, fail: bool) {
         self.state.lock().unwrap().lookups_fail = fail;
     }
@@ -137,7 +151,7 @@
         state.cells = numbers(fields, "cells");
         (first_line(fields, &state), state.epoch)
     };
-    let mut told = line.version;
+    let (mut told, mut holds) = (line.version, true);
     if to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
         return;
     }
@@ -148,7 +162,7 @@
             return;
         }
         std::thread::sleep(EMPTY_LINE_EVERY);
-        let state = state.lock().unwrap();
+        let mut state = state.lock().unwrap();
         if state.epoch != epoch {
             return;
         }
@@ -160,6 +174,12 @@
             told = Version(state.version);
             line.version = told;
         }
+        line.full = std::mem::take(&mut state.whole_list_next);
+        if holds && state.taken_away {
+            holds = false;
+            line.version = told;
+            line.lost = (0..BUCKETS).map(BucketId).collect();
+        }
     }
 }
 
@@ -184,7 +204,8 @@
 
 fn changes(state: &State, since: Version) -> Vec<EndpointEntry> {
     let told = |entry: &&EndpointEntry| {
-        entry.version > since && (entry.zone == HELD_ZONE || state.cells.contains(&entry.destination))
+        let held = entry.zone == HELD_ZONE && !state.taken_away;
+        entry.version > since && (held || state.cells.contains(&entry.destination))
     };
     state.entries.iter().filter(told).cloned().collect()
 }
--- a/daemon/tests/scoped.rs
+++ b/daemon/tests/scoped.rs
@@ -115,6 +115,23 @@
     assert!(control.lookup_queries().iter().all(|query| query == "dispatcher=d1&cells=47"));
 }
 
+#[test]
+fn messages_that_wait_for_a_destination_whose_bucket_is_lost_are_delivered() {
+    let (endpoint, control) = (Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1")), Control::start());
+    control.write("e0", &endpoint.addr, "north", 7, true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    wait_for("the buckets", || dispatcher.scope("complete_buckets") == u64::from(BUCKETS));
+    dispatcher.rig.client().mail("notice", 7, 20_000, "waits");
+    wait_for("a first call", || !endpoint.calls().is_empty());
+    control.take_buckets_away();
+    wait_for("the buckets to be lost", || dispatcher.scope("complete_buckets") == 0);
+    endpoint.does(OK);
+    wait_for("its delivery", || dispatcher.rig.figure("downstream_requests.notice.completed") == 1);
+    assert_eq!(control.lookup_queries(), ["dispatcher=d1&cells=7"]);
+    assert_eq!((dispatcher.scope("destinations"), dispatcher.scope("cached")), (1, 1));
+}
+
 #[test]
 fn a_message_for_a_destination_that_there_is_not_ends_by_its_time_and_the_next_one_is_refused() {
     let control = Control::start();
@@ -210,6 +227,62 @@
     delivered(&endpoints[0], "again");
 }
 
+#[test]
+fn a_message_that_waits_for_its_destination_is_delivered_after_a_restart() {
+    let (endpoint, control) = (Endpoint::start(OK), Control::start());
+    control.write("e0", &endpoint.addr, "south", 47, true);
+    control.fail_lookups(true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    dispatcher.rig.client().mail("notice", 47, 20_000, "waits");
+    wait_for("a lookup", || !control.lookup_queries().is_empty());
+    dispatcher.rig.kill();
+    control.fail_lookups(false);
+    dispatcher.start();
+    delivered(&endpoint, "waits");
+}
+
+#[test]
+fn a_destination_that_messages_wait_for_or_that_is_used_does_not_give_way() {
+    let control = Control::start();
+    let full = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
+    let endpoint = Endpoint::start(OK);
+    control.write("e40", &full.addr, "south", 40, true);
+    for cell in 41..=44 {
+        control.write(&format!("e{cell}"), &endpoint.addr, "south", cell, true);
+    }
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 3);
+    dispatcher.start();
+    let mut client = dispatcher.rig.client();
+    client.mail("notice", 40, 20_000, "waits");
+    wait_for("a first call", || !full.calls().is_empty());
+    let completed = || dispatcher.rig.figure("downstream_requests.notice.completed");
+    for (n, cell) in [41, 42, 41, 43, 44].into_iter().enumerate() {
+        client.mail("notice", cell, 8000, "is delivered");
+        wait_for("its answer", || completed() == n as u64 + 1);
+    }
+    // The second one was used longest ago, then the first one; the message for 40 still waits.
+    let last = control.lookup_queries().last().unwrap().clone();
+    assert!(last.contains("cells=44&forget=41"), "{last}");
+    let asked = control.lookup_queries().into_iter().filter(|query| query.contains("cells=40"));
+    assert_eq!(asked.count(), 1, "it never gave way");
+    full.does(OK);
+    wait_for("what waited", || completed() == 6);
+}
+
+#[test]
+fn a_line_that_cannot_be_taken_ends_the_watch_and_changes_nothing() {
+    let (endpoint, control) = (Endpoint::start(OK), Control::start());
+    control.write("e0", &endpoint.addr, "north", 7, true);
+    let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
+    dispatcher.start();
+    wait_for("the buckets", || dispatcher.scope("complete_buckets") == u64::from(BUCKETS));
+    control.tell_whole_list();
+    assert!(control.next_watch(1).contains("since=1&log=c0ffee&dispatcher=d1&buckets=0,1,2,3"));
+    assert_eq!((dispatcher.scope("refused_lines"), dispatcher.scope("destinations")), (1, 1));
+    delivered_in_the_end(&dispatcher, &endpoint, 7, "as ever");
+}
+
 #[test]
 fn the_list_of_the_start_is_used_where_nothing_was_saved() {
     let endpoint = Endpoint::start(OK);
