--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::conns::ConnId;
 use crate::event_loop::Daemon;
 use crate::mail_journal::KeptMail;
-use crate::mails::{Due, Hands, Refusal};
+use crate::mails::{Due, Refusal, Runtime};
 use crate::resp;
 use bellsill::interface::*;
 
@@ -27,7 +27,7 @@
 /// After so many errors a client is parted with.
 const ERRORS_MOST: u32 = 16;
 
-impl Hands {
+impl Runtime {
     /// Sees to it that one more client can be let in. Idle connections to endpoints give way first, then a client that
     /// will not be missed: hundreds that say nothing, or ask once and stay, would otherwise lock out all others. It also
     /// covers clients told their last answer that do not go. One that gives way just before its next request sends it
@@ -99,23 +99,23 @@
     /// clients wait a little in the kernel's queue, so that the ones served already are not starved.
     /// True: more may wait.
     pub fn let_in(&mut self) -> bool {
-        let hands = &mut self.hands;
+        let runtime = &mut self.runtime;
         let (mut again, mut more) = (Ok(()), true);
         for _ in 0..LET_IN_MOST {
-            if !hands.make_way() {
+            if !runtime.make_way() {
                 // Said once, until there is place again.
                 if !std::mem::replace(&mut self.turned_away, true) {
-                    log::warn!("no place for more clients, {} connections are open", hands.conns.len());
+                    log::warn!("no place for more clients, {} connections are open", runtime.conns.len());
                 }
-                hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
+                runtime.deadlines.set(Due::Accept, runtime.now + BACK_OFF);
                 return false;
             }
-            match hands.conns.accept() {
+            match runtime.conns.accept() {
                 Ok(Some(id)) => {
                     self.turned_away = false;
-                    let now = hands.now;
-                    hands.conns.get_mut(id).into_iter().for_each(|c| (c.used, c.heard) = (now, now));
-                    hands.deadlines.set(Due::Conn(id), now + REQUEST_WITHIN);
+                    let now = runtime.now;
+                    runtime.conns.get_mut(id).into_iter().for_each(|c| (c.used, c.heard) = (now, now));
+                    runtime.deadlines.set(Due::Conn(id), now + REQUEST_WITHIN);
                 }
                 Ok(None) => {
                     more = false;
@@ -129,21 +129,21 @@
                 }
             }
         }
-        if let Err(e) = again.and_then(|()| hands.conns.arm_listener()) {
+        if let Err(e) = again.and_then(|()| runtime.conns.arm_listener()) {
             log::warn!("a client could not be let in: {e}");
-            hands.deadlines.set(Due::Accept, hands.now + BACK_OFF);
+            runtime.deadlines.set(Due::Accept, runtime.now + BACK_OFF);
         }
         more
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
-        let hands = &mut self.hands;
-        let broken = hands.hear(id).is_err();
-        let Some(conn) = hands.conns.get_mut(id) else { return };
+        let runtime = &mut self.runtime;
+        let broken = runtime.hear(id).is_err();
+        let Some(conn) = runtime.conns.get_mut(id) else { return };
         if conn.lingers {
             conn.input.consume(conn.input.len());
-            if broken || conn.ended || hands.conns.arm(id).is_err() {
-                hands.close_client(id);
+            if broken || conn.ended || runtime.conns.arm(id).is_err() {
+                runtime.close_client(id);
             }
         } else {
             self.meet(id, broken);
@@ -153,7 +153,7 @@
     /// Answers what has come from a client, or closes its connection where that broke or is done.
     fn meet(&mut self, id: ConnId, broken: bool) {
         if broken || !self.answer_commands(id) {
-            self.hands.close_client(id);
+            self.runtime.close_client(id);
         }
     }
 
@@ -161,26 +161,26 @@
     /// connect and say nothing, or stop half-way, would else hold their places for good; it covers those that read no
     /// answers too. The harm: one that is slower than that is parted with unheard. What came last is still met.
     pub fn client_overdue(&mut self, id: ConnId) {
-        if self.hands.conns.get(id).is_some_and(|c| c.lingers) {
-            return self.hands.close_client(id);
+        if self.runtime.conns.get(id).is_some_and(|c| c.lingers) {
+            return self.runtime.close_client(id);
         }
         // A request that begins now has its own time from now on.
-        match self.hands.hear(id) {
-            Ok(false) => self.hands.part_with(id),
+        match self.runtime.hear(id) {
+            Ok(false) => self.runtime.part_with(id),
             heard => self.meet(id, heard.is_err()),
         }
     }
 
     /// Answers the commands that have come whole. False: the connection is done.
     fn answer_commands(&mut self, id: ConnId) -> bool {
-        let now = self.hands.now;
+        let now = self.runtime.now;
         let serves = self.serves();
         let mut left = TURN_MOST;
         loop {
-            let Some(conn) = self.hands.conns.get_mut(id) else { return true };
+            let Some(conn) = self.runtime.conns.get_mut(id) else { return true };
             if left == 0 {
                 // What else it sent waits until all others have had their turn.
-                self.hands.deadlines.set(Due::Read(id), now + 1);
+                self.runtime.deadlines.set(Due::Read(id), now + 1);
                 break;
             }
             left -= 1;
@@ -232,23 +232,23 @@
             if let Some((put, body)) = new {
                 self.hand_in(id, put, body);
             }
-            if let Some(conn) = self.hands.conns.get_mut(id).filter(|c| c.errors >= ERRORS_MOST) {
+            if let Some(conn) = self.runtime.conns.get_mut(id).filter(|c| c.errors >= ERRORS_MOST) {
                 conn.last = true;
             }
         }
-        let hands = &mut self.hands;
-        if hands.conns.flush(id).is_err() {
+        let runtime = &mut self.runtime;
+        if runtime.conns.flush(id).is_err() {
             return false;
         }
-        let Some(conn) = hands.conns.get(id) else { return true };
+        let Some(conn) = runtime.conns.get(id) else { return true };
         if !conn.output.is_empty() || left == 0 || !(conn.last || conn.ended) {
             let stay = if conn.asked && conn.between() { IDLE_MOST } else { REQUEST_WITHIN };
-            hands.deadlines.set(Due::Conn(id), conn.used + stay);
+            runtime.deadlines.set(Due::Conn(id), conn.used + stay);
             return true;
         }
         // Closed with input unread, a connection is reset, and the answer to what was wrong with it may be lost.
-        if !conn.ended && hands.conns.linger(id).and_then(|()| hands.conns.arm(id)).is_ok() {
-            hands.deadlines.set(Due::Conn(id), hands.now + LINGER);
+        if !conn.ended && runtime.conns.linger(id).and_then(|()| runtime.conns.arm(id)).is_ok() {
+            runtime.deadlines.set(Due::Conn(id), runtime.now + LINGER);
             return true;
         }
         false
@@ -256,44 +256,44 @@
 
     /// A mail is handed in.
     fn hand_in(&mut self, conn: ConnId, put: resp::Put, body: Vec<u8>) {
-        let say = |hands: &mut Hands, answer: &str| {
-            let now = hands.now;
-            if let Some(to) = hands.conns.get_mut(conn) {
+        let say = |runtime: &mut Runtime, answer: &str| {
+            let now = runtime.now;
+            if let Some(to) = runtime.conns.get_mut(conn) {
                 to.say(answer, now);
             }
             // At once, for the client's wait is short. A break shows when its commands are done.
-            let _ = hands.conns.flush(conn);
+            let _ = runtime.conns.flush(conn);
         };
         // A client that has ended its side may have given up waiting and handed the mail in elsewhere: taken here too, it
         // would go out twice. It covers a dispatcher that stood still; the harm is a needless -BUSY to one that ends its
         // side early and yet listens.
-        let listens = self.hands.conns.get(conn).is_some_and(|c| !c.ended);
-        let class = self.hands.class_of(&put.class);
+        let listens = self.runtime.conns.get(conn).is_some_and(|c| !c.ended);
+        let class = self.runtime.class_of(&put.class);
         let mail = KeptMail {
             id: MessageId(put.id),
             class: put.class,
             key: put.key,
             destination: put.destination,
-            due: self.hands.now.saturating_add(put.lifetime_ms.saturating_mul(1_000_000)),
+            due: self.runtime.now.saturating_add(put.lifetime_ms.saturating_mul(1_000_000)),
             tag: put.tag,
             body,
             connects: vec![],
         };
         let taken = match listens {
-            true => self.take_on(mail, |hands| say(hands, "+OK\r\n")),
+            true => self.take_on(mail, |runtime| say(runtime, "+OK\r\n")),
             false => Err(Refusal::NoRoom),
         };
         match taken {
             Ok(()) => {}
-            Err(Refusal::UnknownClass) => say(&mut self.hands, "-ERR c: unknown class\r\n"),
-            Err(Refusal::UnknownDestination) => say(&mut self.hands, "-ERR dest: unknown destination\r\n"),
-            Err(Refusal::TooLong) => say(&mut self.hands, "-ERR d: longer than the class allows\r\n"),
-            Err(Refusal::Untagged) => say(&mut self.hands, "-ERR k: expected in this class\r\n"),
+            Err(Refusal::UnknownClass) => say(&mut self.runtime, "-ERR c: unknown class\r\n"),
+            Err(Refusal::UnknownDestination) => say(&mut self.runtime, "-ERR dest: unknown destination\r\n"),
+            Err(Refusal::TooLong) => say(&mut self.runtime, "-ERR d: longer than the class allows\r\n"),
+            Err(Refusal::Untagged) => say(&mut self.runtime, "-ERR k: expected in this class\r\n"),
             Err(Refusal::NoRoom) => {
                 if let Some(class) = class {
-                    self.hands.figures.count(class, crate::mgmt::REJECTED);
+                    self.runtime.figures.count(class, crate::mgmt::REJECTED);
                 }
-                say(&mut self.hands, "-BUSY\r\n")
+                say(&mut self.runtime, "-BUSY\r\n")
             }
         }
     }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -4,7 +4,7 @@
 use crate::endpoint_list::{self, EndpointList, ListedEndpoint};
 use crate::event_loop::Daemon;
 use crate::http::{self, Head};
-use crate::mails::{Due, Hands, MailSlot};
+use crate::mails::{Due, MailSlot, Runtime};
 use crate::resp::COMMAND_MOST;
 use crate::scope;
 use bellsill::interface::*;
@@ -128,7 +128,7 @@
     }
 }
 
-impl Hands {
+impl Runtime {
     /// Finds a connection for a connect: an idle one, or a new one that has to come up.
     pub fn place(&mut self, slot: MailSlot, endpoint: EndpointId) {
         while let Some(conn) = self.endpoints[endpoint].idle.pop() {
@@ -292,26 +292,26 @@
 impl Daemon {
     /// Something happened on a connection to an endpoint.
     pub fn endpoint_ready(&mut self, id: ConnId) {
-        let hands = &mut self.hands;
-        let Some(conn) = hands.conns.get(id) else { return };
-        let Some(&slot) = hands.endpoints.calls.get(&id) else {
+        let runtime = &mut self.runtime;
+        let Some(conn) = runtime.conns.get(id) else { return };
+        let Some(&slot) = runtime.endpoints.calls.get(&id) else {
             return self.idle_ready(id);
         };
         if conn.rising {
             return self.connection_rose(id, slot);
         }
-        let filled = hands.conns.fill(id);
-        let ended = filled.is_err() || hands.conns.get(id).is_some_and(|c| c.ended);
-        match self.hands.answer(id, slot) {
+        let filled = runtime.conns.fill(id);
+        let ended = filled.is_err() || runtime.conns.get(id).is_some_and(|c| c.ended);
+        match self.runtime.answer(id, slot) {
             Ok(true) => {}
             // What is not written by its time is not written later: its deadline is the next thing seen.
-            Ok(false) if !ended && !self.hands.in_time(slot) => {}
+            Ok(false) if !ended && !self.runtime.in_time(slot) => {}
             // Half written, and its window has closed, or a drain or a wait has begun: what is not whole never runs.
-            Ok(false) if !ended && self.may_not_end(slot) => self.hands.break_call(slot, Outcome::Reset),
-            Ok(false) if !ended && self.hands.conns.flush(id).is_ok() => {}
+            Ok(false) if !ended && self.may_not_end(slot) => self.runtime.break_call(slot, Outcome::Reset),
+            Ok(false) if !ended && self.runtime.conns.flush(id).is_ok() => {}
             // The end before an answer: nobody knows whether it ran.
-            Ok(_) => self.hands.break_call(slot, Outcome::Reset),
-            Err(_) => self.hands.break_call(slot, Outcome::Spoilt),
+            Ok(_) => self.runtime.break_call(slot, Outcome::Reset),
+            Err(_) => self.runtime.break_call(slot, Outcome::Spoilt),
         }
     }
 
@@ -320,52 +320,52 @@
     /// next thing seen: a dispatcher that stood still would otherwise send mails whose queue lifetime is long over. A mail
     /// turned back here has not been sent, and the connection is kept.
     fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
-        let hands = &mut self.hands;
-        match hands.conns.risen(id) {
+        let runtime = &mut self.runtime;
+        match runtime.conns.risen(id) {
             Ok(()) => {
-                hands.deadlines.clear(Due::Conn(id));
-                let call = hands.mails.get(slot).and_then(|m| Some((m.id, m.call?.endpoint)));
-                let open = call.is_some_and(|(mail, e)| self.dispatcher.may_begin(hands.now, mail, e));
-                if open && hands.in_time(slot) {
-                    hands.write_call(slot, id);
+                runtime.deadlines.clear(Due::Conn(id));
+                let call = runtime.mails.get(slot).and_then(|m| Some((m.id, m.call?.endpoint)));
+                let open = call.is_some_and(|(mail, e)| self.dispatcher.may_begin(runtime.now, mail, e));
+                if open && runtime.in_time(slot) {
+                    runtime.write_call(slot, id);
                 } else {
-                    hands.endpoints.calls.remove(&id);
-                    hands.pool(id);
-                    hands.end_call(slot, Outcome::Unsent(false), false);
+                    runtime.endpoints.calls.remove(&id);
+                    runtime.pool(id);
+                    runtime.end_call(slot, Outcome::Unsent(false), false);
                 }
             }
-            Err(_) => hands.break_call(slot, Outcome::Unconnected),
+            Err(_) => runtime.break_call(slot, Outcome::Unconnected),
         }
     }
 
     /// Whether a call is not whole yet, and might not begin now.
     fn may_not_end(&self, slot: MailSlot) -> bool {
-        let Some((id, call)) = self.hands.mails.get(slot).and_then(|m| Some((m.id, m.call?))) else {
+        let Some((id, call)) = self.runtime.mails.get(slot).and_then(|m| Some((m.id, m.call?))) else {
             return false;
         };
-        let half = call.conn.and_then(|c| self.hands.conns.get(c)).is_some_and(|c| !c.output.is_empty());
-        half && !self.dispatcher.may_begin(self.hands.now, id, call.endpoint)
+        let half = call.conn.and_then(|c| self.runtime.conns.get(c)).is_some_and(|c| !c.output.is_empty());
+        half && !self.dispatcher.may_begin(self.runtime.now, id, call.endpoint)
     }
 
     fn idle_ready(&mut self, id: ConnId) {
-        let hands = &mut self.hands;
-        let mut good = hands.conns.fill(id).is_ok();
-        let Some(conn) = hands.conns.get_mut(id) else { return };
+        let runtime = &mut self.runtime;
+        let mut good = runtime.conns.fill(id).is_ok();
+        let Some(conn) = runtime.conns.get_mut(id) else { return };
         good &= !conn.ended;
         let empty = conn.input.is_empty();
-        if let Some(mut answer) = hands.endpoints.emptying.remove(&id) {
+        if let Some(mut answer) = runtime.endpoints.emptying.remove(&id) {
             let last = |answer: &Answer| answer.head.as_ref().is_some_and(|head| head.last);
-            match hands.read_on(id, &mut answer) {
-                Ok(true) if !last(&answer) => return hands.emptied(id),
-                Ok(false) if good && !last(&answer) => drop(hands.endpoints.emptying.insert(id, answer)),
+            match runtime.read_on(id, &mut answer) {
+                Ok(true) if !last(&answer) => return runtime.emptied(id),
+                Ok(false) if good && !last(&answer) => drop(runtime.endpoints.emptying.insert(id, answer)),
                 _ => good = false,
             }
         } else {
             // Nothing is owed on an idle connection.
             good &= empty;
         }
-        if !good || hands.conns.arm(id).is_err() {
-            hands.drop_idle(id);
+        if !good || runtime.conns.arm(id).is_err() {
+            runtime.drop_idle(id);
         }
     }
 }
@@ -377,10 +377,10 @@
         if applied.changed.is_empty() && applied.dropped.is_empty() {
             return;
         }
-        self.apply_list(&scope::list_of(applied, self.hands.discovery.names()));
+        self.apply_list(&scope::list_of(applied, self.runtime.discovery.names()));
         let dropped: BTreeSet<u64> = applied.dropped.iter().map(|entry| entry.destination).collect();
         for destination in dropped {
-            if self.hands.held_for.contains_key(&destination) && self.look_up(destination).is_err() {
+            if self.runtime.held_for.contains_key(&destination) && self.look_up(destination).is_err() {
                 log::warn!("destination {destination} cannot be looked up, all in the cache are in use");
             }
         }
@@ -388,37 +388,37 @@
 
     /// Applies a list, whole or of changes.
     pub fn apply_list(&mut self, list: &EndpointList) {
-        let hands = &mut self.hands;
+        let runtime = &mut self.runtime;
         let mut entries = Vec::with_capacity(list.endpoints.len());
         for listed in &list.endpoints {
-            match hands.entry(listed) {
+            match runtime.entry(listed) {
                 Ok(entry) => entries.extend(entry),
                 Err(what) => endpoint_list::warn_of_entry(what),
             }
         }
-        hands.discovery.told(list.version);
+        runtime.discovery.told(list.version);
         // By their ids: asked of each endpoint, a list of thousands would stop all else for seconds.
         let told: BTreeMap<EndpointId, bool> = entries.iter().map(|e| (e.endpoint, e.serving)).collect();
         if list.whole {
-            for id in hands.endpoints.ids().filter(|id| !told.contains_key(id)) {
-                hands.set_serving(id, false);
+            for id in runtime.endpoints.ids().filter(|id| !told.contains_key(id)) {
+                runtime.set_serving(id, false);
             }
         }
         for (id, serving) in told {
-            hands.set_serving(id, serving);
+            runtime.set_serving(id, serving);
         }
         // Held out by hand, whatever the list says: the decisions know before they hear of it.
         let held: Vec<EndpointId> =
-            hands.held_out.iter().filter_map(|name| hands.endpoints.find(name)).collect();
+            runtime.held_out.iter().filter_map(|name| runtime.endpoints.find(name)).collect();
         for id in held {
-            self.dispatcher.set_disabled(hands.now, id, true, hands);
+            self.dispatcher.set_disabled(runtime.now, id, true, runtime);
         }
         let scope = if list.whole { ListScope::Whole } else { ListScope::Update };
-        self.dispatcher.apply_list(hands.now, scope, &entries, hands);
+        self.dispatcher.apply_list(runtime.now, scope, &entries, runtime);
     }
 }
 
-impl Hands {
+impl Runtime {
     /// What the decisions are told of a listed endpoint; nothing of one that never served and does not now, since nothing
     /// hangs on it. Else the field that cannot be read.
     fn entry(&mut self, listed: &ListedEndpoint) -> Result<Option<ListEntry>, &'static str> {
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -7,7 +7,7 @@
 use crate::endpoint_list;
 use crate::endpoints::Endpoints;
 use crate::mail_journal::{Kept, MailJournal};
-use crate::mails::{Due, Hands, Stage};
+use crate::mails::{Due, Runtime, Stage};
 use crate::notices::Notices;
 use crate::scope::{self, SAVE_EVERY, ScopeFile};
 use crate::slots::Slots;
@@ -141,7 +141,7 @@
 
 pub struct Daemon {
     pub dispatcher: Dispatcher,
-    pub hands: Hands,
+    pub runtime: Runtime,
     pub classes: Vec<ClassFacts>,
     /// There was no place for a client that came last.
     pub turned_away: bool,
@@ -189,7 +189,7 @@
         let reserve = facts.slots + 8;
         let mut daemon = Daemon {
             classes: facts.classes.clone(),
-            hands: Hands {
+            runtime: Runtime {
                 now,
                 conns: Conns::new(
                     listener,
@@ -230,31 +230,31 @@
             state: start.state.clone(),
         };
         if let Some(mgmt) = start.mgmt {
-            let bind = TcpListener::bind(mgmt).and_then(|l| daemon.hands.conns.listen_mgmt(l));
+            let bind = TcpListener::bind(mgmt).and_then(|l| daemon.runtime.conns.listen_mgmt(l));
             bind.map_err(|e| io::Error::new(e.kind(), format!("mgmt: {mgmt}: {e}")))?;
             log::info!("operators' calls on {mgmt}");
-            daemon.hands.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
+            daemon.runtime.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
         }
         daemon.list_known(&start.known);
-        let (discovery, mut io) = daemon.hands.watch();
+        let (discovery, mut io) = daemon.runtime.watch();
         discovery.start(&mut io, boot.drain_grace);
         daemon.recover(kept);
-        daemon.hands.deadlines.set(Due::Standing, now + STANDING);
+        daemon.runtime.deadlines.set(Due::Standing, now + STANDING);
         if daemon.scope_file.is_some() {
-            daemon.hands.deadlines.set(Due::SaveScope, now + SAVE_EVERY);
+            daemon.runtime.deadlines.set(Due::SaveScope, now + SAVE_EVERY);
         }
         if others_held {
-            daemon.hands.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
+            daemon.runtime.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
         }
         daemon.settle();
-        daemon.hands.send_notices();
-        log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.hands.mails.len());
+        daemon.runtime.send_notices();
+        log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.runtime.mails.len());
         Ok(daemon)
     }
 
     /// Something happened on a connection of the watch.
     fn watch_ready(&mut self, id: ConnId) {
-        let (discovery, mut io) = self.hands.watch();
+        let (discovery, mut io) = self.runtime.watch();
         let received = discovery.conn_ready(&mut io, id);
         self.apply_changes(&received.looked_up);
         for document in received.documents {
@@ -264,7 +264,7 @@
                 break;
             }
         }
-        let (discovery, mut io) = self.hands.watch();
+        let (discovery, mut io) = self.runtime.watch();
         discovery.go_on(&mut io, id);
     }
 
@@ -278,7 +278,7 @@
 
     /// A document of a scoped watch. False: it could not be applied, and the connection is closed.
     fn scoped_document(&mut self, id: ConnId, document: &[u8]) -> bool {
-        let (discovery, mut io) = self.hands.watch();
+        let (discovery, mut io) = self.runtime.watch();
         let applied = discovery.apply(&mut io, id, document);
         match &applied {
             Ok(applied) => self.apply_changes(applied),
@@ -292,21 +292,21 @@
     /// The endpoints that are known at the start: of the scoped configuration those that it kept, else those that the
     /// platform's file names.
     fn list_known(&mut self, known: &Value) {
-        let Some(list) = self.hands.discovery.scoped_list() else { return self.list(known) };
+        let Some(list) = self.runtime.discovery.scoped_list() else { return self.list(known) };
         let entries = Applied { changed: list.entries().cloned().collect(), ..Applied::default() };
         self.apply_changes(&entries);
     }
 
     /// Saves what is kept of the scoped configuration.
     fn save_scope(&mut self) {
-        if let (Some(file), Some(list)) = (&mut self.scope_file, self.hands.discovery.scoped_list()) {
+        if let (Some(file), Some(list)) = (&mut self.scope_file, self.runtime.discovery.scoped_list()) {
             file.save(list);
         }
     }
 
     /// A list as discovery writes it.
     fn list(&mut self, json: &Value) {
-        if let Some(list) = endpoint_list::read(json, self.hands.discovery.names()) {
+        if let Some(list) = endpoint_list::read(json, self.runtime.discovery.names()) {
             self.apply_list(&list);
         }
     }
@@ -314,13 +314,13 @@
     /// Mails go back to the decisions with their past; notices are owed until they are answered.
     fn recover(&mut self, kept: Kept) {
         for (id, ending) in kept.owed {
-            self.hands.notices.owe(id, ending);
+            self.runtime.notices.owe(id, ending);
         }
         // One met twice, in two journals, is taken once.
         let mut kept = Kept { owed: Vec::new(), ..kept };
-        kept.mails.retain(|m| !self.hands.slots.contains_key(&m.id));
+        kept.mails.retain(|m| !self.runtime.slots.contains_key(&m.id));
         for mail in &kept.mails {
-            self.hands.hold(mail.clone());
+            self.runtime.hold(mail.clone());
         }
         for mail in &kept.mails {
             if self.look_up(mail.destination).is_err() {
@@ -330,12 +330,12 @@
                 );
             }
         }
-        let known = |m: &crate::mail_journal::KeptMail| self.hands.class_of(&m.class).is_some();
+        let known = |m: &crate::mail_journal::KeptMail| self.runtime.class_of(&m.class).is_some();
         let (known, unknown): (Vec<_>, Vec<_>) = kept.mails.into_iter().partition(known);
         for mail in unknown {
-            if let Some(&slot) = self.hands.slots.get(&mail.id) {
+            if let Some(&slot) = self.runtime.slots.get(&mail.id) {
                 log::warn!("mail {:016x} is of no class that is known now", mail.id.0);
-                self.hands.shift(slot, Stage::Bounced);
+                self.runtime.shift(slot, Stage::Bounced);
             }
         }
         if !known.is_empty() {
@@ -349,15 +349,15 @@
             self.turn()?;
         }
         self.save_scope();
-        log::info!("left, {} mails held for the next process", self.hands.mails.len());
+        log::info!("left, {} mails held for the next process", self.runtime.mails.len());
         Ok(())
     }
 
     fn turn(&mut self) -> io::Result<()> {
-        let wait = self.hands.deadlines.next().map(|at| at.saturating_sub(self.clock.now()));
-        let seen = self.hands.conns.wait(wait.map(Duration::from_nanos))?;
+        let wait = self.runtime.deadlines.next().map(|at| at.saturating_sub(self.clock.now()));
+        let seen = self.runtime.conns.wait(wait.map(Duration::from_nanos))?;
         for what in seen {
-            self.hands.now = self.clock.now();
+            self.runtime.now = self.clock.now();
             match what {
                 Seen::Listener => drop(self.let_in()),
                 Seen::Mgmt => self.let_callers_in(),
@@ -366,9 +366,9 @@
             }
             self.settle();
         }
-        self.hands.now = self.clock.now();
+        self.runtime.now = self.clock.now();
         let mut wake = false;
-        while let Some(due) = self.hands.deadlines.take_due(self.hands.now) {
+        while let Some(due) = self.runtime.deadlines.take_due(self.runtime.now) {
             // After a stand-still much is due at once: woken first, the decisions would take connects for out that have
             // had their time, and bounce what never ran.
             wake |= due == Due::Wake;
@@ -381,7 +381,7 @@
             self.fell_due(Due::Wake);
             self.settle();
         }
-        self.hands.send_notices();
+        self.runtime.send_notices();
         if self.may_end() {
             self.leaving = Leaving::Gone;
         }
@@ -395,99 +395,99 @@
             return false;
         }
         // A client still here is within a request, has not read its answer, or has not ended its side.
-        let inside = self.hands.conns.iter().any(|(_, c)| c.role == Role::Client);
-        let quiet = self.hands.mails.is_empty() && self.hands.notices.owed() == 0 && !inside;
-        let out = || self.hands.mails.iter().any(|(_, m)| m.call.is_some());
+        let inside = self.runtime.conns.iter().any(|(_, c)| c.role == Role::Client);
+        let quiet = self.runtime.mails.is_empty() && self.runtime.notices.owed() == 0 && !inside;
+        let out = || self.runtime.mails.iter().any(|(_, m)| m.call.is_some());
         (self.leaving == Leaving::Parting && quiet) || (self.leaving == Leaving::Ending && !inside && !out())
     }
 
     /// Tells the decisions of the outcomes that became known while they were at work.
     fn settle(&mut self) {
-        while let Some(end) = self.hands.ended.pop_front() {
+        while let Some(end) = self.runtime.ended.pop_front() {
             if self.leaving < Leaving::Ending {
-                self.dispatcher.attempt_ended(self.hands.now, end, &mut self.hands);
+                self.dispatcher.attempt_ended(self.runtime.now, end, &mut self.runtime);
             }
         }
     }
 
     fn ready(&mut self, id: ConnId) {
-        match self.hands.conns.get(id).map(|c| c.role) {
+        match self.runtime.conns.get(id).map(|c| c.role) {
             Some(Role::Client) => {
                 self.client_ready(id);
                 self.part(id);
             }
             Some(Role::Endpoint(_)) => self.endpoint_ready(id),
             Some(Role::Watch) => self.watch_ready(id),
-            Some(Role::Notices) => self.hands.notices_ready(id),
+            Some(Role::Notices) => self.runtime.notices_ready(id),
             Some(Role::Caller) => self.caller_ready(id),
             None => {}
         }
     }
 
     fn fell_due(&mut self, due: Due) {
-        let hands = &mut self.hands;
-        let now = hands.now;
+        let runtime = &mut self.runtime;
+        let now = runtime.now;
         match due {
-            Due::Wake if self.leaving < Leaving::Ending => self.dispatcher.woken(now, hands),
+            Due::Wake if self.leaving < Leaving::Ending => self.dispatcher.woken(now, runtime),
             Due::Wake => {}
-            Due::Call(slot) => hands.break_call(slot, Outcome::TimedOut),
-            Due::Conn(id) => match hands.conns.get(id).map(|c| c.role) {
-                Some(Role::Endpoint(_)) => match hands.endpoints.calls.get(&id) {
-                    Some(&slot) if hands.endpoints.answers.contains_key(&id) => {
-                        hands.break_call(slot, Outcome::Spoilt)
+            Due::Call(slot) => runtime.break_call(slot, Outcome::TimedOut),
+            Due::Conn(id) => match runtime.conns.get(id).map(|c| c.role) {
+                Some(Role::Endpoint(_)) => match runtime.endpoints.calls.get(&id) {
+                    Some(&slot) if runtime.endpoints.answers.contains_key(&id) => {
+                        runtime.break_call(slot, Outcome::Spoilt)
                     }
-                    Some(&slot) => hands.break_call(slot, Outcome::Unconnected),
-                    None => hands.drop_idle(id),
+                    Some(&slot) => runtime.break_call(slot, Outcome::Unconnected),
+                    None => runtime.drop_idle(id),
                 },
-                Some(Role::Watch) => hands.watch_timer(WatchTimer::Conn(id)),
-                Some(Role::Notices) => hands.notices_broke(),
-                Some(Role::Caller) => hands.hang_up_caller(id),
+                Some(Role::Watch) => runtime.watch_timer(WatchTimer::Conn(id)),
+                Some(Role::Notices) => runtime.notices_broke(),
+                Some(Role::Caller) => runtime.hang_up_caller(id),
                 Some(Role::Client) => self.client_overdue(id),
                 None => {}
             },
             Due::Read(id) => self.ready(id),
-            Due::Watch => hands.watch_timer(WatchTimer::Reconnect),
+            Due::Watch => runtime.watch_timer(WatchTimer::Reconnect),
             Due::SaveScope => {
-                hands.deadlines.set(Due::SaveScope, now + SAVE_EVERY);
+                runtime.deadlines.set(Due::SaveScope, now + SAVE_EVERY);
                 self.save_scope();
             }
-            Due::LookUp => hands.watch_timer(WatchTimer::LookUp),
-            Due::Notices => hands.notices_rested(),
+            Due::LookUp => runtime.watch_timer(WatchTimer::LookUp),
+            Due::Notices => runtime.notices_rested(),
             Due::Accept => drop(self.let_in()),
             Due::Leave => self.leave_on(),
             Due::Adopt => {
-                let (kept, again) = take_over(&mut hands.journal);
+                let (kept, again) = take_over(&mut runtime.journal);
                 if again {
-                    hands.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
+                    runtime.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
                 }
                 self.recover(kept);
             }
             Due::HeldOut => {
-                hands.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
+                runtime.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
                 self.heed_held_out();
             }
             Due::Standing => {
-                let out = hands.mails.iter().filter(|(_, m)| m.call.is_some()).count();
-                let (held, owed, open) = (hands.mails.len(), hands.notices.owed(), hands.conns.len());
+                let out = runtime.mails.iter().filter(|(_, m)| m.call.is_some()).count();
+                let (held, owed, open) = (runtime.mails.len(), runtime.notices.owed(), runtime.conns.len());
                 let busy = busy() / MS;
                 log::info!(
                     "standing: {held} mails held, {out} out, {owed} notices owed, {open} connections, busy for {busy} ms"
                 );
-                hands.deadlines.set(Due::Standing, now + STANDING);
+                runtime.deadlines.set(Due::Standing, now + STANDING);
             }
         }
     }
 
     fn told(&mut self) -> io::Result<()> {
-        self.hands.conns.take_signals()?;
+        self.runtime.conns.take_signals()?;
         if self.reread.swap(false, Ordering::SeqCst) {
             self.read_again();
         }
         if self.leave.load(Ordering::SeqCst) && self.leaving == Leaving::No {
-            log::info!("told to leave, {} mails held", self.hands.mails.len());
+            log::info!("told to leave, {} mails held", self.runtime.mails.len());
             self.leaving = Leaving::Told;
-            self.told_to_leave = self.hands.now;
-            self.hands.deadlines.set(Due::Leave, self.told_to_leave + LET_IN_FOR);
+            self.told_to_leave = self.runtime.now;
+            self.runtime.deadlines.set(Due::Leave, self.told_to_leave + LET_IN_FOR);
         }
         Ok(())
     }
@@ -498,20 +498,20 @@
         let new = match start::read(&file, state) {
             Ok(new) => new,
             Err(e) => {
-                self.hands.figures.reload_errors += 1;
+                self.runtime.figures.reload_errors += 1;
                 return log::error!("the new configuration is not taken: {e}");
             }
         };
-        self.hands.figures.reloads += 1;
+        self.runtime.figures.reloads += 1;
         for ((field, old), (_, new)) in self.fixed.iter().zip(&new.fixed) {
             if old != new {
                 log::warn!("the new configuration: another `{field}` needs a restart, the old one stays");
             }
         }
         log::info!("the configuration was read again, discovery is at {}", new.discovery);
-        let (discovery, mut io) = self.hands.watch();
+        let (discovery, mut io) = self.runtime.watch();
         discovery.relocate(&mut io, new.discovery);
-        self.hands.notify_at(new.discovery);
+        self.runtime.notify_at(new.discovery);
     }
 
     /// The next step of leaving.
@@ -526,12 +526,12 @@
             }
         };
         self.leaving = next;
-        self.hands.deadlines.set(Due::Leave, self.told_to_leave + then);
+        self.runtime.deadlines.set(Due::Leave, self.told_to_leave + then);
         if next == Leaving::Shut {
             // Whoever has come is let in: closed over them, the listener would reset them.
             while self.let_in() {}
-            self.hands.deadlines.clear(Due::Accept);
-            self.hands.conns.close_listener();
+            self.runtime.deadlines.clear(Due::Accept);
+            self.runtime.conns.close_listener();
         }
         if next == Leaving::Parting {
             for id in self.clients() {
@@ -543,15 +543,15 @@
 
     /// All clients that are inside now.
     fn clients(&self) -> Vec<ConnId> {
-        self.hands.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id).collect()
+        self.runtime.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id).collect()
     }
 
     /// On the way out, parts with a client whose last request is answered; it sends its next one elsewhere.
     fn part(&mut self, id: ConnId) {
         let between = |c: &crate::conns::Conn| c.between() && !c.lingers;
         let parts = self.leaving >= Leaving::Parting || self.draining;
-        if parts && self.hands.conns.get(id).is_some_and(between) {
-            self.hands.part_with(id);
+        if parts && self.runtime.conns.get(id).is_some_and(between) {
+            self.runtime.part_with(id);
         }
     }
 
@@ -570,7 +570,7 @@
             for id in self.clients() {
                 // What has come is met first; and one that came just now has its time to ask.
                 self.client_ready(id);
-                if self.hands.conns.get(id).is_some_and(|c| c.asked) {
+                if self.runtime.conns.get(id).is_some_and(|c| c.asked) {
                     self.part(id);
                 }
             }
--- a/daemon/src/mails.rs
+++ b/daemon/src/mails.rs
@@ -117,7 +117,7 @@
 }
 
 /// Everything but the decisions.
-pub struct Hands {
+pub struct Runtime {
     pub now: Nanos,
     pub conns: Conns,
     pub deadlines: Deadlines<Due>,
@@ -144,7 +144,7 @@
     pub held_out: std::collections::BTreeSet<String>,
 }
 
-impl Hands {
+impl Runtime {
     /// The watch, and what it works with.
     pub fn watch(&mut self) -> (&mut Discovery, WatchIo<'_, Due>) {
         let io = WatchIo { now: self.now, conns: &mut self.conns, deadlines: &mut self.deadlines };
@@ -335,7 +335,7 @@
 }
 
 /// Destinations, as far as they are known.
-impl Hands {
+impl Runtime {
     /// Whether mails for a destination are taken: an endpoint of it is known, or it can be looked up.
     fn may_serve(&self, destination: u64) -> bool {
         let Some(list) = self.discovery.scoped_list() else {
@@ -345,7 +345,7 @@
     }
 }
 
-impl Outlet for Hands {
+impl Outlet for Runtime {
     fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, time_out: Nanos) {
         let Some(&slot) = self.slots.get(&mail) else { return };
         let Some(held) = self.mails.get_mut(slot) else { return };
@@ -398,7 +398,7 @@
     }
 }
 
-impl Hands {
+impl Runtime {
     fn give_up(&mut self, mail: MessageId, to: Stage) {
         let Some(&slot) = self.slots.get(&mail) else { return };
         self.shift(slot, to);
@@ -425,66 +425,67 @@
 impl Daemon {
     /// Takes a mail on, by whatever front it came: it is written to the journal, then its client is answered, then the
     /// decisions begin. One that is held already is answered like one that was just taken.
-    pub fn take_on(&mut self, mail: KeptMail, answer: impl FnOnce(&mut Hands)) -> Result<(), Refusal> {
+    pub fn take_on(&mut self, mail: KeptMail, answer: impl FnOnce(&mut Runtime)) -> Result<(), Refusal> {
         let takes = self.takes_mails();
-        let hands = &mut self.hands;
-        let class = hands.class_of(&mail.class).ok_or(Refusal::UnknownClass)?;
+        let runtime = &mut self.runtime;
+        let class = runtime.class_of(&mail.class).ok_or(Refusal::UnknownClass)?;
         let facts = &self.classes[class];
         if mail.tag.is_empty() && matches!(facts.repeat, Repeat::Deduplicated { .. }) {
             return Err(Refusal::Untagged);
         }
-        if mail.due > hands.now + facts.lifetime + LIFETIME_SLACK {
+        if mail.due > runtime.now + facts.lifetime + LIFETIME_SLACK {
             return Err(Refusal::TooLong);
         }
-        if !hands.may_serve(mail.destination) {
+        if !runtime.may_serve(mail.destination) {
             return Err(Refusal::UnknownDestination);
         }
-        if hands.slots.contains_key(&mail.id) {
-            answer(hands);
+        if runtime.slots.contains_key(&mail.id) {
+            answer(runtime);
             return Ok(());
         }
         let admitted = self.dispatcher.admits(ClassId(class), DestinationId(mail.destination));
         if !takes || !admitted || self.look_up(mail.destination).is_err() {
             return Err(Refusal::NoRoom);
         }
-        let hands = &mut self.hands;
-        if !hands.take(mail.clone()) {
+        let runtime = &mut self.runtime;
+        if !runtime.take(mail.clone()) {
             return Err(Refusal::NoRoom);
         }
-        answer(hands);
+        answer(runtime);
         self.decide_on(&[mail]);
         Ok(())
     }
 
     /// Has a destination looked up that is not known; with no scoped configuration there is nothing to be done.
     pub fn look_up(&mut self, destination: u64) -> Result<(), CacheFull> {
-        let hands = &mut self.hands;
-        let Some(list) = hands.discovery.scoped_list() else { return Ok(()) };
+        let runtime = &mut self.runtime;
+        let Some(list) = runtime.discovery.scoped_list() else { return Ok(()) };
         if list.knowledge(destination) != Knowledge::Unknown {
-            hands.discovery.touch(destination);
+            runtime.discovery.touch(destination);
             return Ok(());
         }
-        let mut io = WatchIo { now: hands.now, conns: &mut hands.conns, deadlines: &mut hands.deadlines };
-        let held_for = &hands.held_for;
+        let mut io =
+            WatchIo { now: runtime.now, conns: &mut runtime.conns, deadlines: &mut runtime.deadlines };
+        let held_for = &runtime.held_for;
         let in_use = |other: u64| held_for.contains_key(&other);
-        let gave_way = hands.discovery.want(&mut io, destination, &in_use)?;
+        let gave_way = runtime.discovery.want(&mut io, destination, &in_use)?;
         self.apply_changes(&gave_way);
         Ok(())
     }
 
     /// Takes mails that are held to the decisions, with what a former process did for them.
     pub fn decide_on(&mut self, mails: &[KeptMail]) {
-        let hands = &mut self.hands;
+        let runtime = &mut self.runtime;
         let new = |mail: &KeptMail| NewMessage {
             id: mail.id,
-            class: ClassId(hands.class_of(&mail.class).unwrap_or(0)),
+            class: ClassId(runtime.class_of(&mail.class).unwrap_or(0)),
             key: Some(KeyId(mail.key)).filter(|key| key.0 != 0),
             destination: DestinationId(mail.destination),
             due: mail.due,
-            past: past(&mail.connects, hands.discovery.zones()),
+            past: past(&mail.connects, runtime.discovery.zones()),
         };
         let all: Vec<NewMessage> = mails.iter().map(new).collect();
-        self.dispatcher.accept(hands.now, all, hands);
+        self.dispatcher.accept(runtime.now, all, runtime);
     }
 }
 
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -3,7 +3,7 @@
 
 use crate::conns::{CALLERS_MOST, ConnId, Role};
 use crate::event_loop::Daemon;
-use crate::mails::{Due, Hands};
+use crate::mails::{Due, Runtime};
 use crate::scope::ScopeFile;
 use bellsill::interface::Nanos;
 use bellsill_watch::{Counters, ScopedList};
@@ -193,7 +193,7 @@
     lines.iter().map(|(name, value)| format!("dispatcher.scope.{name}={value}\n")).collect()
 }
 
-impl Hands {
+impl Runtime {
     /// Closes a caller.
     pub fn hang_up_caller(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Conn(id));
@@ -206,16 +206,16 @@
     /// else hold all places; the harm is a slow caller of many, cut off.
     pub fn let_callers_in(&mut self) {
         for _ in 0..CALLERS_MOST {
-            if self.hands.conns.callers_full() {
-                let callers = self.hands.conns.iter().filter(|(_, c)| c.role == Role::Caller);
+            if self.runtime.conns.callers_full() {
+                let callers = self.runtime.conns.iter().filter(|(_, c)| c.role == Role::Caller);
                 let first = callers.map(|(id, c)| (c.used, id)).min();
-                first.into_iter().for_each(|(_, id)| self.hands.hang_up_caller(id));
+                first.into_iter().for_each(|(_, id)| self.runtime.hang_up_caller(id));
             }
-            match self.hands.conns.accept_caller(LINE_MOST.max(ANSWER_MOST)) {
+            match self.runtime.conns.accept_caller(LINE_MOST.max(ANSWER_MOST)) {
                 Ok(Some(id)) => {
-                    let now = self.hands.now;
-                    self.hands.conns.get_mut(id).into_iter().for_each(|c| c.used = now);
-                    self.hands.deadlines.set(Due::Conn(id), now + CALL_WITHIN);
+                    let now = self.runtime.now;
+                    self.runtime.conns.get_mut(id).into_iter().for_each(|c| c.used = now);
+                    self.runtime.deadlines.set(Due::Conn(id), now + CALL_WITHIN);
                 }
                 Ok(None) => return,
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
@@ -226,9 +226,9 @@
 
     /// Answers the calls of a caller that have come whole.
     pub fn caller_ready(&mut self, id: ConnId) {
-        let broken = self.hands.conns.fill(id).is_err();
+        let broken = self.runtime.conns.fill(id).is_err();
         loop {
-            let Some(conn) = self.hands.conns.get_mut(id) else { return };
+            let Some(conn) = self.runtime.conns.get_mut(id) else { return };
             let bytes = conn.input.bytes();
             let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
                 if conn.input.len() >= LINE_MOST {
@@ -245,27 +245,27 @@
                 Ok(call) => self.call(call),
                 Err(why) => format!("FAILURE {why}\n"),
             };
-            let now = self.hands.now;
-            if let Some(conn) = self.hands.conns.get_mut(id) {
+            let now = self.runtime.now;
+            if let Some(conn) = self.runtime.conns.get_mut(id) {
                 if !conn.output.push(answer.as_bytes()) {
                     conn.last = true;
                 }
                 conn.used = now;
             }
         }
-        let hands = &mut self.hands;
-        let Some(conn) = hands.conns.get(id) else { return };
+        let runtime = &mut self.runtime;
+        let Some(conn) = runtime.conns.get(id) else { return };
         let done = (conn.last || conn.ended) && conn.output.is_empty();
-        if broken || hands.conns.flush(id).is_err() || done {
-            return hands.hang_up_caller(id);
+        if broken || runtime.conns.flush(id).is_err() || done {
+            return runtime.hang_up_caller(id);
         }
-        let used = hands.conns.get(id).map_or(hands.now, |c| c.used);
-        hands.deadlines.set(Due::Conn(id), used + CALL_WITHIN);
+        let used = runtime.conns.get(id).map_or(runtime.now, |c| c.used);
+        runtime.deadlines.set(Due::Conn(id), used + CALL_WITHIN);
     }
 
     /// The answer to `show-stat`, with what there is to say on the scoped configuration.
     fn with_scope(&self, text: String) -> String {
-        let discovery = &self.hands.discovery;
+        let discovery = &self.runtime.discovery;
         let (Some(list), Some(file)) = (discovery.scoped_list(), &self.scope_file) else { return text };
         let lines = scope_lines(list, discovery.counters(), file);
         text.replace("EOT\n", &format!("{lines}EOT\n"))
@@ -279,11 +279,16 @@
             Call::Ready => "FAILURE not ready: draining or leaving\n".into(),
             Call::ShowStat => {
                 let gauges = Gauges {
-                    pending: self.hands.mails.len(),
-                    members: self.hands.endpoints.ids().filter(|&e| self.hands.endpoints[e].serving).count(),
+                    pending: self.runtime.mails.len(),
+                    members: self
+                        .runtime
+                        .endpoints
+                        .ids()
+                        .filter(|&e| self.runtime.endpoints[e].serving)
+                        .count(),
                     unavailable: self.dispatcher.avoided(),
                 };
-                let text = render(&self.hands.figures, &self.hands.class_names, &gauges);
+                let text = render(&self.runtime.figures, &self.runtime.class_names, &gauges);
                 self.with_scope(text)
             }
             Call::Drain => {
@@ -294,13 +299,13 @@
                 self.drain(false);
                 "SUCCESS serving\n".into()
             }
-            Call::Disable(name) | Call::Enable(name) if self.hands.endpoints.find(&name).is_none() => {
+            Call::Disable(name) | Call::Enable(name) if self.runtime.endpoints.find(&name).is_none() => {
                 format!("FAILURE unknown endpoint `{}`\n", name.escape_debug())
             }
             Call::Disable(name) | Call::Enable(name) => {
                 // What another process of this folder has written meanwhile stays.
                 self.heed_held_out();
-                let mut held = self.hands.held_out.clone();
+                let mut held = self.runtime.held_out.clone();
                 let changed = if out { held.insert(name.clone()) } else { held.remove(&name) };
                 if held.len() > HELD_MOST {
                     return format!("FAILURE {HELD_MOST} endpoints are out already\n");
@@ -331,13 +336,13 @@
 
     /// From now on these are held out by hand and no others.
     fn hold_out(&mut self, held: std::collections::BTreeSet<String>) {
-        let (now, hands) = (self.hands.now, &mut self.hands);
-        let before = std::mem::replace(&mut hands.held_out, held);
-        let changed: Vec<String> = before.symmetric_difference(&hands.held_out).cloned().collect();
+        let (now, runtime) = (self.runtime.now, &mut self.runtime);
+        let before = std::mem::replace(&mut runtime.held_out, held);
+        let changed: Vec<String> = before.symmetric_difference(&runtime.held_out).cloned().collect();
         for name in changed {
-            let out = hands.held_out.contains(&name);
-            if let Some(id) = hands.endpoints.find(&name) {
-                self.dispatcher.set_disabled(now, id, out, hands);
+            let out = runtime.held_out.contains(&name);
+            if let Some(id) = runtime.endpoints.find(&name) {
+                self.dispatcher.set_disabled(now, id, out, runtime);
             }
         }
     }
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -3,7 +3,7 @@
 use crate::conns::{ConnId, Role};
 use crate::http::{self, Body, Head};
 use crate::mail_journal::Ending;
-use crate::mails::{Due, Hands};
+use crate::mails::{Due, Runtime};
 use bellsill::interface::{MessageId, Nanos};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -61,7 +61,7 @@
     }
 }
 
-impl Hands {
+impl Runtime {
     /// Sends what is owed, one request at a time.
     pub fn send_notices(&mut self) {
         let n = &mut self.notices;
