--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -2,8 +2,8 @@
 
 use crate::conns::ConnId;
 use crate::event_loop::Daemon;
-use crate::mail_journal::KeptMail;
-use crate::mails::{Due, Refusal, Runtime};
+use crate::message_journal::KeptMessage;
+use crate::messages::{Due, Refusal, Runtime};
 use crate::resp;
 use bellsill::interface::*;
 
@@ -32,7 +32,7 @@
     /// will not be missed: hundreds that say nothing, or ask once and stay, would otherwise lock out all others. It also
     /// covers clients told their last answer that do not go. One that gives way just before its next request sends it
     /// once more, as whenever a connection is closed between requests; one whose request has come is served, for closed
-    /// then, its mail would be lost.
+    /// then, its message would be lost.
     fn make_way(&mut self) -> bool {
         while self.conns.clients_full() {
             let now = self.now;
@@ -79,7 +79,7 @@
 
     /// Parts with a client: the own side ends, and what still comes is read and thrown away until the other side has ended
     /// too, or for a while. Closed over bytes that are not read, the connection would be reset, and answers that the client
-    /// has not read would be lost with it. It covers a request that crosses the end: nothing of it is taken on, and the
+    /// has not read would be lost with it. It covers a request that crosses the end: nothing of it is accepted, and the
     /// client sends it once more elsewhere. The harm: the place is held for as long as that takes.
     pub fn part_with(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Read(id));
@@ -254,7 +254,7 @@
         false
     }
 
-    /// A mail is handed in.
+    /// A message is handed in.
     fn hand_in(&mut self, conn: ConnId, put: resp::Put, body: Vec<u8>) {
         let say = |runtime: &mut Runtime, answer: &str| {
             let now = runtime.now;
@@ -264,12 +264,12 @@
             // At once, for the client's wait is short. A break shows when its commands are done.
             let _ = runtime.conns.flush(conn);
         };
-        // A client that has ended its side may have given up waiting and handed the mail in elsewhere: taken here too, it
+        // A client that has ended its side may have given up waiting and handed the message in elsewhere: taken here too, it
         // would go out twice. It covers a dispatcher that stood still; the harm is a needless -BUSY to one that ends its
         // side early and yet listens.
         let listens = self.runtime.conns.get(conn).is_some_and(|c| !c.ended);
         let class = self.runtime.class_of(&put.class);
-        let mail = KeptMail {
+        let message = KeptMessage {
             id: MessageId(put.id),
             class: put.class,
             key: put.key,
@@ -277,10 +277,10 @@
             due: self.runtime.now.saturating_add(put.lifetime_ms.saturating_mul(1_000_000)),
             tag: put.tag,
             body,
-            connects: vec![],
+            attempts: vec![],
         };
         let taken = match listens {
-            true => self.take_on(mail, |runtime| say(runtime, "+OK\r\n")),
+            true => self.accept(message, |runtime| say(runtime, "+OK\r\n")),
             false => Err(Refusal::NoRoom),
         };
         match taken {
--- a/daemon/src/command_line.rs
+++ b/daemon/src/command_line.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 const HELP: &str = "\
-bellsill delivers mails to other firms' systems.
+bellsill delivers messages to other firms' systems.
 
 Usage: bellsill COMMAND [OPTIONS]
 
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -1,5 +1,5 @@
 //! The sockets and deadlines of the watch on the configuration: carries out what [`Watch`] commands, and tells it what
-//! happened. Nothing here decides, and nothing here knows mails or the loop.
+//! happened. Nothing here decides, and nothing here knows messages or the loop.
 
 use crate::conns::{ConnId, Conns, Role};
 use crate::deadlines::Deadlines;
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -4,7 +4,7 @@
 use crate::endpoint_list::{self, EndpointList, ListedEndpoint};
 use crate::event_loop::Daemon;
 use crate::http::{self, Head};
-use crate::mails::{Due, MailSlot, Runtime};
+use crate::messages::{Due, MessageSlot, Runtime};
 use crate::resp::COMMAND_MOST;
 use crate::scope;
 use bellsill::interface::*;
@@ -33,8 +33,8 @@
     by_name: BTreeMap<String, EndpointId>,
     /// How many endpoints are known of each destination.
     by_destination: BTreeMap<u64, usize>,
-    /// The connects that connections carry or rise for.
-    pub calls: BTreeMap<ConnId, MailSlot>,
+    /// The attempts that connections carry or rise for.
+    pub calls: BTreeMap<ConnId, MessageSlot>,
     /// Answers to calls that have begun to come.
     pub answers: BTreeMap<ConnId, Answer>,
     /// Connections on which the rest of an answer that is known is still to come.
@@ -129,8 +129,8 @@
 }
 
 impl Runtime {
-    /// Finds a connection for a connect: an idle one, or a new one that has to come up.
-    pub fn place(&mut self, slot: MailSlot, endpoint: EndpointId) {
+    /// Finds a connection for an attempt: an idle one, or a new one that has to come up.
+    pub fn place(&mut self, slot: MessageSlot, endpoint: EndpointId) {
         while let Some(conn) = self.endpoints[endpoint].idle.pop() {
             self.deadlines.clear(Due::Conn(conn));
             // The other side may have closed it, and the poller not yet told: a call written then would be lost.
@@ -153,10 +153,10 @@
             Ok(conn) => {
                 self.endpoints.calls.insert(conn, slot);
                 self.deadlines.set(Due::Conn(conn), self.now + self.connect_timeout);
-                if let Some(call) = self.mails.get_mut(slot).and_then(|m| m.call.as_mut()) {
+                if let Some(call) = self.messages.get_mut(slot).and_then(|m| m.call.as_mut()) {
                     call.conn = Some(conn);
                 }
-                self.shift(slot, crate::mails::Stage::Rising);
+                self.shift(slot, crate::messages::Stage::Rising);
             }
             // Nobody was asked: taken for a refusal it would speak against the endpoint.
             Err(_) if self.conns.full() => self.end_call(slot, Outcome::Unsent(true), false),
@@ -201,9 +201,9 @@
         true
     }
 
-    /// Whether a connect's time is not up.
-    fn in_time(&self, slot: MailSlot) -> bool {
-        self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| self.now < c.until)
+    /// Whether an attempt's time is not up.
+    fn in_time(&self, slot: MessageSlot) -> bool {
+        self.messages.get(slot).and_then(|m| m.call).is_some_and(|c| self.now < c.until)
     }
 
     /// Reads on in an answer. True: it is whole.
@@ -218,9 +218,9 @@
         Ok(whole || (conn.ended && head.body == http::Body::UntilEnd))
     }
 
-    /// The answer to a call, as far as it has come. True: it is known. Anything but a mail relayed is believed only when
-    /// the answer is whole and sound: a spoilt one may stand for a mail that ran, and would go out again.
-    pub fn answer(&mut self, id: ConnId, slot: MailSlot) -> Result<bool, http::Malformed> {
+    /// The answer to a call, as far as it has come. True: it is known. Anything but a message relayed is believed only when
+    /// the answer is whole and sound: a spoilt one may stand for a message that ran, and would go out again.
+    pub fn answer(&mut self, id: ConnId, slot: MessageSlot) -> Result<bool, http::Malformed> {
         let Some(conn) = self.conns.get_mut(id) else { return Ok(true) };
         if conn.input.is_empty() && !conn.ended {
             return Ok(false);
@@ -268,8 +268,8 @@
     }
 
     /// A report that cannot be read changes nothing; that is said once.
-    fn heed_report(&mut self, slot: MailSlot, report: Option<Result<f64, http::BadReport>>) {
-        match (report, self.mails.get_mut(slot).and_then(|m| m.call.as_mut())) {
+    fn heed_report(&mut self, slot: MessageSlot, report: Option<Result<f64, http::BadReport>>) {
+        match (report, self.messages.get_mut(slot).and_then(|m| m.call.as_mut())) {
             (Some(Ok(limit)), Some(call)) => call.limit = limit,
             (Some(Err(http::BadReport)), _) if !std::mem::replace(&mut self.bad_report_said, true) => {
                 log::warn!(
@@ -316,16 +316,17 @@
     }
 
     /// While the connection came up its endpoint may have started to drain, a wait may have begun there, or the window in
-    /// which the mail may be repeated may have closed: only the decisions know. Or its time is up, and its deadline is the
-    /// next thing seen: a dispatcher that stood still would otherwise send mails whose queue lifetime is long over. A mail
+    /// which the message may be repeated may have closed: only the decisions know. Or its time is up, and its deadline is the
+    /// next thing seen: a dispatcher that stood still would otherwise send messages whose queue lifetime is long over. A message
     /// turned back here has not been sent, and the connection is kept.
-    fn connection_rose(&mut self, id: ConnId, slot: MailSlot) {
+    fn connection_rose(&mut self, id: ConnId, slot: MessageSlot) {
         let runtime = &mut self.runtime;
         match runtime.conns.risen(id) {
             Ok(()) => {
                 runtime.deadlines.clear(Due::Conn(id));
-                let call = runtime.mails.get(slot).and_then(|m| Some((m.id, m.call?.endpoint)));
-                let open = call.is_some_and(|(mail, e)| self.dispatcher.may_begin(runtime.now, mail, e));
+                let call = runtime.messages.get(slot).and_then(|m| Some((m.id, m.call?.endpoint)));
+                let open =
+                    call.is_some_and(|(message, e)| self.dispatcher.may_begin(runtime.now, message, e));
                 if open && runtime.in_time(slot) {
                     runtime.write_call(slot, id);
                 } else {
@@ -339,8 +340,8 @@
     }
 
     /// Whether a call is not whole yet, and might not begin now.
-    fn may_not_end(&self, slot: MailSlot) -> bool {
-        let Some((id, call)) = self.runtime.mails.get(slot).and_then(|m| Some((m.id, m.call?))) else {
+    fn may_not_end(&self, slot: MessageSlot) -> bool {
+        let Some((id, call)) = self.runtime.messages.get(slot).and_then(|m| Some((m.id, m.call?))) else {
             return false;
         };
         let half = call.conn.and_then(|c| self.runtime.conns.get(c)).is_some_and(|c| !c.output.is_empty());
@@ -371,7 +372,7 @@
 }
 
 impl Daemon {
-    /// Applies what has changed in the scoped configuration. A destination that is no longer kept, and for which mails are
+    /// Applies what has changed in the scoped configuration. A destination that is no longer kept, and for which messages are
     /// held, is looked up.
     pub fn apply_changes(&mut self, applied: &Applied) {
         if applied.changed.is_empty() && applied.dropped.is_empty() {
@@ -447,7 +448,7 @@
         }))
     }
 
-    /// Whether an endpoint takes mails; the idle connections to one that does not are closed.
+    /// Whether an endpoint takes messages; the idle connections to one that does not are closed.
     fn set_serving(&mut self, endpoint: EndpointId, serving: bool) {
         self.endpoints[endpoint].serving = serving;
         if !serving {
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -6,8 +6,8 @@
 use crate::discovery::{Discovery, WatchTimer};
 use crate::endpoint_list;
 use crate::endpoints::Endpoints;
-use crate::mail_journal::{Kept, MailJournal};
-use crate::mails::{Due, Runtime, Stage};
+use crate::message_journal::{Kept, MessageJournal};
+use crate::messages::{Due, Runtime, Stage};
 use crate::notices::Notices;
 use crate::scope::{self, SAVE_EVERY, ScopeFile};
 use crate::slots::Slots;
@@ -27,7 +27,7 @@
 
 const MS: Nanos = 1_000_000;
 /// Leaving, counted from the signal. The platform lets new clients come for 400 ms and kills after 3.7 s. Those inside
-/// ask on for as long as they are let: parted with early, all of their mails would go to dispatchers that have work enough.
+/// ask on for as long as they are let: parted with early, all of their messages would go to dispatchers that have work enough.
 const LET_IN_FOR: Nanos = 500 * MS;
 const ANSWER_FOR: Nanos = 2_300 * MS;
 const DECIDE_FOR: Nanos = 2_900 * MS;
@@ -88,7 +88,7 @@
 }
 
 /// Takes over the journals of the folder that nobody holds any more. True beside: there is one yet to be taken over.
-fn take_over(journal: &mut MailJournal) -> (Kept, bool) {
+fn take_over(journal: &mut MessageJournal) -> (Kept, bool) {
     journal.adopt().unwrap_or_else(|e| {
         log::error!("mail journal: another's cannot be taken over yet: {e}");
         (Kept::default(), true)
@@ -132,7 +132,7 @@
     Told,
     /// No new clients; those inside are served.
     Shut,
-    /// No more clients; mails held still go out.
+    /// No more clients; messages held still go out.
     Parting,
     /// The decisions are asked no more; calls that are out still end. What is held is the next process's.
     Ending,
@@ -177,10 +177,10 @@
             None => start.disk_bytes,
         };
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
-        let (mut journal, mut kept) = MailJournal::open(&start.state, journal_bytes).map_err(in_folder)?;
+        let (mut journal, mut kept) = MessageJournal::open(&start.state, journal_bytes).map_err(in_folder)?;
         // What an old process left is taken before clients are answered; one that still runs is looked for again.
         let (adopted, others_held) = take_over(&mut journal);
-        kept.mails.extend(adopted.mails);
+        kept.messages.extend(adopted.messages);
         kept.owed.extend(adopted.owed);
         let held_stamp = crate::mgmt::held_stamp(&start.state);
         let bind = shared_listener(start.listen);
@@ -199,7 +199,7 @@
                     start.memory_bytes as usize / 2,
                 )?,
                 deadlines: Deadlines::default(),
-                mails: Slots::default(),
+                messages: Slots::default(),
                 slots: BTreeMap::new(),
                 held_for: BTreeMap::new(),
                 endpoints: Endpoints::default(),
@@ -248,7 +248,12 @@
         }
         daemon.settle();
         daemon.runtime.send_notices();
-        log::info!("{} listens on {}, {} mails held", start.name, start.listen, daemon.runtime.mails.len());
+        log::info!(
+            "{} listens on {}, {} mails held",
+            start.name,
+            start.listen,
+            daemon.runtime.messages.len()
+        );
         Ok(daemon)
     }
 
@@ -311,30 +316,30 @@
         }
     }
 
-    /// Mails go back to the decisions with their past; notices are owed until they are answered.
+    /// Messages go back to the decisions with their past; notices are owed until they are answered.
     fn recover(&mut self, kept: Kept) {
         for (id, ending) in kept.owed {
             self.runtime.notices.owe(id, ending);
         }
         // One met twice, in two journals, is taken once.
         let mut kept = Kept { owed: Vec::new(), ..kept };
-        kept.mails.retain(|m| !self.runtime.slots.contains_key(&m.id));
-        for mail in &kept.mails {
-            self.runtime.hold(mail.clone());
+        kept.messages.retain(|m| !self.runtime.slots.contains_key(&m.id));
+        for message in &kept.messages {
+            self.runtime.hold(message.clone());
         }
-        for mail in &kept.mails {
-            if self.look_up(mail.destination).is_err() {
+        for message in &kept.messages {
+            if self.look_up(message.destination).is_err() {
                 log::warn!(
                     "destination {} cannot be looked up, all in the cache are in use",
-                    mail.destination
+                    message.destination
                 );
             }
         }
-        let known = |m: &crate::mail_journal::KeptMail| self.runtime.class_of(&m.class).is_some();
-        let (known, unknown): (Vec<_>, Vec<_>) = kept.mails.into_iter().partition(known);
-        for mail in unknown {
-            if let Some(&slot) = self.runtime.slots.get(&mail.id) {
-                log::warn!("mail {:016x} is of no class that is known now", mail.id.0);
+        let known = |m: &crate::message_journal::KeptMessage| self.runtime.class_of(&m.class).is_some();
+        let (known, unknown): (Vec<_>, Vec<_>) = kept.messages.into_iter().partition(known);
+        for message in unknown {
+            if let Some(&slot) = self.runtime.slots.get(&message.id) {
+                log::warn!("mail {:016x} is of no class that is known now", message.id.0);
                 self.runtime.shift(slot, Stage::Bounced);
             }
         }
@@ -349,7 +354,7 @@
             self.turn()?;
         }
         self.save_scope();
-        log::info!("left, {} mails held for the next process", self.runtime.mails.len());
+        log::info!("left, {} mails held for the next process", self.runtime.messages.len());
         Ok(())
     }
 
@@ -369,7 +374,7 @@
         self.runtime.now = self.clock.now();
         let mut wake = false;
         while let Some(due) = self.runtime.deadlines.take_due(self.runtime.now) {
-            // After a stand-still much is due at once: woken first, the decisions would take connects for out that have
+            // After a stand-still much is due at once: woken first, the decisions would take attempts for out that have
             // had their time, and bounce what never ran.
             wake |= due == Due::Wake;
             if due != Due::Wake {
@@ -396,8 +401,8 @@
         }
         // A client still here is within a request, has not read its answer, or has not ended its side.
         let inside = self.runtime.conns.iter().any(|(_, c)| c.role == Role::Client);
-        let quiet = self.runtime.mails.is_empty() && self.runtime.notices.owed() == 0 && !inside;
-        let out = || self.runtime.mails.iter().any(|(_, m)| m.call.is_some());
+        let quiet = self.runtime.messages.is_empty() && self.runtime.notices.owed() == 0 && !inside;
+        let out = || self.runtime.messages.iter().any(|(_, m)| m.call.is_some());
         (self.leaving == Leaving::Parting && quiet) || (self.leaving == Leaving::Ending && !inside && !out())
     }
 
@@ -441,7 +446,7 @@
                 },
                 Some(Role::Watch) => runtime.watch_timer(WatchTimer::Conn(id)),
                 Some(Role::Notices) => runtime.notices_broke(),
-                Some(Role::Caller) => runtime.hang_up_caller(id),
+                Some(Role::Caller) => runtime.close_caller(id),
                 Some(Role::Client) => self.client_overdue(id),
                 None => {}
             },
@@ -467,8 +472,9 @@
                 self.heed_held_out();
             }
             Due::Standing => {
-                let out = runtime.mails.iter().filter(|(_, m)| m.call.is_some()).count();
-                let (held, owed, open) = (runtime.mails.len(), runtime.notices.owed(), runtime.conns.len());
+                let out = runtime.messages.iter().filter(|(_, m)| m.call.is_some()).count();
+                let (held, owed, open) =
+                    (runtime.messages.len(), runtime.notices.owed(), runtime.conns.len());
                 let busy = busy() / MS;
                 log::info!(
                     "standing: {held} mails held, {out} out, {owed} notices owed, {open} connections, busy for {busy} ms"
@@ -484,7 +490,7 @@
             self.read_again();
         }
         if self.leave.load(Ordering::SeqCst) && self.leaving == Leaving::No {
-            log::info!("told to leave, {} mails held", self.runtime.mails.len());
+            log::info!("told to leave, {} mails held", self.runtime.messages.len());
             self.leaving = Leaving::Told;
             self.told_to_leave = self.runtime.now;
             self.runtime.deadlines.set(Due::Leave, self.told_to_leave + LET_IN_FOR);
@@ -577,8 +583,8 @@
         }
     }
 
-    /// Whether new mails are still taken.
-    pub fn takes_mails(&self) -> bool {
+    /// Whether new messages are still taken.
+    pub fn accepts_messages(&self) -> bool {
         self.leaving < Leaving::Ending
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub mod clients;
 pub mod endpoints;
-pub mod mails;
+pub mod messages;
 pub mod mgmt;
 pub mod notices;
 
@@ -21,6 +21,6 @@
 pub mod endpoint_list;
 pub mod installation;
 pub mod logger;
-pub mod mail_journal;
+pub mod message_journal;
 pub mod resp;
 pub mod scope;
--- a/daemon/src/mail_journal.rs
+++ b/daemon/src/message_journal.rs
@@ -1,4 +1,4 @@
-//! The mail journal: what this dispatcher has taken on and what was done for it, in one file of the folder that
+//! The message journal: what this dispatcher has accepted and what was done for it, in one file of the folder that
 //! lasts. It is the truth over restarts.
 //!
 //! A record is its length, a checksum and its payload; records are only appended, and a torn tail is dropped when the
@@ -30,16 +30,16 @@
 const ANEW_FROM: u64 = 256 * 1024;
 const ANEW_TIMES: u64 = 4;
 
-/// How a mail ended that was not relayed: the notice that it is owed.
+/// How a message ended that was not relayed: the notice that it is owed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ending {
     Deferred(Nanos),
     Bounced,
 }
 
-/// A connect whose first byte may have been written.
+/// An attempt whose first byte may have been written.
 #[derive(Clone, Debug, PartialEq)]
-pub struct KeptConnect {
+pub struct KeptAttempt {
     pub at: Nanos,
     pub zone: String,
     /// None: no outcome is known.
@@ -47,7 +47,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct KeptMail {
+pub struct KeptMessage {
     pub id: MessageId,
     pub class: String,
     pub key: u64,
@@ -56,14 +56,14 @@
     pub due: Nanos,
     pub tag: String,
     pub body: Vec<u8>,
-    pub connects: Vec<KeptConnect>,
+    pub attempts: Vec<KeptAttempt>,
 }
 
 /// What a journal holds that still counts.
 #[derive(Debug, Default, PartialEq)]
 pub struct Kept {
     /// In the order in which they were taken.
-    pub mails: Vec<KeptMail>,
+    pub messages: Vec<KeptMessage>,
     pub owed: Vec<(MessageId, Ending)>,
 }
 
@@ -90,18 +90,18 @@
     record
 }
 
-fn taken_record(mail: &KeptMail) -> Vec<u8> {
-    let mut p = begin(b'M', mail.id);
-    for number in [mail.key, mail.destination, mail.due] {
+fn taken_record(message: &KeptMessage) -> Vec<u8> {
+    let mut p = begin(b'M', message.id);
+    for number in [message.key, message.destination, message.due] {
         p.extend(number.to_le_bytes());
     }
-    put_bytes(&mut p, mail.class.as_bytes());
-    put_bytes(&mut p, mail.tag.as_bytes());
-    put_bytes(&mut p, &mail.body);
+    put_bytes(&mut p, message.class.as_bytes());
+    put_bytes(&mut p, message.tag.as_bytes());
+    put_bytes(&mut p, &message.body);
     sealed(p)
 }
 
-fn connect_record(id: MessageId, at: Nanos, zone: &str) -> Vec<u8> {
+fn attempt_record(id: MessageId, at: Nanos, zone: &str) -> Vec<u8> {
     let mut p = begin(b'C', id);
     p.extend(at.to_le_bytes());
     put_bytes(&mut p, zone.as_bytes());
@@ -166,14 +166,14 @@
 /// Collects what still counts while records are read in order.
 #[derive(Default)]
 struct Replay {
-    mails: Vec<Option<KeptMail>>,
+    messages: Vec<Option<KeptMessage>>,
     place: BTreeMap<MessageId, usize>,
     owed: Vec<(MessageId, Ending)>,
 }
 
 impl Replay {
-    fn mail(&mut self, id: MessageId) -> Option<&mut KeptMail> {
-        self.mails[*self.place.get(&id)?].as_mut()
+    fn message(&mut self, id: MessageId) -> Option<&mut KeptMessage> {
+        self.messages[*self.place.get(&id)?].as_mut()
     }
 
     fn apply(&mut self, mut f: Fields) -> Option<()> {
@@ -182,26 +182,26 @@
             b'M' => {
                 let (key, destination, due) = (f.number()?, f.number()?, f.number()?);
                 let (class, tag, body) = (f.text()?, f.text()?, f.bytes()?.to_vec());
-                self.place.insert(id, self.mails.len());
-                let mail = KeptMail { id, class, key, destination, due, tag, body, connects: vec![] };
-                self.mails.push(Some(mail));
+                self.place.insert(id, self.messages.len());
+                let message = KeptMessage { id, class, key, destination, due, tag, body, attempts: vec![] };
+                self.messages.push(Some(message));
             }
             b'C' => {
-                let connect = KeptConnect { at: f.number()?, zone: f.text()?, may_have_run: None };
-                if let Some(mail) = self.mail(id) {
-                    mail.connects.push(connect);
+                let attempt = KeptAttempt { at: f.number()?, zone: f.text()?, may_have_run: None };
+                if let Some(message) = self.message(id) {
+                    message.attempts.push(attempt);
                 }
             }
             b'O' => {
                 let may_have_run = Some(f.byte()? != 0);
-                if let Some(connect) = self.mail(id).and_then(|m| m.connects.last_mut()) {
-                    connect.may_have_run = may_have_run;
+                if let Some(attempt) = self.message(id).and_then(|m| m.attempts.last_mut()) {
+                    attempt.may_have_run = may_have_run;
                 }
             }
             b'E' => {
                 let (how, wait) = (f.byte()?, f.number()?);
                 if let Some(place) = self.place.remove(&id) {
-                    self.mails[place] = None;
+                    self.messages[place] = None;
                 }
                 match how {
                     0 => {}
@@ -224,39 +224,39 @@
     while let Some(()) = rest.record().and_then(|record| all.apply(record)) {
         good = bytes.len() - rest.0.len();
     }
-    (Kept { mails: all.mails.into_iter().flatten().collect(), owed: all.owed }, good)
+    (Kept { messages: all.messages.into_iter().flatten().collect(), owed: all.owed }, good)
 }
 
 impl Kept {
-    /// The records that say all this anew, with the mail of each.
+    /// The records that say all this anew, with the message of each.
     fn records(&self) -> impl Iterator<Item = (MessageId, Vec<u8>)> {
-        let mails = self.mails.iter().map(|mail| {
-            let mut bytes = taken_record(mail);
-            for connect in &mail.connects {
-                bytes.extend(connect_record(mail.id, connect.at, &connect.zone));
-                if let Some(may_have_run) = connect.may_have_run {
-                    bytes.extend(outcome_record(mail.id, may_have_run));
+        let messages = self.messages.iter().map(|message| {
+            let mut bytes = taken_record(message);
+            for attempt in &message.attempts {
+                bytes.extend(attempt_record(message.id, attempt.at, &attempt.zone));
+                if let Some(may_have_run) = attempt.may_have_run {
+                    bytes.extend(outcome_record(message.id, may_have_run));
                 }
             }
-            (mail.id, bytes)
+            (message.id, bytes)
         });
-        mails.chain(self.owed.iter().map(|&(id, ending)| (id, end_record(id, Some(ending)))))
+        messages.chain(self.owed.iter().map(|&(id, ending)| (id, end_record(id, Some(ending)))))
     }
 }
 
-pub struct MailJournal {
+pub struct MessageJournal {
     folder: PathBuf,
     /// Its place among the journals of the folder.
     own: usize,
     file: File,
     length: u64,
-    /// By mail: what of the file still counts.
+    /// By message: what of the file still counts.
     live: BTreeMap<MessageId, u64>,
     live_total: u64,
     room: u64,
 }
 
-/// Two processes writing one journal would each take the other's mails for their own. Where files cannot be locked, nothing
+/// Two processes writing one journal would each take the other's messages for their own. Where files cannot be locked, nothing
 /// stops that.
 fn own(file: &File) -> io::Result<()> {
     match file.try_lock() {
@@ -269,10 +269,10 @@
     length.div_ceil(BLOCK) * BLOCK
 }
 
-impl MailJournal {
+impl MessageJournal {
     /// Opens the first journal of this folder that no other process holds and tells what it holds; `room` is the disk
-    /// limit in bytes. The others are taken in by [`MailJournal::adopt`].
-    pub fn open(folder: &Path, room: u64) -> io::Result<(MailJournal, Kept)> {
+    /// limit in bytes. The others are taken in by [`MessageJournal::adopt`].
+    pub fn open(folder: &Path, room: u64) -> io::Result<(MessageJournal, Kept)> {
         std::fs::create_dir_all(folder)?;
         let mut taken = None;
         for n in 0..JOURNALS_MOST {
@@ -298,7 +298,7 @@
             file.set_len(good as u64)?;
         }
         let folder = folder.to_path_buf();
-        let mut journal = MailJournal {
+        let mut journal = MessageJournal {
             folder,
             own: n,
             file,
@@ -311,9 +311,9 @@
         Ok((journal, kept))
     }
 
-    /// Takes in the journals of the folder that no process holds any more: their mails and owed notices are written
+    /// Takes in the journals of the folder that no process holds any more: their messages and owed notices are written
     /// into this one, and only then are they removed. True beside: another one is still held, or finds no room yet. One
-    /// is taken in whole or not at all: of one half taken, mails that have ended here since would be taken for new. What
+    /// is taken in whole or not at all: of one half taken, messages that have ended here since would be taken for new. What
     /// is known already (met twice after a stop between writing and removing) is not taken again.
     pub fn adopt(&mut self) -> io::Result<(Kept, bool)> {
         let (mut all, mut held) = (Kept::default(), false);
@@ -332,7 +332,7 @@
             let mut bytes = Vec::new();
             file.read_to_end(&mut bytes)?;
             let (mut kept, _) = replay(&bytes);
-            kept.mails.retain(|m| !self.live.contains_key(&m.id));
+            kept.messages.retain(|m| !self.live.contains_key(&m.id));
             kept.owed.retain(|(id, _)| !self.live.contains_key(id));
             let records: Vec<(MessageId, Vec<u8>)> = kept.records().collect();
             let bytes: Vec<u8> = records.iter().flat_map(|(_, record)| record).copied().collect();
@@ -346,10 +346,10 @@
                 *self.live.entry(id).or_default() += record.len() as u64;
                 self.live_total += record.len() as u64;
             }
-            if !kept.mails.is_empty() || !kept.owed.is_empty() {
-                log::info!("mail journal: {} mails of {} taken over", kept.mails.len(), name(n));
+            if !kept.messages.is_empty() || !kept.owed.is_empty() {
+                log::info!("mail journal: {} mails of {} taken over", kept.messages.len(), name(n));
             }
-            all.mails.extend(kept.mails);
+            all.messages.extend(kept.messages);
             all.owed.extend(kept.owed);
             std::fs::remove_file(&path)?;
             let _ = std::fs::remove_file(self.folder.join(next_name(n)));
@@ -362,29 +362,29 @@
         self.live_total = self.live.values().sum();
     }
 
-    /// A new mail, before its client hears of it. A quarter of the room is left to what follows for the mails held.
-    pub fn taken(&mut self, mail: &KeptMail) -> Result<(), NoRoom> {
-        let record = taken_record(mail);
+    /// A new message, before its client hears of it. A quarter of the room is left to what follows for the messages held.
+    pub fn taken(&mut self, message: &KeptMessage) -> Result<(), NoRoom> {
+        let record = taken_record(message);
         let size = record.len() as u64;
         if 2 * (blocks(self.live_total + size) + BLOCK) > self.room / 4 * 3 {
             return Err(NoRoom);
         }
         self.append(&record)?;
-        self.live.insert(mail.id, size);
+        self.live.insert(message.id, size);
         self.live_total += size;
         Ok(())
     }
 
-    /// A connect, before its first byte.
-    pub fn connect(&mut self, id: MessageId, at: Nanos, zone: &str) -> Result<(), NoRoom> {
-        self.add(id, &connect_record(id, at, zone))
+    /// An attempt, before its first byte.
+    pub fn attempt(&mut self, id: MessageId, at: Nanos, zone: &str) -> Result<(), NoRoom> {
+        self.add(id, &attempt_record(id, at, zone))
     }
 
     pub fn outcome(&mut self, id: MessageId, may_have_run: bool) -> Result<(), NoRoom> {
         self.add(id, &outcome_record(id, may_have_run))
     }
 
-    /// The end of a mail; a notice is owed from then on, if an ending is named.
+    /// The end of a message; a notice is owed from then on, if an ending is named.
     pub fn ended(&mut self, id: MessageId, ending: Option<Ending>) -> Result<(), NoRoom> {
         self.over(id);
         let record = end_record(id, ending);
@@ -396,7 +396,7 @@
         Ok(())
     }
 
-    /// The platform has taken the mail's notice.
+    /// The platform has taken the message's notice.
     pub fn told(&mut self, id: MessageId) -> Result<(), NoRoom> {
         self.over(id);
         self.append(&told_record(id))
--- a/daemon/src/mails.rs
+++ b/daemon/src/messages.rs
@@ -1,12 +1,12 @@
-//! The mails held and all that carries them: what the decisions answer is done here, by connections, deadlines and the
-//! mail journal. Nothing here decides; no answer of the decisions calls them again before it returns.
+//! The messages held and all that carries them: what the decisions answer is done here, by connections, deadlines and the
+//! message journal. Nothing here decides; no answer of the decisions calls them again before it returns.
 
 use crate::conns::{ConnId, Conns};
 use crate::deadlines::Deadlines;
 use crate::discovery::{Discovery, WatchIo, WatchTimer};
 use crate::endpoints::Endpoints;
 use crate::event_loop::Daemon;
-use crate::mail_journal::{Ending, KeptConnect, KeptMail, MailJournal};
+use crate::message_journal::{Ending, KeptAttempt, KeptMessage, MessageJournal};
 use crate::notices::Notices;
 use crate::slots::{SlotId, Slots};
 use bellsill::interface::*;
@@ -14,11 +14,11 @@
 use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct MailSlot(u64);
+pub struct MessageSlot(u64);
 
-impl SlotId for MailSlot {
+impl SlotId for MessageSlot {
     fn from_raw(raw: u64) -> Self {
-        MailSlot(raw)
+        MessageSlot(raw)
     }
     fn raw(self) -> u64 {
         self.0
@@ -33,8 +33,8 @@
 pub enum Due {
     /// The decisions asked to be woken.
     Wake,
-    /// A connect has had its time.
-    Call(MailSlot),
+    /// An attempt has had its time.
+    Call(MessageSlot),
     /// A connection has stood so for too long: rising, idle, or without the answer to notices.
     Conn(ConnId),
     /// Discovery is to be connected to again.
@@ -69,11 +69,11 @@
     }
 }
 
-/// Where a mail stands.
+/// Where a message stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     Waiting,
-    /// Its connect waits for a connection to come up; nothing of it is written.
+    /// Its attempt waits for a connection to come up; nothing of it is written.
     Rising,
     /// Its first byte may be written.
     Out,
@@ -90,7 +90,7 @@
     }
 }
 
-/// A connect that has no outcome yet.
+/// An attempt that has no outcome yet.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
     pub no: AttemptNumber,
@@ -112,7 +112,7 @@
     pub tag: String,
     pub body: Vec<u8>,
     pub stage: Stage,
-    pub connects: u32,
+    pub attempts: u32,
     pub call: Option<Call>,
 }
 
@@ -121,14 +121,14 @@
     pub now: Nanos,
     pub conns: Conns,
     pub deadlines: Deadlines<Due>,
-    pub mails: Slots<MailSlot, Held>,
-    pub slots: BTreeMap<MessageId, MailSlot>,
-    /// How many mails are held for each destination.
+    pub messages: Slots<MessageSlot, Held>,
+    pub slots: BTreeMap<MessageId, MessageSlot>,
+    /// How many messages are held for each destination.
     pub held_for: BTreeMap<u64, usize>,
     pub endpoints: Endpoints,
     pub discovery: Discovery,
     pub notices: Notices,
-    pub journal: MailJournal,
+    pub journal: MessageJournal,
     /// Outcomes that the decisions have not been told.
     pub ended: VecDeque<AttemptEnd>,
     pub class_names: Vec<String>,
@@ -157,12 +157,12 @@
         discovery.timer_fired(&mut io, timer);
     }
 
-    /// Holds a mail that is new to the journal. False: there is no room.
-    fn take(&mut self, mail: KeptMail) -> bool {
-        if self.journal.taken(&mail).is_err() {
+    /// Holds a message that is new to the journal. False: there is no room.
+    fn take(&mut self, message: KeptMessage) -> bool {
+        if self.journal.taken(&message).is_err() {
             return false;
         }
-        self.hold(mail);
+        self.hold(message);
         true
     }
 
@@ -171,25 +171,25 @@
         self.class_names.iter().position(|c| c == name)
     }
 
-    /// Holds a mail that the journal knows.
-    pub fn hold(&mut self, mail: KeptMail) {
-        let connects = mail.connects.len() as u32;
-        let class = self.class_of(&mail.class);
-        let slot = self.mails.add(|_| Held {
-            id: mail.id,
-            destination: mail.destination,
+    /// Holds a message that the journal knows.
+    pub fn hold(&mut self, message: KeptMessage) {
+        let attempts = message.attempts.len() as u32;
+        let class = self.class_of(&message.class);
+        let slot = self.messages.add(|_| Held {
+            id: message.id,
+            destination: message.destination,
             class,
-            tag: mail.tag,
-            body: mail.body,
+            tag: message.tag,
+            body: message.body,
             stage: Stage::Waiting,
-            connects,
+            attempts,
             call: None,
         });
-        self.slots.insert(mail.id, slot);
-        *self.held_for.entry(mail.destination).or_default() += 1;
+        self.slots.insert(message.id, slot);
+        *self.held_for.entry(message.destination).or_default() += 1;
     }
 
-    /// A mail for a destination is held no longer.
+    /// A message for a destination is held no longer.
     fn release(&mut self, destination: u64) {
         let Some(held) = self.held_for.get_mut(&destination) else { return };
         *held -= 1;
@@ -198,10 +198,10 @@
         }
     }
 
-    /// The only place where a mail changes its stage: keeps the journal, the notices owed and the tables true.
-    pub fn shift(&mut self, slot: MailSlot, to: Stage) {
-        let Some(mail) = self.mails.get_mut(slot) else { return };
-        let (id, from) = (mail.id, std::mem::replace(&mut mail.stage, to));
+    /// The only place where a message changes its stage: keeps the journal, the notices owed and the tables true.
+    pub fn shift(&mut self, slot: MessageSlot, to: Stage) {
+        let Some(message) = self.messages.get_mut(slot) else { return };
+        let (id, from) = (message.id, std::mem::replace(&mut message.stage, to));
         if to.ended() && !from.ended() {
             let ending = match to {
                 Stage::Deferred(come_back) => Some(Ending::Deferred(come_back)),
@@ -214,10 +214,10 @@
                 Stage::Bounced => Some(crate::mgmt::FAILED),
                 _ => None,
             };
-            if let (Some(class), Some(end)) = (mail.class, counted) {
+            if let (Some(class), Some(end)) = (message.class, counted) {
                 self.figures.count(class, end);
             }
-            mail.body = Vec::new();
+            message.body = Vec::new();
             if self.journal.ended(id, ending).is_err() {
                 log::error!("mail {:016x}: its end could not be written", id.0);
             }
@@ -225,22 +225,22 @@
                 self.notices.owe(id, ending);
             }
         }
-        if to.ended() && self.mails.get(slot).is_some_and(|m| m.call.is_none()) {
-            self.mails.remove(slot).into_iter().for_each(|gone| self.release(gone.destination));
+        if to.ended() && self.messages.get(slot).is_some_and(|m| m.call.is_none()) {
+            self.messages.remove(slot).into_iter().for_each(|gone| self.release(gone.destination));
             self.slots.remove(&id);
         }
     }
 
-    /// Ends a mail's connect: the decisions are told once they are not at work. The connection is the caller's.
-    pub fn end_call(&mut self, slot: MailSlot, outcome: Outcome, over: bool) {
-        let Some(mail) = self.mails.get_mut(slot) else { return };
-        let Some(call) = mail.call.take() else { return };
-        let (id, stage) = (mail.id, mail.stage);
+    /// Ends a message's attempt: the decisions are told once they are not at work. The connection is the caller's.
+    pub fn end_call(&mut self, slot: MessageSlot, outcome: Outcome, over: bool) {
+        let Some(message) = self.messages.get_mut(slot) else { return };
+        let Some(call) = message.call.take() else { return };
+        let (id, stage) = (message.id, message.stage);
         log::debug!("mail {:016x}: connect {} ended, begun {}: {outcome:?}", id.0, call.no.0, call.begun);
         self.deadlines.clear(Due::Call(slot));
         let was_over = stage.ended();
         if call.begun && !was_over && outcome != Outcome::Relayed {
-            // Lost, it would only make the mail one that may have run.
+            // Lost, it would only make the message one that may have run.
             let _ = self.journal.outcome(id, outcome.may_have_run());
         }
         let over = over || was_over || outcome == Outcome::Relayed;
@@ -264,10 +264,10 @@
         });
     }
 
-    /// Breaks a connect off: its connection is closed, which tells the endpoint. What has come until then is read first: an
+    /// Breaks an attempt off: its connection is closed, which tells the endpoint. What has come until then is read first: an
     /// answer that arrived in the moment in which its time fell due, or in which it is called off, is an answer.
-    pub fn break_call(&mut self, slot: MailSlot, outcome: Outcome) {
-        let Some(call) = self.mails.get(slot).and_then(|m| m.call) else { return };
+    pub fn break_call(&mut self, slot: MessageSlot, outcome: Outcome) {
+        let Some(call) = self.messages.get(slot).and_then(|m| m.call) else { return };
         let in_time = matches!(outcome, Outcome::TimedOut | Outcome::CalledOff);
         if let Some(conn) = call.conn.filter(|_| call.begun && in_time) {
             // What cannot be read is as good as not come.
@@ -292,18 +292,18 @@
         self.end_call(slot, outcome, false);
     }
 
-    /// Writes a mail to a connection that is up, the journal first.
-    pub fn write_call(&mut self, slot: MailSlot, conn: ConnId) {
-        let (now, Some(mail)) = (self.now, self.mails.get_mut(slot)) else { return };
-        let Some(call) = &mut mail.call else { return };
+    /// Writes a message to a connection that is up, the journal first.
+    pub fn write_call(&mut self, slot: MessageSlot, conn: ConnId) {
+        let (now, Some(message)) = (self.now, self.messages.get_mut(slot)) else { return };
+        let Some(call) = &mut message.call else { return };
         let endpoint = &self.endpoints[call.endpoint];
-        let room = self.journal.connect(mail.id, now, &endpoint.zone);
+        let room = self.journal.attempt(message.id, now, &endpoint.zone);
         let head = crate::http::call(
-            mail.id.0,
-            &mail.tag,
+            message.id.0,
+            &message.tag,
             endpoint.addr,
             call.until.saturating_sub(now),
-            mail.body.len(),
+            message.body.len(),
         );
         call.conn = Some(conn);
         if room.is_err() {
@@ -315,7 +315,7 @@
         call.begun = true;
         log::debug!(
             "mail {:016x}: connect {} to {}, {} ms after it was decided",
-            mail.id.0,
+            message.id.0,
             call.no.0,
             endpoint.addr,
             (now - call.at) / 1_000_000
@@ -324,7 +324,7 @@
         if let Some(to) = self.conns.get_mut(conn) {
             // The ring is made for the longest call and was empty.
             to.output.push(head.as_bytes());
-            to.output.push(&mail.body);
+            to.output.push(&message.body);
         }
         self.endpoints.calls.insert(conn, slot);
         self.shift(slot, Stage::Out);
@@ -336,7 +336,7 @@
 
 /// Destinations, as far as they are known.
 impl Runtime {
-    /// Whether mails for a destination are taken: an endpoint of it is known, or it can be looked up.
+    /// Whether messages for a destination are taken: an endpoint of it is known, or it can be looked up.
     fn may_serve(&self, destination: u64) -> bool {
         let Some(list) = self.discovery.scoped_list() else {
             return self.endpoints.serve(destination);
@@ -346,28 +346,28 @@
 }
 
 impl Outlet for Runtime {
-    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, time_out: Nanos) {
-        let Some(&slot) = self.slots.get(&mail) else { return };
-        let Some(held) = self.mails.get_mut(slot) else { return };
+    fn attempt(&mut self, message: MessageId, endpoint: EndpointId, time_out: Nanos) {
+        let Some(&slot) = self.slots.get(&message) else { return };
+        let Some(held) = self.messages.get_mut(slot) else { return };
         let (at, until) = (self.now, self.now + time_out);
-        let no = AttemptNumber(held.connects);
-        held.connects += 1;
+        let no = AttemptNumber(held.attempts);
+        held.attempts += 1;
         held.call = Some(Call { no, endpoint, conn: None, at, until, begun: false, limit: 0.0 });
         self.deadlines.set(Due::Call(slot), until);
         self.place(slot, endpoint);
     }
 
-    fn defer(&mut self, mail: MessageId, come_back: Nanos) {
-        self.give_up(mail, Stage::Deferred(come_back));
+    fn defer(&mut self, message: MessageId, come_back: Nanos) {
+        self.give_up(message, Stage::Deferred(come_back));
     }
 
-    fn bounce(&mut self, mail: MessageId) {
-        self.give_up(mail, Stage::Bounced);
+    fn bounce(&mut self, message: MessageId) {
+        self.give_up(message, Stage::Bounced);
     }
 
-    fn cancel(&mut self, mail: MessageId, no: AttemptNumber) {
-        let Some(&slot) = self.slots.get(&mail) else { return };
-        if self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| c.no == no) {
+    fn cancel(&mut self, message: MessageId, no: AttemptNumber) {
+        let Some(&slot) = self.slots.get(&message) else { return };
+        if self.messages.get(slot).and_then(|m| m.call).is_some_and(|c| c.no == no) {
             self.break_call(slot, Outcome::CalledOff);
         }
     }
@@ -399,17 +399,17 @@
 }
 
 impl Runtime {
-    fn give_up(&mut self, mail: MessageId, to: Stage) {
-        let Some(&slot) = self.slots.get(&mail) else { return };
+    fn give_up(&mut self, message: MessageId, to: Stage) {
+        let Some(&slot) = self.slots.get(&message) else { return };
         self.shift(slot, to);
-        // Once its end is told nothing of it may go out: a connect that has not begun ends here.
-        if self.mails.get(slot).and_then(|m| m.call).is_some_and(|c| !c.begun) {
+        // Once its end is told nothing of it may go out: an attempt that has not begun ends here.
+        if self.messages.get(slot).and_then(|m| m.call).is_some_and(|c| !c.begun) {
             self.break_call(slot, Outcome::Unconnected);
         }
     }
 }
 
-/// Why a mail is not taken on.
+/// Why a message is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
     UnknownClass,
@@ -423,36 +423,36 @@
 }
 
 impl Daemon {
-    /// Takes a mail on, by whatever front it came: it is written to the journal, then its client is answered, then the
+    /// Accepts a message, by whatever front it came: it is written to the journal, then its client is answered, then the
     /// decisions begin. One that is held already is answered like one that was just taken.
-    pub fn take_on(&mut self, mail: KeptMail, answer: impl FnOnce(&mut Runtime)) -> Result<(), Refusal> {
-        let takes = self.takes_mails();
+    pub fn accept(&mut self, message: KeptMessage, answer: impl FnOnce(&mut Runtime)) -> Result<(), Refusal> {
+        let takes = self.accepts_messages();
         let runtime = &mut self.runtime;
-        let class = runtime.class_of(&mail.class).ok_or(Refusal::UnknownClass)?;
+        let class = runtime.class_of(&message.class).ok_or(Refusal::UnknownClass)?;
         let facts = &self.classes[class];
-        if mail.tag.is_empty() && matches!(facts.repeat, Repeat::Deduplicated { .. }) {
+        if message.tag.is_empty() && matches!(facts.repeat, Repeat::Deduplicated { .. }) {
             return Err(Refusal::Untagged);
         }
-        if mail.due > runtime.now + facts.lifetime + LIFETIME_SLACK {
+        if message.due > runtime.now + facts.lifetime + LIFETIME_SLACK {
             return Err(Refusal::TooLong);
         }
-        if !runtime.may_serve(mail.destination) {
+        if !runtime.may_serve(message.destination) {
             return Err(Refusal::UnknownDestination);
         }
-        if runtime.slots.contains_key(&mail.id) {
+        if runtime.slots.contains_key(&message.id) {
             answer(runtime);
             return Ok(());
         }
-        let admitted = self.dispatcher.admits(ClassId(class), DestinationId(mail.destination));
-        if !takes || !admitted || self.look_up(mail.destination).is_err() {
+        let admitted = self.dispatcher.admits(ClassId(class), DestinationId(message.destination));
+        if !takes || !admitted || self.look_up(message.destination).is_err() {
             return Err(Refusal::NoRoom);
         }
         let runtime = &mut self.runtime;
-        if !runtime.take(mail.clone()) {
+        if !runtime.take(message.clone()) {
             return Err(Refusal::NoRoom);
         }
         answer(runtime);
-        self.decide_on(&[mail]);
+        self.decide_on(&[message]);
         Ok(())
     }
 
@@ -473,25 +473,25 @@
         Ok(())
     }
 
-    /// Takes mails that are held to the decisions, with what a former process did for them.
-    pub fn decide_on(&mut self, mails: &[KeptMail]) {
+    /// Takes messages that are held to the decisions, with what a former process did for them.
+    pub fn decide_on(&mut self, messages: &[KeptMessage]) {
         let runtime = &mut self.runtime;
-        let new = |mail: &KeptMail| NewMessage {
-            id: mail.id,
-            class: ClassId(runtime.class_of(&mail.class).unwrap_or(0)),
-            key: Some(KeyId(mail.key)).filter(|key| key.0 != 0),
-            destination: DestinationId(mail.destination),
-            due: mail.due,
-            past: past(&mail.connects, runtime.discovery.zones()),
+        let new = |message: &KeptMessage| NewMessage {
+            id: message.id,
+            class: ClassId(runtime.class_of(&message.class).unwrap_or(0)),
+            key: Some(KeyId(message.key)).filter(|key| key.0 != 0),
+            destination: DestinationId(message.destination),
+            due: message.due,
+            past: past(&message.attempts, runtime.discovery.zones()),
         };
-        let all: Vec<NewMessage> = mails.iter().map(new).collect();
+        let all: Vec<NewMessage> = messages.iter().map(new).collect();
         self.dispatcher.accept(runtime.now, all, runtime);
     }
 }
 
-/// What the decisions are told of a mail's past: an outcome that nobody knows may mean that it ran.
-fn past(connects: &[KeptConnect], zones: &[String]) -> Past {
-    let ran = connects.iter().find(|c| c.may_have_run != Some(false));
-    let zone = |c: &KeptConnect| zones.iter().position(|z| *z == c.zone).unwrap_or(usize::MAX);
-    Past { attempts: connects.len() as u32, ran: ran.map(|c| (c.at, ZoneId(zone(c)))) }
+/// What the decisions are told of a message's past: an outcome that nobody knows may mean that it ran.
+fn past(attempts: &[KeptAttempt], zones: &[String]) -> Past {
+    let ran = attempts.iter().find(|c| c.may_have_run != Some(false));
+    let zone = |c: &KeptAttempt| zones.iter().position(|z| *z == c.zone).unwrap_or(usize::MAX);
+    Past { attempts: attempts.len() as u32, ran: ran.map(|c| (c.at, ZoneId(zone(c)))) }
 }
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -3,7 +3,7 @@
 
 use crate::conns::{CALLERS_MOST, ConnId, Role};
 use crate::event_loop::Daemon;
-use crate::mails::{Due, Runtime};
+use crate::messages::{Due, Runtime};
 use crate::scope::ScopeFile;
 use bellsill::interface::Nanos;
 use bellsill_watch::{Counters, ScopedList};
@@ -115,7 +115,7 @@
 pub struct Figures {
     /// For each class: relayed, turned back (deferred or told `-BUSY`), bounced.
     pub ends: Vec<[u64; 3]>,
-    /// Connects whose call was written.
+    /// Attempts whose call was written.
     pub upstream: u64,
     pub reloads: u64,
     pub reload_errors: u64,
@@ -195,7 +195,7 @@
 
 impl Runtime {
     /// Closes a caller.
-    pub fn hang_up_caller(&mut self, id: ConnId) {
+    pub fn close_caller(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Conn(id));
         self.conns.close(id);
     }
@@ -209,7 +209,7 @@
             if self.runtime.conns.callers_full() {
                 let callers = self.runtime.conns.iter().filter(|(_, c)| c.role == Role::Caller);
                 let first = callers.map(|(id, c)| (c.used, id)).min();
-                first.into_iter().for_each(|(_, id)| self.runtime.hang_up_caller(id));
+                first.into_iter().for_each(|(_, id)| self.runtime.close_caller(id));
             }
             match self.runtime.conns.accept_caller(LINE_MOST.max(ANSWER_MOST)) {
                 Ok(Some(id)) => {
@@ -257,7 +257,7 @@
         let Some(conn) = runtime.conns.get(id) else { return };
         let done = (conn.last || conn.ended) && conn.output.is_empty();
         if broken || runtime.conns.flush(id).is_err() || done {
-            return runtime.hang_up_caller(id);
+            return runtime.close_caller(id);
         }
         let used = runtime.conns.get(id).map_or(runtime.now, |c| c.used);
         runtime.deadlines.set(Due::Conn(id), used + CALL_WITHIN);
@@ -279,7 +279,7 @@
             Call::Ready => "FAILURE not ready: draining or leaving\n".into(),
             Call::ShowStat => {
                 let gauges = Gauges {
-                    pending: self.runtime.mails.len(),
+                    pending: self.runtime.messages.len(),
                     members: self
                         .runtime
                         .endpoints
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -1,9 +1,9 @@
-//! Notices: what the platform is owed for mails that were taken on and not relayed, until it has answered.
+//! Notices: what the platform is owed for messages that were accepted and not relayed, until it has answered.
 
 use crate::conns::{ConnId, Role};
 use crate::http::{self, Body, Head};
-use crate::mail_journal::Ending;
-use crate::mails::{Due, Runtime};
+use crate::message_journal::Ending;
+use crate::messages::{Due, Runtime};
 use bellsill::interface::{MessageId, Nanos};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -142,10 +142,10 @@
                 }
                 self.deadlines.clear(Due::Conn(id));
                 self.notices.again = AGAIN;
-                for mail in std::mem::take(&mut self.notices.out) {
-                    self.notices.owed.remove(&mail);
+                for message in std::mem::take(&mut self.notices.out) {
+                    self.notices.owed.remove(&message);
                     // Lost, it would be told once more after a restart.
-                    let _ = self.journal.told(mail);
+                    let _ = self.journal.told(message);
                 }
                 if last {
                     return Err(http::Malformed);
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -69,7 +69,7 @@
     Ok(Some((words, at)))
 }
 
-/// A mail as a client hands it in.
+/// A message as a client hands it in.
 #[derive(Debug, PartialEq)]
 pub struct Put {
     pub key: u64,
--- a/daemon/tests/calls.rs
+++ b/daemon/tests/calls.rs
@@ -18,14 +18,14 @@
     let mut client = rig.client();
     for does in [babbles, Does::Breaks] {
         e.does(does);
-        let once = client.mail("payment", 7, 8000, "once");
+        let once = client.message("payment", 7, 8000, "once");
         wait_for("its end", || rig.platform.notice(&once).is_some());
         assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
     }
     e.does(Does::SaysLast("200 OK"));
     let before = e.calls().len();
     for n in 1..4 {
-        client.mail("notice", 7, 8000, "each on a connection of its own");
+        client.message("notice", 7, 8000, "each on a connection of its own");
         wait_for("the call", || e.calls().len() >= before + n);
     }
     let mut conns: Vec<u64> = e.calls()[before..].iter().map(|c| c.conn).collect();
@@ -50,9 +50,9 @@
     ];
     for (n, text) in relayed.iter().enumerate() {
         e.does(Does::Writes(text));
-        client.mail("payment", 7, 8000, "relayed");
+        client.message("payment", 7, 8000, "relayed");
         wait_for("the call", || e.calls().len() > n);
-        wait_for("its end", || rig.kept().mails.is_empty());
+        wait_for("its end", || rig.kept().messages.is_empty());
     }
     let spoilt = [
         "HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\nand so on",
@@ -64,19 +64,19 @@
     ];
     for text in spoilt {
         e.does(Does::Writes(text));
-        let once = client.mail("payment", 7, 20_000, "spoilt");
+        let once = client.message("payment", 7, 20_000, "spoilt");
         wait_for("its end", || rig.platform.notice(&once).is_some());
         assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead", "{text:?}");
     }
     e.does(OK);
-    client.mail("notice", 7, 8000, "after all that");
-    wait_for("the mail", || e.calls().iter().any(|c| c.body == "after all that"));
+    client.message("notice", 7, 8000, "after all that");
+    wait_for("the message", || e.calls().iter().any(|c| c.body == "after all that"));
     assert_eq!(e.calls().len(), relayed.len() + spoilt.len() + 1, "each went out once");
     assert_eq!(rig.platform.notices().len(), spoilt.len());
 }
 
 #[test]
-fn a_connection_that_comes_up_after_the_mail_s_time_gets_nothing() {
+fn a_connection_that_comes_up_after_the_message_s_time_gets_nothing() {
     let (slow, filler) = crowded();
     let entry = up("slow", &slow.local_addr().unwrap().to_string(), 7);
     let mut rig = Rig::new(&[]);
@@ -86,7 +86,7 @@
     rig.json["settings"]["limits"]["keepalive-ns"] = json!(1_000_000_000);
     rig.start();
     let mut client = rig.client();
-    let (id, from) = (client.mail("payment", 7, 3000, "x"), Instant::now());
+    let (id, from) = (client.message("payment", 7, 3000, "x"), Instant::now());
     assert_eq!(client.says(b"PING\r\n"), "+PONG");
     // The dispatcher stands still while the connection comes up, until the queue lifetime is over.
     rig.signal(Signal::STOP);
@@ -94,7 +94,7 @@
     let mut late = slow.accept().unwrap().0;
     std::thread::sleep(Duration::from_millis(3500).saturating_sub(from.elapsed()));
     rig.signal(Signal::CONT);
-    wait_for("the mail's end", || rig.platform.notice(&id).is_some());
+    wait_for("the message's end", || rig.platform.notice(&id).is_some());
     assert_eq!(rig.platform.notice(&id).unwrap()["result"], "bounced", "it never ran");
     let mut got = Vec::new();
     assert!(late.read_to_end(&mut got).is_ok() && got.is_empty());
@@ -112,14 +112,14 @@
     rig.start();
     let mut client = rig.client();
     // Picks are even: one of the two goes to the endpoint that does not answer yet.
-    let mails = [client.mail("payment", 7, 24_000, "x"), client.mail("payment", 7, 24_000, "x")];
+    let messages = [client.message("payment", 7, 24_000, "x"), client.message("payment", 7, 24_000, "x")];
     let relayed = |id: &String| second.calls().iter().any(|c| c.header("X-Trace-Id") == id);
-    wait_for("the first mail", || mails.iter().any(relayed));
+    wait_for("the first message", || messages.iter().any(relayed));
     let news =
         json!({"version": 2, "full": false, "servers": [entry("draining"), second.entry("more", 9, "up")]});
     rig.platform.tell(&format!("{news}\n"));
     // Its destination is in the same line, so when it goes out the drain is known.
-    // Until the line is read its destination is unknown, and a mail to it is turned away unheard.
+    // Until the line is read its destination is unknown, and a message to it is turned away unheard.
     let later = fresh();
     let ask = put(&later, &format!("c=notice,d=19000,k=k{later},dest=9"), "x");
     wait_for("the news", || match rig.client().says(&ask).as_str() {
@@ -129,17 +129,17 @@
             true
         }
     });
-    wait_for("a mail after the drain", || relayed(&later));
+    wait_for("a message after the drain", || relayed(&later));
     drop((slow.accept().unwrap(), filler));
     let mut late = slow.accept().unwrap().0;
     let mut got = Vec::new();
     // It is closed, as the endpoint drains, and nothing was written to it.
     assert!(late.read_to_end(&mut got).is_ok() && got.is_empty());
-    wait_for("both mails", || mails.iter().all(relayed));
+    wait_for("both messages", || messages.iter().all(relayed));
 }
 
 #[test]
-fn a_refused_mail_goes_to_another_route_and_one_that_is_over_is_over() {
+fn a_refused_message_goes_to_another_route_and_one_that_is_over_is_over() {
     let (full, open) = (
         Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1000")),
         Endpoint::start(Does::Says("410 Gone")),
@@ -151,8 +151,8 @@
     rig.start();
     let mut client = rig.client();
     for n in 1..10 {
-        client.mail("payment", 8, 8000, "x");
-        wait_for("the mail at the open route", || open.calls().len() == n);
+        client.message("payment", 8, 8000, "x");
+        wait_for("the message at the open route", || open.calls().len() == n);
     }
     assert_eq!(full.calls().len(), 1);
     assert_eq!(rig.platform.notices().len(), 0, "nothing is owed for what is over");
@@ -163,13 +163,13 @@
     let full = Endpoint::start(Does::SaysLast("503 Service Unavailable\r\nConnection: close"));
     let open = Endpoint::start(OK);
     let mut rig = Rig::new(&[(&full, 7), (&open, 7)]);
-    // In so large a fleet the wait after a refusal at their common limit would outlast every mail.
+    // In so large a fleet the wait after a refusal at their common limit would outlast every message.
     rig.json["settings"]["balancers"] = 100_000_000.into();
     rig.start();
     let mut client = rig.client();
     for n in 1..4 {
-        client.mail("payment", 7, 8000, "x");
-        wait_for("the mail at the open route", || {
+        client.message("payment", 7, 8000, "x");
+        wait_for("the message at the open route", || {
             open.calls().len() == n || !rig.platform.notices().is_empty()
         });
     }
@@ -190,7 +190,7 @@
         class["window-ns"] = json!(600_000_000);
     }
     rig.start();
-    let id = rig.client().mail("notice", 7, 8000, "x");
+    let id = rig.client().message("notice", 7, 8000, "x");
     let (first, _) = slow.accept().unwrap();
     let mut from = BufReader::new(first);
     request(&mut from).unwrap();
@@ -204,7 +204,7 @@
     let mut got = Vec::new();
     // It is kept for other calls until it has been idle for its time.
     assert!(late.read_to_end(&mut got).is_ok() && got.is_empty(), "{}", String::from_utf8_lossy(&got));
-    wait_for("the mail's end", || rig.platform.notice(&id).is_some());
+    wait_for("the message's end", || rig.platform.notice(&id).is_some());
     assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
 }
 
@@ -217,7 +217,7 @@
     rig.json["known"]["servers"] = json!([entry(old.local_addr().unwrap().to_string())]);
     rig.json["settings"]["limits"]["connect-timeout-ns"] = json!(60_000_000_000u64);
     rig.start();
-    let id = rig.client().mail("payment", 7, 24_000, "x");
+    let id = rig.client().message("payment", 7, 24_000, "x");
     let news = json!({"version": 2, "full": false, "servers": [entry(moved.addr.clone()), moved.entry("more", 9, "up")]});
     rig.platform.tell(&format!("{news}\n"));
     // A destination of the same line is known: so the move is.
@@ -226,7 +226,7 @@
     wait_for("the news", || rig.client().says(&ask) == "+OK");
     // The connection to the old address is given up: nothing comes up there, or what did is closed with nothing written.
     drop((old.accept().unwrap(), filler));
-    wait_for("the mail where it is now", || moved.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+    wait_for("the message where it is now", || moved.calls().iter().any(|c| c.header("X-Trace-Id") == id));
     old.set_nonblocking(true).unwrap();
     let mut got = Vec::new();
     if let Ok((mut late, _)) = old.accept() {
--- a/daemon/tests/clients.rs
+++ b/daemon/tests/clients.rs
@@ -25,7 +25,7 @@
         [client.line(), client.line(), client.line(), client.line()],
         ["+PONG", "+OK", "+OK", "+PONG"]
     );
-    wait_for("both mails", || e.calls().len() == 2);
+    wait_for("both messages", || e.calls().len() == 2);
     let calls = e.calls();
     let call = calls.iter().find(|c| c.header("X-Trace-Id") == a).unwrap();
     assert_eq!((call.head[0].as_str(), call.body.as_str()), ("POST /events HTTP/1.1", "one\r\ntwo"));
@@ -33,8 +33,8 @@
     assert!(call.header("X-Expires-In").ends_with('u'));
     let other = calls.iter().find(|c| c.header("X-Trace-Id") == b).unwrap();
     assert_eq!((other.header("Idempotency-Key"), other.body.as_str()), ("", ""));
-    // One that is handed in twice is held or over; it is not an error, and while held not a second mail.
-    client.mail("notice", 7, 8000, "another");
+    // One that is handed in twice is held or over; it is not an error, and while held not a second message.
+    client.message("notice", 7, 8000, "another");
     wait_for("an idle connection used again", || e.calls().iter().any(|c| c.body == "another"));
     assert!(e.calls().iter().all(|c| c.conn < 2));
 }
@@ -71,8 +71,8 @@
         assert!(other.says(malformed.as_bytes()).starts_with("-ERR Protocol error"), "{malformed:.20?}");
         assert_eq!(other.line(), "", "closed");
     }
-    client.mail("notice", 7, 8000, "still served");
-    wait_for("the mail", || e.calls().len() == 1);
+    client.message("notice", 7, 8000, "still served");
+    wait_for("the message", || e.calls().len() == 1);
 }
 
 fn put_text(id: &str, body: &str) -> String {
@@ -80,20 +80,20 @@
 }
 
 #[test]
-fn a_mail_whose_client_has_gone_on_is_not_taken() {
+fn a_message_whose_client_has_gone_on_is_not_taken() {
     let e = Endpoint::start(OK);
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.start();
     let (mut client, id) = (rig.client(), fresh());
     assert_eq!(client.says(b"PING\r\n"), "+PONG");
-    // The dispatcher stands still while the client hands in a mail and ends its side.
+    // The dispatcher stands still while the client hands in a message and ends its side.
     rig.signal(Signal::STOP);
     client.to.write_all(&put(&id, "c=payment,d=8000,dest=7", "x")).unwrap();
     client.to.shutdown(std::net::Shutdown::Write).unwrap();
     rig.signal(Signal::CONT);
     assert_eq!([client.line(), client.line()], ["-BUSY", ""]);
-    let later = rig.client().mail("payment", 7, 8000, "x");
-    wait_for("a later mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
+    let later = rig.client().message("payment", 7, 8000, "x");
+    wait_for("a later message", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
     assert!(!e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
 }
 
@@ -110,8 +110,8 @@
         let _ = client.to.write_all(&whole[..n % 3 * 20]);
     }
     for n in 1..=3 {
-        rig.client().mail("notice", 7, 8000, "a usual client");
-        wait_for("the mail", || e.calls().len() == n);
+        rig.client().message("notice", 7, 8000, "a usual client");
+        wait_for("the message", || e.calls().len() == n);
     }
     for client in &mut bad {
         let mut rest = Vec::new();
@@ -147,7 +147,7 @@
         assert_eq!(asker.line(), "+OK");
     }
     for id in &ids {
-        wait_for("the mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
+        wait_for("the message", || e.calls().iter().any(|c| c.header("X-Trace-Id") == id));
     }
     drop(crowd);
 }
@@ -175,7 +175,7 @@
     assert_eq!(client.says(b"PING\r\n"), "+PONG");
     let others: Vec<Client> = (0..100).map(|_| rig.client()).collect();
     for _ in 0..20 {
-        client.mail("notice", 7, 8000, "served all the same");
+        client.message("notice", 7, 8000, "served all the same");
     }
     wait_for("all of them", || e.calls().len() == 20);
     let open = std::fs::read_dir(format!("/proc/{}/fd", rig.child.as_ref().unwrap().id())).unwrap().count();
@@ -184,10 +184,10 @@
     assert_eq!(rig.client().says(b"PING\r\n"), "+PONG");
 }
 
-/// Seen on the short days of another customer: a full hold gave up up to 860 mails a day that had surely not run, most of them
-/// right after they had been taken on.
+/// Seen on the short days of another customer: a full hold gave up up to 860 messages a day that had surely not run, most of them
+/// right after they had been accepted.
 #[test]
-fn what_is_taken_on_keeps_its_place_and_a_hung_destination_leaves_room_for_others() {
+fn what_is_accepted_keeps_its_place_and_a_hung_destination_leaves_room_for_others() {
     let (hung, sound) = (Endpoint::start(Does::Hangs), Endpoint::start(OK));
     let mut rig = Rig::new(&[(&hung, 7), (&sound, 9)]);
     rig.start();
@@ -198,21 +198,21 @@
     };
     let taken = (0..200).take_while(|_| put_in(&mut client, 7) == "+OK").count();
     let kept = rig.kept();
-    assert_eq!((kept.mails.len(), kept.owed.len()), (taken, 0), "one given up while it could wait");
+    assert_eq!((kept.messages.len(), kept.owed.len()), (taken, 0), "one given up while it could wait");
     assert_eq!(put_in(&mut client, 9), "+OK");
-    wait_for("a mail elsewhere", || !sound.calls().is_empty());
+    wait_for("a message elsewhere", || !sound.calls().is_empty());
 }
 
-/// A request that arrives between the last read and the end of a resting client: nothing of it is taken on, and no reset takes away
+/// A request that arrives between the last read and the end of a resting client: nothing of it is accepted, and no reset takes away
 /// what the client has not read.
 #[test]
-fn a_request_that_crosses_the_parting_is_not_taken_on_and_resets_nothing() {
+fn a_request_that_crosses_the_parting_is_not_accepted_and_resets_nothing() {
     let e = Endpoint::start(OK);
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.json["mgmt"] = rig.mgmt_at(0).into();
     rig.start();
     let mut resting = rig.client();
-    resting.mail("notice", 7, 8000, "before");
+    resting.message("notice", 7, 8000, "before");
     assert!(rig.call("drain")[0].starts_with("SUCCESS"));
     assert_eq!(resting.line(), "", "parted with");
     let crossing = fresh();
@@ -220,9 +220,9 @@
     // Over a connection that was reset nothing more can be written.
     resting.to.write_all(b"PING\r\n").expect("no reset");
     // Once this is answered, what came before has been met.
-    let later = rig.client().mail("notice", 7, 8000, "later");
-    wait_for("the later mail", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
+    let later = rig.client().message("notice", 7, 8000, "later");
+    wait_for("the later message", || e.calls().iter().any(|c| c.header("X-Trace-Id") == later));
     assert_eq!(resting.line(), "", "no answer");
-    let kept = rig.kept().mails.iter().any(|m| format!("{:016x}", m.id.0) == crossing);
+    let kept = rig.kept().messages.iter().any(|m| format!("{:016x}", m.id.0) == crossing);
     assert!(!kept && !e.calls().iter().any(|c| c.header("X-Trace-Id") == crossing));
 }
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -6,7 +6,7 @@
 pub mod control;
 pub mod installation;
 
-use bellsill_daemon::mail_journal::{Kept, MailJournal};
+use bellsill_daemon::message_journal::{Kept, MessageJournal};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -262,14 +262,14 @@
         let copy = self.folder.join(format!("copy-{}", COPIES.fetch_add(1, Ordering::SeqCst)));
         std::fs::create_dir_all(&copy).unwrap();
         std::fs::copy(self.folder.join("state").join(journal), copy.join("mails")).unwrap();
-        MailJournal::open(&copy, 10_000_000).unwrap().1
+        MessageJournal::open(&copy, 10_000_000).unwrap().1
     }
 
-    /// Whether the journal says that a connect of the mail never ran.
+    /// Whether the journal says that an attempt of the message never ran.
     pub fn never_ran(&self, id: &str) -> bool {
-        let mails = self.kept().mails;
-        let mail = mails.iter().find(|m| format!("{:016x}", m.id.0) == id);
-        mail.is_some_and(|m| m.connects.iter().any(|c| c.may_have_run == Some(false)))
+        let messages = self.kept().messages;
+        let message = messages.iter().find(|m| format!("{:016x}", m.id.0) == id);
+        message.is_some_and(|m| m.attempts.iter().any(|c| c.may_have_run == Some(false)))
     }
 
     pub fn kill(&mut self) {
@@ -361,8 +361,8 @@
         self.to.write_all(bytes).unwrap();
         self.line()
     }
-    /// Hands in a mail that is taken on.
-    pub fn mail(&mut self, class: &str, cell: u64, ms: u64, body: &str) -> String {
+    /// Hands in a message that is accepted.
+    pub fn message(&mut self, class: &str, cell: u64, ms: u64, body: &str) -> String {
         let id = fresh();
         let answer = self.says(&put(&id, &format!("c={class},d={ms},k=k{id},dest={cell}"), body));
         assert_eq!(answer, "+OK");
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -22,12 +22,12 @@
     };
     let nonsense = json!({"id": "e9", "addr": "nowhere", "zone": "z", "kind": "k", "cell": 7, "state": "up"});
     tell(2, vec![nonsense, second.entry("e1", 7, "up"), first.entry("e0", 7, "draining")]);
-    wait_for("mails at the newcomer", || {
-        client.mail("notice", 7, 8000, "to whom");
+    wait_for("messages at the newcomer", || {
+        client.message("notice", 7, 8000, "to whom");
         !second.calls().is_empty()
     });
     for _ in 0..10 {
-        client.mail("notice", 7, 8000, "not to the first");
+        client.message("notice", 7, 8000, "not to the first");
     }
     let bodies = |e: &Endpoint, body: &str| e.calls().iter().filter(|c| c.body == body).count();
     wait_for("all of them", || bodies(&second, "not to the first") == 10);
@@ -39,8 +39,8 @@
     let since = || rig.platform.since.lock().unwrap().last().cloned().unwrap();
     wait_for("a new watch", || since().contains("since=2 "));
     tell(3, vec![first.entry("e0", 7, "up"), second.entry("e1", 7, "removed")]);
-    wait_for("mails at the first again", || {
-        client.mail("notice", 7, 8000, "back");
+    wait_for("messages at the first again", || {
+        client.message("notice", 7, 8000, "back");
         bodies(&first, "back") > 0
     });
 }
@@ -57,8 +57,8 @@
     rig.start();
     let mut client = rig.client();
     for n in 1..9 {
-        client.mail("payment", 7, 8000, "x");
-        wait_for("the mail at the second", || second.calls().len() == n || !first.calls().is_empty());
+        client.message("payment", 7, 8000, "x");
+        wait_for("the message at the second", || second.calls().len() == n || !first.calls().is_empty());
     }
     assert_eq!(first.calls().len(), 0);
 }
@@ -73,7 +73,7 @@
     rig.json["known"]["servers"] = vec![up("e0", &old.local_addr().unwrap().to_string(), 7)].into();
     rig.start();
     let mut client = rig.client();
-    client.mail("notice", 7, 8000, "out");
+    client.message("notice", 7, 8000, "out");
     let mut out = accept(&old);
     request(&mut out).unwrap();
     let moved = vec![new.entry("e0", 7, "up"), new.entry("e1", 8, "up")];
@@ -82,7 +82,7 @@
     out.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
     let mut end = [0];
     assert_eq!(out.read(&mut end).unwrap(), 0, "it is closed, and nothing more comes on it");
-    client.mail("notice", 7, 8000, "after");
+    client.message("notice", 7, 8000, "after");
     wait_for("the message at the new address", || new.calls().len() == 1);
 }
 
@@ -103,7 +103,7 @@
     rig.start();
     rig.platform.tell(&format!("{}\n", json!({"version": 90, "full": false, "servers": []})));
     let mut client = rig.client();
-    let once = client.mail("payment", 7, 8000, "may have run");
+    let once = client.message("payment", 7, 8000, "may have run");
     wait_for("the call", || failing.calls().len() == 1);
     let old = std::mem::replace(&mut rig.platform, Platform::start());
     // What cannot be taken changes nothing.
@@ -124,8 +124,8 @@
     rig.platform
         .tell(&format!("{}\n", json!({"version": 3, "full": true, "servers": [other.entry("e1", 7, "up")]})));
     assert!(rig.platform.since.lock().unwrap()[0].contains("since=0 "));
-    wait_for("a mail by the new list", || {
-        client.mail("notice", 7, 8000, "to whom");
+    wait_for("a message by the new list", || {
+        client.message("notice", 7, 8000, "to whom");
         !other.calls().is_empty()
     });
     let mut end = [0];
@@ -160,7 +160,7 @@
 const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Seen on another customer's roll+mass, where a drain's grace is 250 ms: restarted dispatchers asked for the list up to 1 s
-/// after their start, and sent mails to what drained, as the platform's agent knew.
+/// after their start, and sent messages to what drained, as the platform's agent knew.
 #[test]
 fn the_watch_is_asked_for_before_the_first_client_is_answered() {
     let (discovery, addr) = by_hand();
@@ -210,7 +210,7 @@
     says(&mut first, &format!("{list}\n")).unwrap();
     let mut end = [0];
     assert_eq!(second.read(&mut end).unwrap(), 0, "the other one is closed");
-    wait_for("a mail by the list", || {
+    wait_for("a message by the list", || {
         let id = fresh();
         rig.client().says(&put(&id, &format!("c=notice,d=8000,k=k{id},dest=7"), "x"));
         !endpoint.calls().is_empty()
@@ -226,7 +226,7 @@
     let text = serde_json::to_string_pretty(&list(2, json!([endpoint.entry("e0", 7, "up")]))).unwrap();
     // Broken off, then one on a line of its own, then one over many lines.
     rig.platform.tell(&format!("{}\n{}\n{text}\n", &text[..text.len() - 9], list(1, json!([]))));
-    wait_for("a mail by the list", || {
+    wait_for("a message by the list", || {
         let id = fresh();
         rig.client().says(&put(&id, &format!("c=notice,d=8000,k=k{id},dest=7"), "x"));
         !endpoint.calls().is_empty()
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use bellsill_daemon::mail_journal::Kept;
+use bellsill_daemon::message_journal::Kept;
 use common::*;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -54,7 +54,7 @@
 }
 
 fn kept_ids(rig: &Rig) -> BTreeSet<String> {
-    rig.kept().mails.iter().map(|m| format!("{:016x}", m.id.0)).collect()
+    rig.kept().messages.iter().map(|m| format!("{:016x}", m.id.0)).collect()
 }
 
 /// A place for notices that says each that has come, and answers only when it is told to; it can go for good.
@@ -101,7 +101,7 @@
         });
         Place { addr, posts, answers, gone, thread: Some(thread) }
     }
-    /// How many requests have told of that mail.
+    /// How many requests have told of that message.
     fn told(&self, id: &str) -> usize {
         self.posts.lock().unwrap().iter().filter(|lines| lines.contains(id)).count()
     }
@@ -127,11 +127,11 @@
     }
 }
 
-/// Hands in a mail as clients do: by the one inside, and by another connection where that one was parted with.
+/// Hands in a message as clients do: by the one inside, and by another connection where that one was parted with.
 fn hand_in(rig: &Rig, client: Client, class: &str, cell: u64, ms: u64) -> String {
     let (id, mut client) = (fresh(), Some(client));
     let ask = put(&id, &format!("c={class},d={ms},k=k{id},dest={cell}"), "x");
-    wait_for("a mail taken on", || {
+    wait_for("a message accepted", || {
         let mut by = client.take().unwrap_or_else(|| rig.client());
         by.to.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
         let sent = by.to.write_all(&ask);
@@ -166,7 +166,7 @@
     crowd(&rig, &mut inside);
     let one = inside.remove(0);
     let relayed = hand_in(&rig, one, "payment", 7, 20_000);
-    wait_for("the mail", || calls_of(&sound, &relayed) == 1);
+    wait_for("the message", || calls_of(&sound, &relayed) == 1);
     crowd(&rig, &mut inside);
     assert!(rig.call("ready")[0].starts_with("SUCCESS"));
     wait_for("the figure", || rig.figure("downstream_requests.payment.completed") == 1);
@@ -179,19 +179,19 @@
     wait_for("the watch", || !rig.platform.since.lock().unwrap().is_empty());
     wait_for("the notice", || rig.platform.notice(&dead).is_some());
     assert_eq!(rig.platform.notice(&dead).unwrap()["result"], "dead");
-    // What the watch says is heard, and mails go by it.
+    // What the watch says is heard, and messages go by it.
     crowd(&rig, &mut inside);
     rig.platform.tell(&format!("{}\n", json!({"version": 2, "servers": [sound.entry("more", 9, "up")]})));
     wait_for("the news", || rig.figure("members") == 3);
     let client = rig.client();
     let last = hand_in(&rig, client, "notice", 9, 19_000);
-    wait_for("a mail by the news", || calls_of(&sound, &last) == 1);
+    wait_for("a message by the news", || calls_of(&sound, &last) == 1);
     assert_eq!((calls_of(&sound, &relayed), calls_of(&failing, &dead)), (1, 1));
     assert!(rig.platform.notice(&relayed).is_none() && rig.platform.notice(&last).is_none());
 }
 
 #[test]
-fn mails_taken_on_and_untried_are_tried_by_the_next_process() {
+fn messages_accepted_and_untried_are_tried_by_the_next_process() {
     let sound = Endpoint::start(OK);
     let mut rig = Rig::new(&[]);
     // One endpoint refuses connections, at the other none comes up.
@@ -200,27 +200,27 @@
     rig.json["known"]["servers"] = json!([up("e0", &refuses, 7), up("e1", &hangs, 8)]);
     rig.start();
     let mut client = rig.client();
-    let mut mails = BTreeSet::new();
+    let mut messages = BTreeSet::new();
     for n in 0..12 {
         let (class, ms) = [("payment", 23_000), ("notice", 19_000)][n % 2];
-        mails.insert(client.mail(class, 7 + n as u64 / 2 % 2, ms, "x"));
+        messages.insert(client.message(class, 7 + n as u64 / 2 % 2, ms, "x"));
     }
     let held = rig.kept();
-    assert!(held.mails.iter().all(|m| m.connects.is_empty()) && held.owed.is_empty());
-    assert_eq!(kept_ids(&rig), mails);
+    assert!(held.messages.iter().all(|m| m.attempts.is_empty()) && held.owed.is_empty());
+    assert_eq!(kept_ids(&rig), messages);
     rig.kill();
-    assert_eq!(kept_ids(&rig), mails);
+    assert_eq!(kept_ids(&rig), messages);
     forward(&refuses, &sound.addr);
     rig.json["known"]["servers"][1]["addr"] = sound.addr.clone().into();
     rig.start();
-    wait_for("all of them", || mails.iter().all(|id| calls_of(&sound, id) > 0));
+    wait_for("all of them", || messages.iter().all(|id| calls_of(&sound, id) > 0));
     wait_for("their ends", || rig.kept() == Kept::default());
-    assert!(mails.iter().all(|id| calls_of(&sound, id) == 1), "each once");
+    assert!(messages.iter().all(|id| calls_of(&sound, id) == 1), "each once");
     assert_eq!(rig.platform.notices(), Vec::<Value>::new());
 }
 
 #[test]
-fn a_client_that_floods_and_goes_leaves_each_mail_taken_with_one_end() {
+fn a_client_that_floods_and_goes_leaves_each_message_taken_with_one_end() {
     let sound = Endpoint::start(OK);
     let mut rig = Rig::new(&[]);
     let addr = nobody(&rig, 7200);
@@ -272,7 +272,7 @@
     let mut old = Place::start();
     rig.json["discovery"] = old.addr.clone().into();
     rig.start();
-    let dead = rig.client().mail("payment", 7, 8000, "x");
+    let dead = rig.client().message("payment", 7, 8000, "x");
     wait_for("the notice", || old.told(&dead) >= 1);
     old.go();
     let before = old.told(&dead);
@@ -294,7 +294,7 @@
     let told = new.told(&dead);
     rig.kill();
     rig.start();
-    let later = rig.client().mail("payment", 7, 8000, "x");
+    let later = rig.client().message("payment", 7, 8000, "x");
     wait_for("a later notice", || new.told(&later) >= 1);
     assert_eq!((old.told(&dead), new.told(&dead)), (before, told));
     assert_eq!((calls_of(&failing, &dead), calls_of(&failing, &later)), (1, 1));
@@ -329,11 +329,11 @@
     let mut client = rig.client();
     let ask = |cell: u64| put(&fresh(), &format!("c=notice,d=19000,k=a{cell},dest={cell}"), "x");
     wait_for("the new one's line", || client.says(&ask(11)) == "+OK");
-    wait_for("a mail by it", || !new.calls().is_empty());
+    wait_for("a message by it", || !new.calls().is_empty());
     assert_eq!(client.says(&ask(9)), "-ERR dest: unknown destination");
     for n in 1..=8 {
-        client.mail("payment", 7, 20_000, "x");
-        wait_for("the mail", || known.calls().len() + late.calls().len() == n);
+        client.message("payment", 7, 20_000, "x");
+        wait_for("the message", || known.calls().len() + late.calls().len() == n);
     }
     assert_eq!(late.calls().len(), 0);
 }
@@ -350,21 +350,21 @@
         assert!(head.contains(&format!("X-Trace-Id: {id}")), "{id} in {head:?}");
         conn.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
         // The answer is read, and the connection idle.
-        wait_for("its end", || rig.kept().mails.is_empty());
+        wait_for("its end", || rig.kept().messages.is_empty());
     };
     let half = |conn: &mut BufReader<TcpStream>| conn.get_mut().write_all(b"HTTP/1.1 2").unwrap();
     // A sound one is used again.
-    let a = client.mail("payment", 7, 20_000, "x");
+    let a = client.message("payment", 7, 20_000, "x");
     let mut first = accept(&endpoint);
     answer(&mut first, &a);
-    let b = client.mail("payment", 7, 20_000, "x");
+    let b = client.message("payment", 7, 20_000, "x");
     answer(&mut first, &b);
     half(&mut first);
     assert!(to_the_end(&mut first).is_empty(), "closed, with nothing written to it");
-    let c = client.mail("payment", 7, 20_000, "x");
+    let c = client.message("payment", 7, 20_000, "x");
     let mut second = accept(&endpoint);
     answer(&mut second, &c);
-    // The half line and the next mail are there in the same instant.
+    // The half line and the next message are there in the same instant.
     let d = fresh();
     rig.signal(Signal::STOP);
     half(&mut second);
@@ -385,8 +385,8 @@
     rig.json["settings"]["services"][0]["window-ns"] = json!(60_000_000_000u64);
     rig.start();
     let mut client = rig.client();
-    let once = client.mail("payment", 7, 23_000, "x");
-    let tagged = client.mail("notice", 7, 19_000, "x");
+    let once = client.message("payment", 7, 23_000, "x");
+    let tagged = client.message("notice", 7, 19_000, "x");
     wait_for("both calls", || calls_of(&hung, &once) == 1 && calls_of(&hung, &tagged) >= 1);
     rig.kill();
     hung.does(OK);
@@ -396,8 +396,8 @@
     wait_for("the end of the other", || rig.platform.notice(&once).is_some());
     assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
     wait_for("all to be over", || rig.kept() == Kept::default());
-    let last = rig.client().mail("payment", 7, 20_000, "x");
-    wait_for("a later mail", || calls_of(&hung, &last) == 1);
+    let last = rig.client().message("payment", 7, 20_000, "x");
+    wait_for("a later message", || calls_of(&hung, &last) == 1);
     assert_eq!(calls_of(&hung, &once), 1, "it may have run");
     assert!(rig.platform.notice(&tagged).is_none(), "it is relayed");
 }
@@ -408,22 +408,22 @@
     let mut rig = Rig::new(&[(&hung, 7)]);
     rig.json["settings"]["services"][0]["window-ns"] = json!(1_000_000_000);
     rig.start();
-    let id = rig.client().mail("notice", 7, 19_000, "x");
+    let id = rig.client().message("notice", 7, 19_000, "x");
     wait_for("the call", || calls_of(&hung, &id) >= 1);
     rig.kill();
     hung.does(OK);
     // The journal stands still. A machine that stands still may have had it go again before.
     let held = rig.kept();
-    let connects = held.mails.first().map(|m| m.connects.iter().map(|c| c.at).collect::<Vec<_>>());
-    let before = connects.as_ref().map_or_else(|| calls_of(&hung, &id), Vec::len);
-    let closed = connects.and_then(|c| c.last().copied()).unwrap_or(0) + 1_100_000_000;
+    let attempts = held.messages.first().map(|m| m.attempts.iter().map(|c| c.at).collect::<Vec<_>>());
+    let before = attempts.as_ref().map_or_else(|| calls_of(&hung, &id), Vec::len);
+    let closed = attempts.and_then(|c| c.last().copied()).unwrap_or(0) + 1_100_000_000;
     wait_for("the window's end", || {
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64 > closed
     });
     rig.start();
     wait_for("its end", || rig.platform.notice(&id).is_some());
     assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
-    let last = rig.client().mail("payment", 7, 20_000, "x");
-    wait_for("a later mail", || calls_of(&hung, &last) == 1);
+    let last = rig.client().message("payment", 7, 20_000, "x");
+    wait_for("a later message", || calls_of(&hung, &last) == 1);
     assert!(calls_of(&hung, &id) <= before, "{} after {before}", calls_of(&hung, &id));
 }
--- a/daemon/tests/journal.rs
+++ b/daemon/tests/journal.rs
@@ -2,39 +2,40 @@
 
 mod common;
 
-use bellsill_daemon::mail_journal::Kept;
+use bellsill_daemon::message_journal::Kept;
 use common::*;
 use serde_json::json;
 use std::sync::atomic::Ordering;
 
 #[test]
-fn after_sigkill_each_mail_goes_on_as_its_class_allows() {
+fn after_sigkill_each_message_goes_on_as_its_class_allows() {
     let (hung, shut) =
         (Endpoint::start(Does::Hangs), Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1000")));
     let mut rig = Rig::new(&[(&hung, 7), (&shut, 8)]);
     rig.json["settings"]["services"][0]["window-ns"] = json!(60_000_000_000u64);
     rig.start();
     let mut client = rig.client();
-    let (tagged, once) = (client.mail("notice", 7, 19_000, "t"), client.mail("payment", 7, 19_000, "o"));
+    let (tagged, once) =
+        (client.message("notice", 7, 19_000, "t"), client.message("payment", 7, 19_000, "o"));
     wait_for("both calls", || hung.calls().len() == 2);
-    let waits = client.mail("payment", 8, 19_000, "w");
+    let waits = client.message("payment", 8, 19_000, "w");
     wait_for("a refusal", || rig.never_ran(&waits));
     rig.kill();
     hung.does(OK);
     shut.does(OK);
     rig.start();
-    wait_for("the tagged mail again", || hung.calls().iter().filter(|c| c.body == "t").count() == 2);
-    wait_for("the mail that never ran", || shut.calls().iter().filter(|c| c.body == "w").count() == 2);
+    wait_for("the tagged message again", || hung.calls().iter().filter(|c| c.body == "t").count() == 2);
+    wait_for("the message that never ran", || shut.calls().iter().filter(|c| c.body == "w").count() == 2);
     wait_for("the end of the other", || rig.platform.notice(&once).is_some());
     assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
     assert_eq!(hung.calls().iter().filter(|c| c.body == "o").count(), 1, "it may have run");
     wait_for("all to be over", || rig.kept() == Kept::default());
     assert_eq!(rig.platform.notices().len(), 1, "{tagged} and {waits} are relayed");
-    // Relayed mails are over: the next process does nothing for them.
+    // Relayed messages are over: the next process does nothing for them.
     rig.kill();
     rig.start();
-    let last = rig.client().mail("notice", 7, 8000, "last");
-    wait_for("a later mail", || hung.calls().iter().any(|c| c.header("X-Trace-Id") == last));
+    let last = rig.client().message("notice", 7, 8000, "last");
+    wait_for("a later message", || hung.calls().iter().any(|c| c.header("X-Trace-Id") == last));
     assert_eq!((hung.calls().len(), shut.calls().len(), rig.platform.notices().len()), (4, 2, 1));
 }
 
@@ -46,9 +47,9 @@
     rig.platform.deaf.store(true, Ordering::SeqCst);
     rig.start();
     let mut client = rig.client();
-    let once = client.mail("payment", 7, 8000, "may have run");
+    let once = client.message("payment", 7, 8000, "may have run");
     wait_for("the call", || e.calls().len() == 1);
-    let unserved = client.mail("notice", 99, 100, "nowhere to go");
+    let unserved = client.message("notice", 99, 100, "nowhere to go");
     rig.kill();
     rig.start();
     assert_eq!(rig.platform.notices().len(), 0);
@@ -61,13 +62,14 @@
 }
 
 #[test]
-fn a_second_process_in_a_folder_in_use_starts_beside_it_and_takes_over_its_mails() {
+fn a_second_process_in_a_folder_in_use_starts_beside_it_and_takes_over_its_messages() {
     let hung = Endpoint::start(Does::Hangs);
     let mut rig = Rig::new(&[(&hung, 7)]);
     rig.json["settings"]["services"][0]["window-ns"] = json!(60_000_000_000u64);
     rig.start();
     let mut client = rig.client();
-    let (tagged, once) = (client.mail("notice", 7, 19_000, "t"), client.mail("payment", 7, 19_000, "o"));
+    let (tagged, once) =
+        (client.message("notice", 7, 19_000, "t"), client.message("payment", 7, 19_000, "o"));
     wait_for("both calls", || hung.calls().len() == 2);
     // A new version: the same folder and the same clients' address, while the old one still runs.
     let mut old = rig.child.take().unwrap();
@@ -79,7 +81,7 @@
     old.kill().unwrap();
     old.wait().unwrap();
     wait_for("the old journal taken over", || !state.join("mails").exists());
-    wait_for("the tagged mail again", || hung.calls().iter().filter(|c| c.body == "t").count() == 2);
+    wait_for("the tagged message again", || hung.calls().iter().filter(|c| c.body == "t").count() == 2);
     wait_for("the end of the once-only one", || rig.platform.notice(&once).is_some());
     assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
     assert_eq!(hung.calls().iter().filter(|c| c.body == "o").count(), 1, "it may have run");
@@ -89,8 +91,8 @@
     wait_for("the ends in the journal", || rig.kept_in("mails.1") == Kept::default());
     rig.kill();
     rig.start();
-    let last = rig.client().mail("notice", 7, 8000, "last");
-    wait_for("a later mail", || hung.calls().iter().any(|c| c.header("X-Trace-Id") == last));
+    let last = rig.client().message("notice", 7, 8000, "last");
+    wait_for("a later message", || hung.calls().iter().any(|c| c.header("X-Trace-Id") == last));
     assert_eq!((hung.calls().len(), rig.platform.notices().len()), (4, 1));
 }
 
@@ -113,7 +115,7 @@
         assert!(used() <= 400_000);
     }
     assert_eq!((answers[0].as_str(), answers[39].as_str()), ("+OK", "-BUSY"));
-    // Once mails are over there is room again, however much was written before.
+    // Once messages are over there is room again, however much was written before.
     e.does(OK);
     wait_for("room for many more", || {
         let answer = client.says(&put(&fresh(), "c=notice,d=20000,k=x,dest=7", &body));
--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! A dispatcher that leaves on SIGTERM, alone or for a new version, loses no mail.
+//! A dispatcher that leaves on SIGTERM, alone or for a new version, loses no message.
 
 mod common;
 
@@ -12,12 +12,12 @@
 use std::time::Duration;
 
 #[test]
-fn on_sigterm_mails_held_go_out_and_clients_are_parted_with_between_requests() {
+fn on_sigterm_messages_held_go_out_and_clients_are_parted_with_between_requests() {
     let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 0.7"));
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.start();
     let mut client = rig.client();
-    let held = client.mail("notice", 7, 20_000, "held");
+    let held = client.message("notice", 7, 20_000, "held");
     wait_for("a refusal", || rig.never_ran(&held));
     e.does(OK);
     rig.signal(Signal::TERM);
@@ -34,11 +34,11 @@
     assert_eq!(client.line(), "", "parted with");
     assert_eq!(rig.child.take().unwrap().wait().unwrap().code(), Some(0));
     rig.start();
-    let last = rig.client().mail("notice", 7, 8000, "last");
+    let last = rig.client().message("notice", 7, 8000, "last");
     let gone_out = |id: &str| e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count();
-    wait_for("a later mail", || gone_out(&last) == 1);
-    wait_for("the mail held", || gone_out(&held) >= 2);
-    wait_for("the late mail", || answer.is_empty() || gone_out(&late) >= 1);
+    wait_for("a later message", || gone_out(&last) == 1);
+    wait_for("the message held", || gone_out(&held) >= 2);
+    wait_for("the late message", || answer.is_empty() || gone_out(&late) >= 1);
 }
 
 #[test]
@@ -47,11 +47,11 @@
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.start();
     let mut client = rig.client();
-    client.mail("notice", 7, 8000, "before");
+    client.message("notice", 7, 8000, "before");
     rig.signal(Signal::TERM);
-    wait_for("a closed door", || TcpStream::connect(&rig.listen).is_err());
-    client.mail("notice", 7, 8000, "behind it");
-    wait_for("the mail", || e.calls().iter().any(|c| c.body == "behind it"));
+    wait_for("a closed listener", || TcpStream::connect(&rig.listen).is_err());
+    client.message("notice", 7, 8000, "behind it");
+    wait_for("the message", || e.calls().iter().any(|c| c.body == "behind it"));
     assert_eq!(client.line(), "", "parted with");
     assert_eq!(rig.child.take().unwrap().wait().unwrap().code(), Some(0));
 }
@@ -61,7 +61,7 @@
     let e = Endpoint::start(Does::Hangs);
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.start();
-    let once = rig.client().mail("payment", 7, 20_000, "x");
+    let once = rig.client().message("payment", 7, 20_000, "x");
     wait_for("the call", || e.calls().len() == 1);
     rig.signal(Signal::TERM);
     let mut end = None;
@@ -71,13 +71,13 @@
     });
     assert_eq!(end.unwrap().code(), Some(0));
     rig.start();
-    wait_for("the mail's end", || rig.platform.notice(&once).is_some());
+    wait_for("the message's end", || rig.platform.notice(&once).is_some());
     assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
     assert_eq!(e.calls().len(), 1);
 }
 
 #[test]
-fn a_new_version_takes_over_under_load_and_each_mail_is_relayed_once() {
+fn a_new_version_takes_over_under_load_and_each_message_is_relayed_once() {
     let e = Endpoint::start(OK);
     let mut rig = Rig::new(&[(&e, 7)]);
     rig.json["mgmt"] = rig.mgmt_at(0).into();
@@ -114,7 +114,7 @@
     let count = || taken.lock().unwrap().len();
     let more = |many: usize| {
         let from = count();
-        wait_for("mails", || count() >= from + many);
+        wait_for("messages", || count() >= from + many);
     };
     more(40);
     let mut old = rig.child.take().unwrap();
--- a/daemon/tests/operators.rs
+++ b/daemon/tests/operators.rs
@@ -58,8 +58,8 @@
     let chunk = format!("{:x}\r\n{garbage}\r\n", garbage.len());
     rig.platform.watches.lock().unwrap()[0].write_all(chunk.as_bytes()).unwrap();
     rig.platform.tell(&format!("{}\n", json!({"version": 2, "servers": [e.entry("more", 9, "up")]})));
-    rig.client().mail("notice", 9, 19_000, "behind all the garbage");
-    wait_for("the mail", || e.calls().len() == 1);
+    rig.client().message("notice", 9, 19_000, "behind all the garbage");
+    wait_for("the message", || e.calls().len() == 1);
 }
 
 #[test]
@@ -92,11 +92,11 @@
     }
     let mut client = rig.client();
     for _ in 0..5 {
-        client.mail("notice", 7, 8000, "relayed");
+        client.message("notice", 7, 8000, "relayed");
     }
-    let once = client.mail("payment", 8, 8000, "bounced");
-    let late = client.mail("notice", 9, 700, "deferred");
-    client.mail("notice", 9, 19_000, "waits");
+    let once = client.message("payment", 8, 8000, "bounced");
+    let late = client.message("notice", 9, 700, "deferred");
+    client.message("notice", 9, 19_000, "waits");
     wait_for("the ends", || {
         sound.calls().len() == 5 && [&once, &late].iter().all(|id| rig.platform.notice(id).is_some())
     });
@@ -127,8 +127,8 @@
     rig.json["mgmt"] = rig.mgmt_at(0).into();
     rig.start();
     let (mut idle, mut within, mut asks) = (rig.client(), rig.client(), rig.client());
-    idle.mail("notice", 7, 8000, "before");
-    let held = asks.mail("notice", 8, 19_000, "held over the drain");
+    idle.message("notice", 7, 8000, "before");
+    let held = asks.message("notice", 8, 19_000, "held over the drain");
     wait_for("the call that hangs", || !hung.calls().is_empty());
     let (first, second) = (put(&fresh(), "c=notice,d=8000,k=a,dest=7", "half"), fresh());
     within.to.write_all(&first[..30]).unwrap();
@@ -144,16 +144,18 @@
     assert!(rig.call("ready")[0].starts_with("FAILURE"));
     // One that comes nonetheless is served, and what was held goes on.
     let mut late = rig.client();
-    late.mail("notice", 7, 8000, "late");
+    late.message("notice", 7, 8000, "late");
     assert_eq!(late.line(), "");
     hung.does(OK);
-    wait_for("the mail held", || hung.calls().iter().filter(|c| c.header("X-Trace-Id") == held).count() == 2);
+    wait_for("the message held", || {
+        hung.calls().iter().filter(|c| c.header("X-Trace-Id") == held).count() == 2
+    });
     wait_for("all of them", || rig.figure("downstream_requests.notice.completed") == 5);
     assert!(rig.child.as_mut().unwrap().try_wait().unwrap().is_none(), "it stays");
     assert!(rig.call("resume")[0].starts_with("SUCCESS"));
     let mut after = rig.client();
     assert_eq!(after.says(b"PING\r\n"), "+PONG");
-    after.mail("notice", 7, 8000, "after");
+    after.message("notice", 7, 8000, "after");
     assert_eq!(after.says(b"PING\r\n"), "+PONG", "stays inside");
     assert!(rig.platform.notices().is_empty());
 }
@@ -167,12 +169,12 @@
     std::fs::write(rig.folder.join("state/held-out"), "two words\ne0\n\n").unwrap();
     rig.start();
     let mut client = rig.client();
-    let mails = |client: &mut Client, many: usize| {
+    let messages = |client: &mut Client, many: usize| {
         let before = a.calls().len() + b.calls().len();
-        (0..many).for_each(|_| drop(client.mail("notice", 7, 20_000, "x")));
-        wait_for("the mails", || a.calls().len() + b.calls().len() == before + many);
+        (0..many).for_each(|_| drop(client.message("notice", 7, 20_000, "x")));
+        wait_for("the messages", || a.calls().len() + b.calls().len() == before + many);
     };
-    mails(&mut client, 10);
+    messages(&mut client, 10);
     assert_eq!((a.calls().len(), b.calls().len()), (0, 10), "held out by the list left");
     assert!(rig.call("enable-server e0")[0].starts_with("SUCCESS"));
     for _ in 0..2 {
@@ -183,14 +185,14 @@
         a.entry("e2", 8, "up")]});
     rig.platform.tell(&format!("{up}\n"));
     wait_for("the list", || rig.figure("members") == 3);
-    mails(&mut client, 10);
+    messages(&mut client, 10);
     assert_eq!((a.calls().len(), b.calls().len()), (10, 10));
     // An end that the journal does not have yet would be owed again.
     wait_for("their ends", || rig.figure("downstream_requests.notice.completed") == 20);
     rig.kill();
     rig.start();
     client = rig.client();
-    mails(&mut client, 10);
+    messages(&mut client, 10);
     assert_eq!((a.calls().len(), b.calls().len()), (20, 10), "over a restart");
     // A new version beside it, then a call to the old one: the new one heeds it too.
     let mut old = rig.child.take().unwrap();
@@ -205,7 +207,7 @@
     old.kill().unwrap();
     old.wait().unwrap();
     client = rig.client();
-    mails(&mut client, 10);
+    messages(&mut client, 10);
     assert_eq!((a.calls().len(), b.calls().len()), (20, 20), "over an upgrade");
     assert!(rig.call("enable-server e0")[0].starts_with("SUCCESS"), "one call undoes two");
     assert_eq!(rig.figure("members_unavailable"), 0);
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -6,7 +6,7 @@
 use bellsill_daemon::discovery::KEPT_FOR;
 use bellsill_daemon::endpoints::Endpoints;
 use bellsill_daemon::http::{self, Body};
-use bellsill_daemon::mail_journal::{Ending, Kept, KeptConnect, KeptMail, MailJournal, NoRoom};
+use bellsill_daemon::message_journal::{Ending, Kept, KeptAttempt, KeptMessage, MessageJournal, NoRoom};
 use bellsill_daemon::resp;
 use bellsill_daemon::ring::Ring;
 use bellsill_daemon::slots::{SlotId, Slots};
@@ -196,7 +196,7 @@
 }
 
 #[test]
-fn a_told_wait_is_read_with_its_decimals() {
+fn a_retry_after_is_read_with_its_decimals() {
     let mut ring = Ring::new(1000);
     ring.push(b"HTTP/1.1 429 Busy\r\nretry-after: 0.25\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     let head = http::head(&mut ring).unwrap().unwrap();
@@ -220,15 +220,15 @@
 
 /// Does one step on the journal and on what it should hold.
 fn step(
-    journal: &mut MailJournal,
+    journal: &mut MessageJournal,
     model: &mut Kept,
     (what, whom, size): (u8, u8, u16),
 ) -> Result<(), NoRoom> {
     let id = MessageId(u64::from(whom % 16));
-    let place = model.mails.iter().position(|m| m.id == id);
+    let place = model.messages.iter().position(|m| m.id == id);
     match (what % 6, place) {
         (0 | 1, None) if !model.owed.iter().any(|o| o.0 == id) => {
-            let mail = KeptMail {
+            let message = KeptMessage {
                 id,
                 class: "notice".into(),
                 key: u64::from(what),
@@ -236,25 +236,25 @@
                 due: Nanos::from(size) * 1_000,
                 tag: format!("t{whom}"),
                 body: vec![what; usize::from(size % 4096)],
-                connects: vec![],
+                attempts: vec![],
             };
-            journal.taken(&mail)?;
-            model.mails.push(mail);
+            journal.taken(&message)?;
+            model.messages.push(message);
         }
         (2, Some(place)) => {
-            journal.connect(id, Nanos::from(size), "north")?;
-            let connect = KeptConnect { at: Nanos::from(size), zone: "north".into(), may_have_run: None };
-            model.mails[place].connects.push(connect);
+            journal.attempt(id, Nanos::from(size), "north")?;
+            let attempt = KeptAttempt { at: Nanos::from(size), zone: "north".into(), may_have_run: None };
+            model.messages[place].attempts.push(attempt);
         }
-        (3, Some(place)) if !model.mails[place].connects.is_empty() => {
+        (3, Some(place)) if !model.messages[place].attempts.is_empty() => {
             journal.outcome(id, size % 2 == 0)?;
-            model.mails[place].connects.last_mut().unwrap().may_have_run = Some(size % 2 == 0);
+            model.messages[place].attempts.last_mut().unwrap().may_have_run = Some(size % 2 == 0);
         }
         (4, Some(place)) => {
             let ending =
                 [None, Some(Ending::Bounced), Some(Ending::Deferred(Nanos::from(size)))][size as usize % 3];
             journal.ended(id, ending)?;
-            model.mails.remove(place);
+            model.messages.remove(place);
             model.owed.extend(ending.map(|e| (id, e)));
         }
         (5, _) if model.owed.iter().any(|o| o.0 == id) => {
@@ -271,11 +271,11 @@
     fn property(steps: Vec<(u8, u8, u16)>, torn: Vec<u8>) -> bool {
         const ROOM: u64 = 60_000;
         let folder = Folder::new("journal");
-        let (mut journal, kept) = MailJournal::open(&folder.0, ROOM).unwrap();
+        let (mut journal, kept) = MessageJournal::open(&folder.0, ROOM).unwrap();
         let mut model = kept;
         // Many times over, so that the file is written anew again and again.
         for (i, one) in steps.iter().cycle().take(steps.len() * 10).enumerate() {
-            // A journal that is full refuses mails and stays as it was; it must not refuse what ends them.
+            // A journal that is full refuses messages and stays as it was; it must not refuse what ends them.
             let refused = step(&mut journal, &mut model, *one).is_err();
             assert!(!refused || one.0 % 6 < 3, "step {one:?} refused");
             assert!(folder.size() <= ROOM, "{} bytes of {ROOM}", folder.size());
@@ -283,7 +283,7 @@
                 drop(journal);
                 let path = folder.0.join("mails");
                 std::fs::OpenOptions::new().append(true).open(path).unwrap().write_all(&torn).unwrap();
-                let (opened, mut kept) = MailJournal::open(&folder.0, ROOM).unwrap();
+                let (opened, mut kept) = MessageJournal::open(&folder.0, ROOM).unwrap();
                 kept.owed.sort_by_key(|o| o.0);
                 model.owed.sort_by_key(|o| o.0);
                 assert_eq!(kept, model);
@@ -298,22 +298,22 @@
 #[test]
 fn a_journal_left_half_written_anew_is_the_old_one() {
     let folder = Folder::new("anew");
-    let (mut journal, mut model) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (mut journal, mut model) = MessageJournal::open(&folder.0, 60_000).unwrap();
     step(&mut journal, &mut model, (0, 1, 100)).unwrap();
     drop(journal);
     std::fs::write(folder.0.join("mails.next"), b"half").unwrap();
-    let (_, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (_, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
     assert!(kept == model && !folder.0.join("mails.next").exists());
 }
 
 #[test]
-fn a_journal_beside_one_that_is_held_takes_its_mails_once_it_is_free() {
+fn a_journal_beside_one_that_is_held_takes_its_messages_once_it_is_free() {
     let folder = Folder::new("adopt");
-    let (mut old, mut model) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (mut old, mut model) = MessageJournal::open(&folder.0, 60_000).unwrap();
     for one in [(0, 1, 100), (0, 2, 50), (2, 1, 7), (3, 1, 1), (0, 3, 9), (4, 3, 1)] {
         step(&mut old, &mut model, one).unwrap();
     }
-    let (mut new, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (mut new, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
     assert_eq!(kept, Kept::default());
     // While the old one is held, nothing of it is taken.
     let (adopted, held) = new.adopt().unwrap();
@@ -323,20 +323,20 @@
     assert!(!held && adopted == model && !folder.0.join("mails").exists());
     // What was taken over is the new one's own from now on: opened again, it is there once.
     drop(new);
-    let (mut again, kept) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (mut again, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
     let (adopted, held) = again.adopt().unwrap();
     assert!(!held && kept == Kept::default() && adopted == model);
 }
 
-/// Half taken over, the rest of it would have been forgotten, and mails ended since taken for new.
+/// Half taken over, the rest of it would have been forgotten, and messages ended since taken for new.
 #[test]
 fn a_journal_that_finds_no_room_is_taken_over_whole_later() {
     let folder = Folder::new("adopt-later");
-    let (mut old, mut model) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (mut old, mut model) = MessageJournal::open(&folder.0, 60_000).unwrap();
     for n in 0..5 {
         step(&mut old, &mut model, (0, n, 4_000)).unwrap();
     }
-    let (mut new, _) = MailJournal::open(&folder.0, 60_000).unwrap();
+    let (mut new, _) = MessageJournal::open(&folder.0, 60_000).unwrap();
     let mut own = Kept::default();
     for n in 8..13 {
         step(&mut new, &mut own, (0, n, 4_000)).unwrap();
@@ -378,7 +378,7 @@
                 let most = 6 * S - (UP_WITHIN + FIRST_LINE_WITHIN + spent).min(6 * S - 2);
                 assert!((0..40).all(|_| rests.rest(spent) < most));
             }
-            // Mails go by a list that may be old until then.
+            // Messages go by a list that may be old until then.
             assert!(
                 rests.first_rest(0) == 0 && rests.first_rest(S / 4) <= S / 8 && rests.first_rest(60 * S) <= S
             );
--- a/daemon/tests/scoped.rs
+++ b/daemon/tests/scoped.rs
@@ -80,7 +80,7 @@
     dispatcher.start();
     wait_for("the buckets", || dispatcher.scope("complete_buckets") == u64::from(BUCKETS));
     let mut client = dispatcher.rig.client();
-    client.mail("notice", 7, 8000, "held");
+    client.message("notice", 7, 8000, "held");
     delivered(&first, "held");
     assert!(control.lookup_queries().is_empty(), "it was known");
     control.write("e0", &first.addr, "north", 7, false);
@@ -99,7 +99,7 @@
     let mut client = dispatcher.rig.client();
     let mut taken = Vec::new();
     for body in ["first", "second"] {
-        client.mail("notice", 47, 20_000, body);
+        client.message("notice", 47, 20_000, body);
         taken.push(body);
     }
     wait_for("lookups that fail", || control.lookup_queries().len() > 1);
@@ -122,7 +122,7 @@
     let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
     dispatcher.start();
     wait_for("the buckets", || dispatcher.scope("complete_buckets") == u64::from(BUCKETS));
-    dispatcher.rig.client().mail("notice", 7, 20_000, "waits");
+    dispatcher.rig.client().message("notice", 7, 20_000, "waits");
     wait_for("a first call", || !endpoint.calls().is_empty());
     control.take_buckets_away();
     wait_for("the buckets to be lost", || dispatcher.scope("complete_buckets") == 0);
@@ -138,7 +138,7 @@
     let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
     dispatcher.start();
     let mut client = dispatcher.rig.client();
-    let id = client.mail("payment", 47, 1000, "to nobody");
+    let id = client.message("payment", 47, 1000, "to nobody");
     wait_for("its end", || dispatcher.rig.platform.notice(&id).is_some());
     assert!(!control.lookup_queries().is_empty());
     let answer = client.says(&put(&fresh(), "c=payment,d=1000,k=,dest=47", "x"));
@@ -157,8 +157,8 @@
     let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
     dispatcher.start();
     let mut client = dispatcher.rig.client();
-    client.mail("notice", 7, 8000, "before");
-    client.mail("notice", 47, 8000, "before");
+    client.message("notice", 7, 8000, "before");
+    client.message("notice", 47, 8000, "before");
     [&held, &cached].into_iter().for_each(|endpoint| delivered(endpoint, "before"));
     drop(client);
     dispatcher.stop();
@@ -167,11 +167,11 @@
     std::fs::copy(&dead.installation, &dispatcher.installation).unwrap();
     dispatcher.start();
     let mut client = dispatcher.rig.client();
-    client.mail("notice", 7, 8000, "after");
-    client.mail("notice", 47, 8000, "after");
+    client.message("notice", 7, 8000, "after");
+    client.message("notice", 47, 8000, "after");
     [&held, &cached].into_iter().for_each(|endpoint| delivered(endpoint, "after"));
     // One that is not known is taken, and ends by its time.
-    let id = client.mail("payment", 48, 1000, "unknown");
+    let id = client.message("payment", 48, 1000, "unknown");
     wait_for("its end", || dispatcher.rig.platform.notice(&id).is_some());
     // It goes on from where it was when control is back.
     drop(client);
@@ -213,7 +213,7 @@
     dispatcher.start();
     let mut client = dispatcher.rig.client();
     for (n, endpoint) in endpoints.iter().enumerate() {
-        client.mail("notice", 40 + n as u64, 8000, "each");
+        client.message("notice", 40 + n as u64, 8000, "each");
         delivered(endpoint, "each");
     }
     wait_for("the oldest to be forgotten", || {
@@ -223,7 +223,7 @@
     control.end_watches();
     assert!(control.next_watch(1).ends_with("buckets=0,1,2,3&cells=41,42"));
     // What gave way is asked for again when it is wanted.
-    client.mail("notice", 40, 8000, "again");
+    client.message("notice", 40, 8000, "again");
     delivered(&endpoints[0], "again");
 }
 
@@ -234,7 +234,7 @@
     control.fail_lookups(true);
     let mut dispatcher = ScopedRig::new(&[&control.addr], 8);
     dispatcher.start();
-    dispatcher.rig.client().mail("notice", 47, 20_000, "waits");
+    dispatcher.rig.client().message("notice", 47, 20_000, "waits");
     wait_for("a lookup", || !control.lookup_queries().is_empty());
     dispatcher.rig.kill();
     control.fail_lookups(false);
@@ -254,11 +254,11 @@
     let mut dispatcher = ScopedRig::new(&[&control.addr], 3);
     dispatcher.start();
     let mut client = dispatcher.rig.client();
-    client.mail("notice", 40, 20_000, "waits");
+    client.message("notice", 40, 20_000, "waits");
     wait_for("a first call", || !full.calls().is_empty());
     let completed = || dispatcher.rig.figure("downstream_requests.notice.completed");
     for (n, cell) in [41, 42, 41, 43, 44].into_iter().enumerate() {
-        client.mail("notice", cell, 8000, "is delivered");
+        client.message("notice", cell, 8000, "is delivered");
         wait_for("its answer", || completed() == n as u64 + 1);
     }
     // The second one was used longest ago, then the first one; the message for 40 still waits.
@@ -289,7 +289,7 @@
     let mut dispatcher = ScopedRig::new(&["127.0.0.1:1"], 8);
     dispatcher.rig.json["known"]["servers"] = vec![endpoint.entry("e0", 7, "up")].into();
     dispatcher.start();
-    dispatcher.rig.client().mail("notice", 7, 8000, "by the list of the start");
+    dispatcher.rig.client().message("notice", 7, 8000, "by the list of the start");
     delivered(&endpoint, "by the list of the start");
 }
 
--- a/lab/src/capacity/model/rows.rs
+++ b/lab/src/capacity/model/rows.rs
@@ -470,7 +470,7 @@
             value: |i| i.size.backlog_per_dispatcher(),
             mechanism: Mechanism::InPlace {
                 name: "the decisions and the daemon",
-                file: "daemon/src/mails.rs",
+                file: "daemon/src/messages.rs",
             },
             ..row
         },
@@ -493,7 +493,7 @@
             value: |i| i.slopes.journal_by_held.slope * i.size.backlog_per_dispatcher(),
             mechanism: Mechanism::InPlace {
                 name: "one file a dispatcher",
-                file: "daemon/src/mail_journal.rs",
+                file: "daemon/src/message_journal.rs",
             },
             ..row
         },
@@ -504,7 +504,10 @@
             unit: Unit::Seconds,
             slope: Some(|s| s.restart_by_held),
             value: |i| i.slopes.restart_by_held.slope * MICROSECOND * i.size.backlog_per_dispatcher(),
-            mechanism: Mechanism::InPlace { name: "MailJournal::open", file: "daemon/src/mail_journal.rs" },
+            mechanism: Mechanism::InPlace {
+                name: "MessageJournal::open",
+                file: "daemon/src/message_journal.rs",
+            },
             ..row
         },
     ]
