--- a/configlog/src/config_log.rs
+++ b/configlog/src/config_log.rs
@@ -49,20 +49,12 @@
         let listing = directory.list()?;
         let mut report = RecoveryReport::default();
         remove_unfinished(&directory, &listing, &mut report)?;
-        let mut snapshots = usable_snapshots(&directory, &listing, &mut report)?;
-        let snapshot_indices = snapshots.iter().map(|snapshot| snapshot.index).collect();
-        let snapshot = snapshots.pop();
+        let (snapshots, snapshot) = usable_snapshots(&directory, &listing, &mut report)?;
         let base = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let read = read_records(&directory, &listing.logs, base)?;
         report.torn_bytes = read.torn_bytes;
         let segment = open_last_segment(&directory, &read)?;
-        let log = ConfigLog {
-            directory,
-            segment,
-            last_index: read.last_index,
-            snapshots: snapshot_indices,
-            failed: false,
-        };
+        let log = ConfigLog { directory, segment, last_index: read.last_index, snapshots, failed: false };
         Ok((log, Recovered { snapshot, records: read.records, report }))
     }
 
@@ -189,20 +181,24 @@
     Ok(())
 }
 
+/// The indices of the snapshots that can be used, and the latest of them.
 fn usable_snapshots(
     directory: &Directory,
     listing: &Listing,
     report: &mut RecoveryReport,
-) -> Result<Vec<Snapshot>, LogError> {
-    let mut usable = Vec::new();
-    for index in &listing.snapshots {
-        let file = directory.snapshot_path(*index);
-        match snapshot::read(&file, *index)? {
-            Ok(snapshot) => usable.push(snapshot),
+) -> Result<(Vec<u64>, Option<Snapshot>), LogError> {
+    let (mut usable, mut latest) = (Vec::new(), None);
+    for index in listing.snapshots.iter().copied() {
+        let file = directory.snapshot_path(index);
+        match snapshot::read(&file, index)? {
+            Ok(snapshot) => {
+                usable.push(index);
+                latest = Some(snapshot);
+            }
             Err(reason) => report.rejected.push(Rejected { file, reason }),
         }
     }
-    Ok(usable)
+    Ok((usable, latest))
 }
 
 /// What the logs have after a snapshot.
--- a/placement/tests/fleet.rs
+++ b/placement/tests/fleet.rs
@@ -113,7 +113,8 @@
     let (mut assignment, mut members) = placed();
     set_present(&mut members, false, |number, _| number % 10 == 3);
     let least = held_by_absent(&assignment, &members);
-    step_within("a tenth absent", &mut assignment, &members, least);
+    let change = step_within("a tenth absent", &mut assignment, &members, least);
+    assert_eq!(change.moved_replicas, least, "what has moved is spread before anything else moves");
     set_present(&mut members, true, |_, _| true);
     let least = fair_shares_of_empty(&assignment, &members);
     step_within("a tenth back", &mut assignment, &members, least);
--- a/placement/tests/plain.rs
+++ b/placement/tests/plain.rs
@@ -191,3 +191,13 @@
         assert_eq!(refused(&damaged, &members), TableError::InvalidHolder { bucket: BucketId(7) });
     }
 }
+
+#[test]
+fn a_zone_with_half_of_the_members_has_half_of_the_replicas() {
+    let mut assignment = Assignment::empty(layout(&[3], 200));
+    let zone_of = |number: usize| zone(0, [0, 1, 0, 2][number % 4]);
+    let members: Vec<Member> = (0..40).map(|number| member(number, zone_of(number))).collect();
+    step(&mut assignment, &members);
+    let loads: Vec<usize> = members.iter().map(|member| assignment.buckets_of(&member.name).len()).collect();
+    assert_eq!(loads, [10; 40], "400 replicas on 40 members");
+}
