--- a/configlog/tests/log.rs
+++ b/configlog/tests/log.rs
@@ -357,3 +357,17 @@
     let error = refusal(&directory);
     assert!(matches!(error, LogError::Corrupt { damage: Damage::TooLong, .. }), "{error}");
 }
+
+#[test]
+fn a_crash_before_the_log_of_a_snapshot_ahead_hides_no_gap() {
+    let directory = TempDir::new().unwrap();
+    let (mut log, _) = open(&directory);
+    append_to(&mut log, 2);
+    log.write_snapshot(50, state(50).into_iter()).unwrap();
+    drop(log);
+    fs::remove_file(file_of(&directory, "log", 50)).unwrap();
+    append_to(&mut open(&directory).0, 52);
+    assert_holds(&open(&directory).1, Some(50), 52);
+    flip_bit(&file_of(&directory, "snapshot", 50), 40);
+    assert!(matches!(refusal(&directory), LogError::MissingRecords { after: 50, reached: 2, .. }));
+}
