--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -80,6 +80,8 @@
     pub seeded: Duration,
     pub filled: Duration,
     pub filled_bytes: u64,
+    /// The most that one dispatcher read in 3 s while it was filled.
+    pub largest_three_seconds: u64,
 }
 
 pub struct Fleet {
@@ -232,12 +234,15 @@
     /// Declares and starts all dispatchers.
     fn fill(&mut self) -> Result<()> {
         self.controls[0].client().declare_members(&self.plan).context("declaring the dispatchers")?;
+        let window = self.begin_window()?;
         let began = Instant::now();
         let all: Vec<DispatcherIndex> = self.plan.dispatchers().collect();
         self.start_dispatchers(&all, StartFrom::Nothing)?;
         self.expect("every bucket has all its holders", FILLED_WITHIN, Fleet::settled)?;
         self.start_figures.filled = began.elapsed();
-        self.start_figures.filled_bytes = self.bytes();
+        let traffic = self.end_window(&window)?.traffic;
+        self.start_figures.filled_bytes = traffic.bytes;
+        self.start_figures.largest_three_seconds = traffic.largest_three_seconds;
         Ok(())
     }
 
--- a/lab/src/hollow/report.rs
+++ b/lab/src/hollow/report.rs
@@ -99,6 +99,10 @@
     format!("{:.1} MB", bytes as f64 / MEGABYTE)
 }
 
+pub fn kilobytes(bytes: u64) -> String {
+    format!("{:.1} KB", bytes as f64 / KILOBYTE)
+}
+
 fn milliseconds(histogram: &Histogram<u64>) -> String {
     if histogram.is_empty() {
         return "none".to_string();
