Lab: one recording outlet for what calls the decisions without sockets

Cause: three outlets (capacity/decisions.rs, capacity/wasted.rs, hollow/routes.rs) had the same nine methods, most of them empty. Change: recording_outlet.rs notes attempts, wake-ups and forgotten endpoints for all three; nothing else changes.

--- a/lab/src/capacity/decisions.rs
+++ b/lab/src/capacity/decisions.rs
@@ -3,6 +3,7 @@
 use super::bench::Bench;
 use super::fit::Point;
 use super::report::{Series, SeriesId};
+use crate::recording_outlet::RecordingOutlet;
 use anyhow::Result;
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
@@ -72,27 +73,9 @@
     }
 }
 
-/// Collects the attempts that the decisions order; the rest is of no interest here.
-#[derive(Default)]
-struct Connects(Vec<(MessageId, EndpointId)>);
-
-impl Outlet for Connects {
-    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, _: Nanos) {
-        self.0.push((mail, endpoint));
-    }
-    fn defer(&mut self, _: MessageId, _: Nanos) {}
-    fn bounce(&mut self, _: MessageId) {}
-    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
-    fn close_idle(&mut self, _: EndpointId) {}
-    fn forget(&mut self, _: EndpointId) {}
-    fn request_watch(&mut self) {}
-    fn wake(&mut self, _: Nanos) {}
-    fn log(&mut self, _: &str) {}
-}
-
 struct Bed {
     dispatcher: Dispatcher,
-    attempts: Connects,
+    answers: RecordingOutlet,
     now: Nanos,
     next_id: u64,
 }
@@ -100,22 +83,22 @@
 impl Bed {
     /// A dispatcher that knows `known` destinations, the last `down` of which are down.
     fn new(known: u32) -> Bed {
-        let mut attempts = Connects::default();
+        let mut answers = RecordingOutlet::default();
         let mut dispatcher = Dispatcher::boot(START, facts(1, 1_900));
         let entries: Vec<ListEntry> = (1..=known).map(entry).collect();
-        dispatcher.apply_list(START, ListScope::Whole, &entries, &mut attempts);
-        Bed { dispatcher, attempts, now: START, next_id: 1 }
+        dispatcher.apply_list(START, ListScope::Whole, &entries, &mut answers);
+        Bed { dispatcher, answers, now: START, next_id: 1 }
     }
 
     fn take(&mut self, destination: u32) {
         let new = message(self.next_id, destination, self.now + LIFETIME);
         self.next_id += 1;
-        self.dispatcher.accept(self.now, [new], &mut self.attempts);
+        self.dispatcher.accept(self.now, [new], &mut self.answers);
     }
 
     /// Answers all attempts that are out.
     fn answer(&mut self, outcome: Outcome, took: Nanos) {
-        for (mail, _) in std::mem::take(&mut self.attempts.0) {
+        for (mail, _) in std::mem::take(&mut self.answers.attempts) {
             let over = outcome == Outcome::Relayed;
             let end = AttemptEnd {
                 message: mail,
@@ -125,7 +108,7 @@
                 took,
                 reported_limit: 0.0,
             };
-            self.dispatcher.attempt_ended(self.now, end, &mut self.attempts);
+            self.dispatcher.attempt_ended(self.now, end, &mut self.answers);
         }
     }
 
--- a/lab/src/capacity/wasted.rs
+++ b/lab/src/capacity/wasted.rs
@@ -5,6 +5,7 @@
 use super::decisions::{entry, facts, message};
 use super::fit::Point;
 use super::report::{Finding, Series, SeriesId};
+use crate::recording_outlet::RecordingOutlet;
 use anyhow::Result;
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
@@ -60,29 +61,6 @@
     Answer { dispatcher: usize, mail: MessageId, attempt: u32, relayed: bool },
 }
 
-/// What one dispatcher's decisions answered in one call.
-#[derive(Default)]
-struct Answers {
-    attempts: Vec<(MessageId, EndpointId)>,
-    wake: Option<Nanos>,
-}
-
-impl Outlet for Answers {
-    fn attempt(&mut self, mail: MessageId, endpoint: EndpointId, _: Nanos) {
-        self.attempts.push((mail, endpoint));
-    }
-    fn defer(&mut self, _: MessageId, _: Nanos) {}
-    fn bounce(&mut self, _: MessageId) {}
-    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
-    fn close_idle(&mut self, _: EndpointId) {}
-    fn forget(&mut self, _: EndpointId) {}
-    fn request_watch(&mut self) {}
-    fn wake(&mut self, after: Nanos) {
-        self.wake = Some(after);
-    }
-    fn log(&mut self, _: &str) {}
-}
-
 struct Fleet {
     traffic: Traffic,
     dispatchers: Vec<Dispatcher>,
@@ -124,7 +102,7 @@
         let boot = |i: u32| {
             let facts = BootFacts { own_admission: false, ..facts(traffic.seed + u64::from(i), dispatchers) };
             let mut dispatcher = Dispatcher::boot(START, facts);
-            dispatcher.apply_list(START, ListScope::Whole, &entries, &mut Answers::default());
+            dispatcher.apply_list(START, ListScope::Whole, &entries, &mut RecordingOutlet::default());
             dispatcher
         };
         Fleet {
@@ -177,8 +155,8 @@
     }
 
     /// One call on a dispatcher's decisions, and what comes of their answers.
-    fn ask(&mut self, dispatcher: usize, call: impl FnOnce(&mut Dispatcher, &mut Answers)) {
-        let mut answers = Answers::default();
+    fn ask(&mut self, dispatcher: usize, call: impl FnOnce(&mut Dispatcher, &mut RecordingOutlet)) {
+        let mut answers = RecordingOutlet::default();
         call(&mut self.dispatchers[dispatcher], &mut answers);
         for (mail, endpoint) in answers.attempts {
             let relayed = endpoint.0 > self.traffic.down;
@@ -192,7 +170,7 @@
             let at = if relayed { self.now + ANSWER_AFTER } else { self.now };
             self.later(at, Event::Answer { dispatcher, mail, attempt, relayed });
         }
-        if let Some(after) = answers.wake {
+        if let Some(after) = answers.wake_after {
             self.later(self.now + after, Event::Wake { dispatcher });
         }
     }
--- a/lab/src/hollow/routes.rs
+++ b/lab/src/hollow/routes.rs
@@ -3,6 +3,7 @@
 
 use super::messages::BucketDigest;
 use super::plan::{DispatcherIndex, Plan};
+use crate::recording_outlet::RecordingOutlet;
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
 use bellsill_directory::line::{EndpointEntry, EndpointState};
@@ -20,29 +21,6 @@
     destination: u64,
 }
 
-/// An outlet for decisions that have no messages: only wake-ups and forgotten endpoints matter.
-#[derive(Default)]
-struct QuietOutlet {
-    wake_after: Option<Nanos>,
-    forgotten: Vec<EndpointId>,
-}
-
-impl Outlet for QuietOutlet {
-    fn attempt(&mut self, _: MessageId, _: EndpointId, _: Nanos) {}
-    fn defer(&mut self, _: MessageId, _: Nanos) {}
-    fn bounce(&mut self, _: MessageId) {}
-    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
-    fn close_idle(&mut self, _: EndpointId) {}
-    fn forget(&mut self, endpoint: EndpointId) {
-        self.forgotten.push(endpoint);
-    }
-    fn request_watch(&mut self) {}
-    fn wake(&mut self, after: Nanos) {
-        self.wake_after = Some(after);
-    }
-    fn log(&mut self, _: &str) {}
-}
-
 /// The decisions of a dispatcher and the endpoints that they know by name.
 pub struct RouteTable {
     decisions: Dispatcher,
@@ -82,7 +60,7 @@
 
     pub fn woken(&mut self, now: Nanos) {
         self.wake_at = None;
-        let mut outlet = QuietOutlet::default();
+        let mut outlet = RecordingOutlet::default();
         self.decisions.woken(now, &mut outlet);
         self.follow(now, outlet);
     }
@@ -97,12 +75,12 @@
     ) {
         let mut entries: Vec<ListEntry> = dropped.iter().filter_map(|name| self.gone(name)).collect();
         entries.extend(changed.into_iter().filter_map(|entry| self.listed(plan, entry)));
-        let mut outlet = QuietOutlet::default();
+        let mut outlet = RecordingOutlet::default();
         self.decisions.apply_list(now, ListScope::Update, &entries, &mut outlet);
         self.follow(now, outlet);
     }
 
-    fn follow(&mut self, now: Nanos, outlet: QuietOutlet) {
+    fn follow(&mut self, now: Nanos, outlet: RecordingOutlet) {
         if let Some(after) = outlet.wake_after {
             self.wake_at = Some(now + after);
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod measure;
 pub mod record;
+pub mod recording_outlet;
 pub mod report;
 pub mod run;
 pub mod sockets;
--- /dev/null
+++ b/lab/src/recording_outlet.rs
@@ -0,0 +1,40 @@
+//! An outlet for decisions without sockets: it notes what the laboratory follows and drops the rest.
+
+use bellsill::interface::*;
+
+/// What the decisions answered.
+#[derive(Default)]
+pub struct RecordingOutlet {
+    /// The attempts that they ordered, in their order.
+    pub attempts: Vec<(MessageId, EndpointId)>,
+    /// How long until they want to be woken, as they said last.
+    pub wake_after: Option<Nanos>,
+    /// The endpoints that they know nothing of any more.
+    pub forgotten: Vec<EndpointId>,
+}
+
+impl Outlet for RecordingOutlet {
+    fn attempt(&mut self, message: MessageId, endpoint: EndpointId, _: Nanos) {
+        self.attempts.push((message, endpoint));
+    }
+
+    fn defer(&mut self, _: MessageId, _: Nanos) {}
+
+    fn bounce(&mut self, _: MessageId) {}
+
+    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
+
+    fn close_idle(&mut self, _: EndpointId) {}
+
+    fn forget(&mut self, endpoint: EndpointId) {
+        self.forgotten.push(endpoint);
+    }
+
+    fn request_watch(&mut self) {}
+
+    fn wake(&mut self, after: Nanos) {
+        self.wake_after = Some(after);
+    }
+
+    fn log(&mut self, _: &str) {}
+}
