Watch: a layout of placement is itself the map of buckets

Cause: the daemon's installation and two tests of the control process each wrapped Layout to look up an entry's bucket by its zone, with the same two lines. Change: BucketMap is implemented for Layout once, in watch; the wrappers are gone. Nothing else changes. Measured: clippy and the formatter are clean; the tests of watch and controlplane, and daemon's scoped and scoped_processes pass.

--- a/controlplane/tests/failover.rs
+++ b/controlplane/tests/failover.rs
@@ -3,25 +3,17 @@
 mod common;
 
 use bellsill_directory::line::EndpointState::{Draining, Up};
-use bellsill_placement::{BucketId, Layout, RegionName, ZoneName};
-use bellsill_watch::{BucketMap, ScopedList};
+use bellsill_placement::{Layout, RegionName, ZoneName};
+use bellsill_watch::ScopedList;
 use common::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-struct Buckets(Layout);
-
-impl BucketMap for Buckets {
-    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
-        Some(self.0.bucket_of(self.0.region_of(&zone.into())?, destination))
-    }
-}
-
 /// The list of `north-a`, in the layout of the control processes of these tests.
 fn new_list() -> ScopedList {
     let zones = [("north-1", "north"), ("north-2", "north"), ("south-1", "south"), ("south-2", "south")];
     let zones = zones.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)));
-    ScopedList::new(Arc::new(Buckets(Layout::new(zones, 8).expect("a layout"))), 16)
+    ScopedList::new(Arc::new(Layout::new(zones, 8).expect("a layout")), 16)
 }
 
 /// Watches with what the list knows until it is at this version with all buckets; how many were told anew on the way.
--- a/controlplane/tests/random.rs
+++ b/controlplane/tests/random.rs
@@ -8,8 +8,8 @@
 use bellsill_directory::request::TargetsRequest;
 use bellsill_directory::state::{Directory, Keeping, LogId};
 use bellsill_directory::watchers::{WatcherId, Watchers};
-use bellsill_placement::{BucketId, Layout, Member, RegionName, ZoneName};
-use bellsill_watch::{BucketMap, Knowledge, ScopedList};
+use bellsill_placement::{Layout, Member, RegionName, ZoneName};
+use bellsill_watch::{Knowledge, ScopedList};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -21,14 +21,6 @@
 const TICK: u64 = 100_000_000;
 const DISPATCHER: &str = "north-a";
 
-struct Buckets(Layout);
-
-impl BucketMap for Buckets {
-    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
-        Some(self.0.bucket_of(self.0.region_of(&zone.into())?, destination))
-    }
-}
-
 fn layout() -> Layout {
     let zones = [("north-1", "north"), ("north-2", "north"), ("south-1", "south"), ("south-2", "south")];
     Layout::new(zones.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region))), 8)
@@ -93,7 +85,7 @@
             writer: Server::new(keeping),
             follower: Server::new(keeping),
             behind: Vec::new(),
-            list: ScopedList::new(Arc::new(Buckets(layout())), 4),
+            list: ScopedList::new(Arc::new(layout()), 4),
             watch: None,
             now: 0,
         };
--- a/daemon/src/installation.rs
+++ b/daemon/src/installation.rs
@@ -2,8 +2,7 @@
 //! With it a dispatcher holds a part of the configuration (`docs/configuration.md`); without it, all that discovery tells.
 
 use bellsill_directory::entry::is_member_name;
-use bellsill_placement::{BucketId, DEFAULT_BUCKETS_PER_REGION, Layout, LayoutError, RegionName, ZoneName};
-use bellsill_watch::BucketMap;
+use bellsill_placement::{DEFAULT_BUCKETS_PER_REGION, Layout, LayoutError, RegionName, ZoneName};
 use bellsill_watch::scoped_list::{CACHE_DESTINATIONS, MOST_CELLS};
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -24,7 +23,7 @@
     pub zone: ZoneName,
     /// Where the control processes listen.
     pub control: Vec<SocketAddr>,
-    pub layout: Arc<InstallationLayout>,
+    pub layout: Arc<Layout>,
     /// How many destinations outside of its buckets it keeps.
     pub cache_destinations: usize,
 }
@@ -71,17 +70,6 @@
     CACHE_DESTINATIONS
 }
 
-/// The layout, as the watch asks for it.
-#[derive(Debug)]
-pub struct InstallationLayout(Layout);
-
-impl BucketMap for InstallationLayout {
-    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
-        let region = self.0.region_of(&ZoneName::from(zone))?;
-        Some(self.0.bucket_of(region, destination))
-    }
-}
-
 impl Installation {
     /// Reads a file and checks it whole.
     pub fn read(path: &Path) -> Result<Installation, InstallationError> {
@@ -153,7 +141,7 @@
             dispatcher: self.dispatcher,
             zone,
             control: self.control,
-            layout: Arc::new(InstallationLayout(layout)),
+            layout: Arc::new(layout),
             cache_destinations: self.cache_destinations,
         })
     }
--- a/watch/src/scoped_list.rs
+++ b/watch/src/scoped_list.rs
@@ -3,7 +3,7 @@
 
 use crate::cell_cache::{CellCache, CellState};
 use bellsill_directory::line::{EndpointEntry, EndpointState, ScopedLine, Version};
-use bellsill_placement::{BucketId, Epoch};
+use bellsill_placement::{BucketId, Epoch, Layout, ZoneName};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write;
 use std::sync::Arc;
@@ -23,6 +23,13 @@
     fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId>;
 }
 
+impl BucketMap for Layout {
+    fn bucket_of(&self, zone: &str, destination: u64) -> Option<BucketId> {
+        let region = self.region_of(&ZoneName::from(zone))?;
+        Some(Layout::bucket_of(self, region, destination))
+    }
+}
+
 /// Why a line of the watch cannot be applied. Nothing of it is.
 #[derive(Debug)]
 pub enum ScopedLineError {
