--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -4,7 +4,10 @@
 #![allow(dead_code)]
 
 pub mod control;
+pub mod faults;
 pub mod installation;
+pub mod ledger;
+pub mod soak;
 
 use bellsill_daemon::message_journal::{Kept, MessageJournal};
 use rustix::process::Signal;
--- /dev/null
+++ b/daemon/tests/failing_folder.rs
@@ -0,0 +1,43 @@
+//! The folder that lasts fails for a while: writes fail whole or half, the process is killed in between.
+
+mod common;
+
+use common::faults::{EIO, ENOSPC, words};
+use common::soak::{Scenario, World, assert_kept};
+use std::time::Duration;
+
+/// Plays failing writes with kills among them; in all variants something has to fail.
+fn play_failing_writes(seed: u64, half: bool) {
+    let mut world = World::start(Scenario::new(seed));
+    for round in 0..8 {
+        let good = world.draw_ms(200..900);
+        world.play(good);
+        world.faults.fail_writes(if round % 2 == 0 { ENOSPC } else { EIO }, half);
+        let failing = world.draw_ms(100..600);
+        world.play(failing);
+        // Every second kill comes while writes still fail.
+        if round % 2 == 0 {
+            world.kill_and_restart(|world| world.faults.heal_folder());
+        } else {
+            world.faults.heal_folder();
+            let soon = world.draw_ms(0..120);
+            world.play(soon);
+            world.kill_and_restart(|_| {});
+        }
+    }
+    world.play(Duration::from_millis(300));
+    assert!(world.faults.count(words::WRITE_FAULTS) > 0, "no write has failed");
+    let verdict = world.finish();
+    assert!(verdict.accepted > 100, "{} accepted", verdict.accepted);
+    assert_kept(&verdict);
+}
+
+#[test]
+fn half_records_that_cannot_be_cut_back_lose_and_repeat_nothing() {
+    play_failing_writes(1, true);
+}
+
+#[test]
+fn writes_that_fail_for_a_while_let_nothing_out_after_its_notice() {
+    play_failing_writes(2, false);
+}
