--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -128,6 +128,14 @@
     }
 }
 
+/// Whether a connection could not be opened for want of something on this machine.
+fn is_local(e: &std::io::Error) -> bool {
+    matches!(
+        e.raw_os_error(),
+        Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM | libc::EADDRNOTAVAIL)
+    )
+}
+
 impl Runtime {
     /// Finds a connection for an attempt: an idle one, or a new one that has to come up.
     pub fn place(&mut self, slot: MessageSlot, endpoint: EndpointId) {
@@ -159,7 +167,7 @@
                 self.shift(slot, crate::messages::Stage::Rising);
             }
             // Nobody was asked: taken for a refusal it would speak against the endpoint.
-            Err(_) if self.conns.full() => self.end_call(slot, Outcome::Unsent(true), false),
+            Err(e) if self.conns.full() || is_local(&e) => self.end_call(slot, Outcome::NotBegun, false),
             Err(_) => self.end_call(slot, Outcome::Unconnected, false),
         }
     }
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -1,6 +1,7 @@
 //! The loop: one thread that waits for sockets, signals and deadlines, and tells the decisions what happened.
 
 use crate::backoff::Backoff;
+use crate::clock;
 use crate::conns::{ConnId, Conns, Role, Seen};
 use crate::deadlines::Deadlines;
 use crate::discovery::{Discovery, WatchTimer};
@@ -12,6 +13,7 @@
 use crate::scope::{self, SAVE_EVERY, ScopeFile};
 use crate::slots::Slots;
 use crate::start::{self, Source, Start};
+use crate::state_folder;
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
 use bellsill_watch::{Applied, ScopedList, ScopedOptions, Watch};
@@ -23,7 +25,7 @@
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 const MS: Nanos = 1_000_000;
 /// Leaving, counted from the signal. The platform lets new clients come for 400 ms and kills after 3.7 s. Those inside
@@ -38,22 +40,6 @@
 /// Between lines on how things stand.
 const STANDING: Nanos = 10_000 * MS;
 
-/// The wall clock at the start, and from then on a steady one.
-struct Clock {
-    base: Nanos,
-    since: Instant,
-}
-
-impl Clock {
-    fn start() -> Clock {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: base.as_nanos() as Nanos, since: Instant::now() }
-    }
-    fn now(&self) -> Nanos {
-        self.base + self.since.elapsed().as_nanos() as Nanos
-    }
-}
-
 /// The clients' listener, which a new version of the dispatcher shares while the old one ends.
 fn shared_listener(at: std::net::SocketAddr) -> io::Result<TcpListener> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
@@ -87,14 +73,6 @@
     (Watch::scoped(options, list), Some(file))
 }
 
-/// Takes over the journals of the folder that nobody holds any more. True beside: there is one yet to be taken over.
-fn take_over(journal: &mut MessageJournal) -> (Kept, bool) {
-    journal.adopt().unwrap_or_else(|e| {
-        log::error!("mail journal: another's cannot be taken over yet: {e}");
-        (Kept::default(), true)
-    })
-}
-
 /// How long this process has been on a processor, as far as the system tells.
 fn busy() -> Nanos {
     let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
@@ -145,7 +123,6 @@
     pub classes: Vec<ClassFacts>,
     /// There was no place for a client that came last.
     pub turned_away: bool,
-    clock: Clock,
     leave: Arc<AtomicBool>,
     reread: Arc<AtomicBool>,
     /// What the configuration was read from, and what of it only a restart takes.
@@ -159,6 +136,8 @@
     pub state: std::path::PathBuf,
     /// Of the list of endpoints held out there, as it was read or written last.
     pub held_stamp: Option<(u64, SystemTime)>,
+    /// What calls have changed of that list and is not written yet: whether the endpoint is out.
+    pub held_unwritten: BTreeMap<String, bool>,
     /// What is kept of the scoped configuration, where there is one.
     pub scope_file: Option<ScopeFile>,
 }
@@ -166,8 +145,7 @@
 impl Daemon {
     /// Takes up what the journal holds, and listens. Clients are answered once it runs.
     pub fn start(start: Start, told: Told) -> io::Result<Daemon> {
-        let clock = Clock::start();
-        let now = clock.now();
+        let now = clock::now();
         let (watch, scope_file) = watch_of(&start);
         let boot = start.boot;
         let (facts, names) = (BootFacts { own_admission: true, ..boot.facts }, boot.names);
@@ -177,9 +155,13 @@
             None => start.disk_bytes,
         };
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
-        let (mut journal, mut kept) = MessageJournal::open(&start.state, journal_bytes).map_err(in_folder)?;
+        let (mut journal, mut kept) =
+            state_folder::wait_out(&told.leave, || MessageJournal::open(&start.state, journal_bytes))
+                .map_err(in_folder)?;
         // What an old process left is taken before clients are answered; one that still runs is looked for again.
-        let (adopted, others_held) = take_over(&mut journal);
+        let (adopted, others_held) = journal.adopt();
+        let held_out = state_folder::wait_out(&told.leave, || crate::mgmt::load_held(&start.state))
+            .map_err(in_folder)?;
         kept.messages.extend(adopted.messages);
         kept.owed.extend(adopted.owed);
         let held_stamp = crate::mgmt::held_stamp(&start.state);
@@ -213,11 +195,10 @@
                 reports_limits: boot.reports_limits,
                 bad_report_said: false,
                 figures: Default::default(),
-                held_out: crate::mgmt::load_held(&start.state).unwrap_or_default(),
+                held_out,
             },
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
-            clock,
             leave: told.leave,
             reread: told.reread,
             source: start.source,
@@ -226,6 +207,7 @@
             told_to_leave: 0,
             draining: false,
             held_stamp,
+            held_unwritten: BTreeMap::new(),
             scope_file,
             state: start.state.clone(),
         };
@@ -359,10 +341,10 @@
     }
 
     fn turn(&mut self) -> io::Result<()> {
-        let wait = self.runtime.deadlines.next().map(|at| at.saturating_sub(self.clock.now()));
+        let wait = self.runtime.deadlines.next().map(|at| at.saturating_sub(clock::now()));
         let seen = self.runtime.conns.wait(wait.map(Duration::from_nanos))?;
         for what in seen {
-            self.runtime.now = self.clock.now();
+            self.runtime.now = clock::now();
             match what {
                 Seen::Listener => drop(self.let_in()),
                 Seen::Mgmt => self.let_callers_in(),
@@ -371,7 +353,7 @@
             }
             self.settle();
         }
-        self.runtime.now = self.clock.now();
+        self.runtime.now = clock::now();
         let mut wake = false;
         while let Some(due) = self.runtime.deadlines.take_due(self.runtime.now) {
             // After a stand-still much is due at once: woken first, the decisions would take attempts for out that have
@@ -386,6 +368,7 @@
             self.fell_due(Due::Wake);
             self.settle();
         }
+        self.runtime.watch_journal();
         self.runtime.send_notices();
         if self.may_end() {
             self.leaving = Leaving::Gone;
@@ -401,7 +384,9 @@
         }
         // A client still here is within a request, has not read its answer, or has not ended its side.
         let inside = self.runtime.conns.iter().any(|(_, c)| c.role == Role::Client);
-        let quiet = self.runtime.messages.is_empty() && self.runtime.notices.owed() == 0 && !inside;
+        let recorded = !self.runtime.journal.is_behind();
+        let quiet =
+            self.runtime.messages.is_empty() && self.runtime.notices.owed() == 0 && !inside && recorded;
         let out = || self.runtime.messages.iter().any(|(_, m)| m.call.is_some());
         (self.leaving == Leaving::Parting && quiet) || (self.leaving == Leaving::Ending && !inside && !out())
     }
@@ -458,10 +443,11 @@
             }
             Due::LookUp => runtime.watch_timer(WatchTimer::LookUp),
             Due::Notices => runtime.notices_rested(),
+            Due::Journal => runtime.catch_up_journal(),
             Due::Accept => drop(self.let_in()),
             Due::Leave => self.leave_on(),
             Due::Adopt => {
-                let (kept, again) = take_over(&mut runtime.journal);
+                let (kept, again) = runtime.journal.adopt();
                 if again {
                     runtime.deadlines.set(Due::Adopt, now + BESIDE_EVERY);
                 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,8 +5,10 @@
 pub use bellsill_net::{deadlines, http, ring, slots};
 pub use bellsill_watch::backoff;
 
+pub mod clock;
 pub mod command_line;
 pub mod start;
+pub mod state_folder;
 
 pub mod event_loop;
 
--- a/daemon/src/messages.rs
+++ b/daemon/src/messages.rs
@@ -25,6 +25,8 @@
     }
 }
 
+/// Between two tries of a journal that cannot be written.
+const JOURNAL_AGAIN: Nanos = 50_000_000;
 /// Lifetimes are said in whole milliseconds.
 const LIFETIME_SLACK: Nanos = 1_000_000;
 
@@ -53,6 +55,8 @@
     Adopt,
     /// The list of endpoints held out may have been written by a process beside this one.
     HeldOut,
+    /// What could not be written to the journal is to be written.
+    Journal,
     /// Destinations are to be looked up again.
     LookUp,
     /// What is kept of the scoped configuration is to be saved.
@@ -107,6 +111,7 @@
 pub struct Held {
     pub id: MessageId,
     pub destination: u64,
+    pub due: Nanos,
     /// Its row of the classes; none for one of no class known now.
     pub class: Option<usize>,
     pub tag: String,
@@ -178,6 +183,7 @@
         let slot = self.messages.add(|_| Held {
             id: message.id,
             destination: message.destination,
+            due: message.due,
             class,
             tag: message.tag,
             body: message.body,
@@ -198,10 +204,25 @@
         }
     }
 
+    /// Has the journal try again while it is behind.
+    pub fn watch_journal(&mut self) {
+        if self.journal.is_behind() {
+            self.deadlines.set_if_unset(Due::Journal, self.now + JOURNAL_AGAIN);
+        } else {
+            self.notices.recorded();
+        }
+    }
+
+    /// The journal tries again.
+    pub fn catch_up_journal(&mut self) {
+        // Whether it went shows when it is looked at again.
+        let _ = self.journal.catch_up();
+    }
+
     /// The only place where a message changes its stage: keeps the journal, the notices owed and the tables true.
     pub fn shift(&mut self, slot: MessageSlot, to: Stage) {
         let Some(message) = self.messages.get_mut(slot) else { return };
-        let (id, from) = (message.id, std::mem::replace(&mut message.stage, to));
+        let (id, due, from) = (message.id, message.due, std::mem::replace(&mut message.stage, to));
         if to.ended() && !from.ended() {
             let ending = match to {
                 Stage::Deferred(come_back) => Some(Ending::Deferred(come_back)),
@@ -218,11 +239,12 @@
                 self.figures.count(class, end);
             }
             message.body = Vec::new();
-            if self.journal.ended(id, ending).is_err() {
-                log::error!("mail {:016x}: its end could not be written", id.0);
-            }
-            if let Some(ending) = ending {
-                self.notices.owe(id, ending);
+            // A notice that went ahead of its record would be forgotten by a kill, and the message sent after it.
+            let recorded = self.journal.ended(id, ending).is_ok();
+            match ending {
+                Some(ending) if recorded => self.notices.owe(id, ending),
+                Some(ending) => self.notices.owe_once_recorded(id, ending, due),
+                None => {}
             }
         }
         if to.ended() && self.messages.get(slot).is_some_and(|m| m.call.is_none()) {
@@ -235,12 +257,15 @@
     pub fn end_call(&mut self, slot: MessageSlot, outcome: Outcome, over: bool) {
         let Some(message) = self.messages.get_mut(slot) else { return };
         let Some(call) = message.call.take() else { return };
+        if outcome == Outcome::NotBegun {
+            message.attempts -= 1;
+        }
         let (id, stage) = (message.id, message.stage);
         log::debug!("mail {:016x}: connect {} ended, begun {}: {outcome:?}", id.0, call.no.0, call.begun);
         self.deadlines.clear(Due::Call(slot));
         let was_over = stage.ended();
         if call.begun && !was_over && outcome != Outcome::Relayed {
-            // Lost, it would only make the message one that may have run.
+            // Until it is written the message counts as one that may have run.
             let _ = self.journal.outcome(id, outcome.may_have_run());
         }
         let over = over || was_over || outcome == Outcome::Relayed;
@@ -278,7 +303,7 @@
         }
         let written = call.conn.and_then(|c| self.conns.get(c)).is_some_and(|c| c.output.is_empty());
         let outcome = match outcome {
-            Outcome::Unsent(_) => outcome,
+            Outcome::Unsent(_) | Outcome::NotBegun => outcome,
             // Not all of it was written: it never ran.
             _ if !call.begun || !written => Outcome::Unconnected,
             outcome => outcome,
@@ -309,7 +334,7 @@
         if room.is_err() {
             self.endpoints.calls.remove(&conn);
             self.pool(conn);
-            self.end_call(slot, Outcome::Unsent(false), false);
+            self.end_call(slot, Outcome::NotBegun, false);
             return;
         }
         call.begun = true;
@@ -473,18 +498,23 @@
         Ok(())
     }
 
-    /// Takes messages that are held to the decisions, with what a former process did for them.
+    /// Takes messages that are held to the decisions, with what a former process did for them. Those of no class that is
+    /// known are not among them: their end is given where they are found.
     pub fn decide_on(&mut self, messages: &[KeptMessage]) {
         let runtime = &mut self.runtime;
-        let new = |message: &KeptMessage| NewMessage {
-            id: message.id,
-            class: ClassId(runtime.class_of(&message.class).unwrap_or(0)),
-            key: Some(KeyId(message.key)).filter(|key| key.0 != 0),
-            destination: DestinationId(message.destination),
-            due: message.due,
-            past: past(&message.attempts, runtime.discovery.zones()),
+        let new = |message: &KeptMessage| {
+            // By another class's rules it might run twice.
+            let class = ClassId(runtime.class_of(&message.class)?);
+            Some(NewMessage {
+                id: message.id,
+                class,
+                key: Some(KeyId(message.key)).filter(|key| key.0 != 0),
+                destination: DestinationId(message.destination),
+                due: message.due,
+                past: past(&message.attempts, runtime.discovery.zones()),
+            })
         };
-        let all: Vec<NewMessage> = messages.iter().map(new).collect();
+        let all: Vec<NewMessage> = messages.iter().filter_map(new).collect();
         self.dispatcher.accept(runtime.now, all, runtime);
     }
 }
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -36,22 +36,18 @@
     (held, bad)
 }
 
-/// The endpoints held out by hand, as the folder that lasts has them. What is no id is said, and the rest is used. None:
-/// the list cannot be read, which is said too.
-pub fn load_held(folder: &std::path::Path) -> Option<std::collections::BTreeSet<String>> {
+/// The endpoints held out by hand, as the folder that lasts has them. What is no id is said, and the rest is used.
+pub fn load_held(folder: &std::path::Path) -> std::io::Result<std::collections::BTreeSet<String>> {
     let path = folder.join(HELD_FILE);
     let text = match std::fs::read(&path) {
         Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
-        Err(e) => {
-            log::error!("{}: cannot be read: {e}", path.display());
-            return None;
-        }
+        Err(e) => return Err(e),
     };
     let (held, bad) = read_held(&text);
     bad.iter().for_each(|why| log::error!("{}: {why}, skipped", path.display()));
     log::info!("{} endpoints are held out by hand", held.len());
-    Some(held)
+    Ok(held)
 }
 
 /// What changes with the list of endpoints held out each time that it is written: none while there is none.
@@ -310,13 +306,12 @@
                 if held.len() > HELD_MOST {
                     return format!("FAILURE {HELD_MOST} endpoints are out already\n");
                 }
-                if changed && let Err(e) = write_held(&self.state, &held) {
-                    log::error!("{HELD_FILE}: cannot be written: {e}");
-                    return format!("FAILURE nothing changed, {HELD_FILE} cannot be written: {e}\n");
-                }
                 log::info!("endpoint {name} {} by a call", if out { "taken out" } else { "put back" });
-                self.held_stamp = held_stamp(&self.state);
                 self.hold_out(held);
+                if changed {
+                    self.held_unwritten.insert(name.clone(), out);
+                    self.save_held();
+                }
                 format!("SUCCESS {name} is {}\n", if out { "out" } else { "back" })
             }
         }
@@ -326,11 +321,38 @@
     /// or the new version while both run, and binds both.
     pub fn heed_held_out(&mut self) {
         let stamp = held_stamp(&self.state);
-        if stamp != self.held_stamp
-            && let Some(held) = load_held(&self.state)
-        {
-            self.held_stamp = stamp;
-            self.hold_out(held);
+        if stamp != self.held_stamp {
+            match load_held(&self.state) {
+                Ok(mut held) => {
+                    self.held_stamp = stamp;
+                    for (name, &out) in &self.held_unwritten {
+                        if out {
+                            held.insert(name.clone())
+                        } else {
+                            held.remove(name)
+                        };
+                    }
+                    self.hold_out(held);
+                }
+                Err(e) => log::error!("{HELD_FILE}: cannot be read: {e}"),
+            }
+        }
+        self.save_held();
+    }
+
+    /// Writes the list of endpoints held out where a call has changed it. It is in force before: the platform counts the
+    /// endpoint as out a second after the call, whatever becomes of the file. A write that fails is tried again whenever
+    /// the list is looked at.
+    fn save_held(&mut self) {
+        if self.held_unwritten.is_empty() {
+            return;
+        }
+        match write_held(&self.state, &self.runtime.held_out) {
+            Ok(()) => {
+                self.held_unwritten.clear();
+                self.held_stamp = held_stamp(&self.state);
+            }
+            Err(e) => log::error!("{HELD_FILE}: cannot be written yet: {e}"),
         }
     }
 
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -16,9 +16,16 @@
 const MOST: usize = 256;
 const BYTES_MOST: usize = 64 * 1024;
 
+/// A notice that is owed.
+struct Owed {
+    ending: Ending,
+    /// Its record is not written yet: until then, or until this time, it waits.
+    unrecorded_until: Option<Nanos>,
+}
+
 pub struct Notices {
     addr: SocketAddr,
-    owed: BTreeMap<MessageId, Ending>,
+    owed: BTreeMap<MessageId, Owed>,
     /// Those of the request that is out.
     out: Vec<MessageId>,
     conn: Option<ConnId>,
@@ -42,7 +49,18 @@
     }
 
     pub fn owe(&mut self, id: MessageId, ending: Ending) {
-        self.owed.insert(id, ending);
+        self.owed.insert(id, Owed { ending, unrecorded_until: None });
+    }
+
+    /// Owes a notice whose record could not be written. Sent at once, a kill would forget it, and the message would go out
+    /// after its notice. At `due` it is sent in any case: nothing goes out for the message from then on.
+    pub fn owe_once_recorded(&mut self, id: MessageId, ending: Ending, due: Nanos) {
+        self.owed.insert(id, Owed { ending, unrecorded_until: Some(due) });
+    }
+
+    /// All records are written now.
+    pub fn recorded(&mut self) {
+        self.owed.values_mut().for_each(|owed| owed.unrecorded_until = None);
     }
 
     pub fn owed(&self) -> usize {
@@ -50,7 +68,7 @@
     }
 
     fn lines(&self) -> String {
-        let line = |id: &MessageId| match self.owed[id] {
+        let line = |id: &MessageId| match self.owed[id].ending {
             Ending::Bounced => format!("{{\"ref\":\"{:016x}\",\"result\":\"dead\"}}\n", id.0),
             Ending::Deferred(wait) => {
                 let ms = wait.div_ceil(1_000_000);
@@ -68,7 +86,12 @@
         if n.owed.is_empty() || !n.out.is_empty() || n.rests {
             return;
         }
-        n.out = n.owed.keys().copied().take(MOST).collect();
+        let now = self.now;
+        let may_go = |owed: &Owed| owed.unrecorded_until.is_none_or(|until| now >= until);
+        n.out = n.owed.iter().filter(|(_, owed)| may_go(owed)).map(|(id, _)| *id).take(MOST).collect();
+        if n.out.is_empty() {
+            return;
+        }
         let request = http::notices(n.addr, &n.lines());
         let id = match n.conn {
             Some(id) => id,
@@ -144,7 +167,7 @@
                 self.notices.again = AGAIN;
                 for message in std::mem::take(&mut self.notices.out) {
                     self.notices.owed.remove(&message);
-                    // Lost, it would be told once more after a restart.
+                    // Until it is written, a restart would tell it once more.
                     let _ = self.journal.told(message);
                 }
                 if last {
--- /dev/null
+++ b/daemon/src/state_folder.rs
@@ -0,0 +1,35 @@
+//! The folder that lasts, at a start: what fails there for a while is tried again before clients are answered.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// For so long a start tries again: a platform takes a dispatcher that is not ready within 30 s for failed.
+const TRY_FOR: Duration = Duration::from_secs(25);
+const TRY_AGAIN: Duration = Duration::from_millis(50);
+
+/// Whether a call may go well if it is made again: the disk is full or fails, or the system is out of something. What the
+/// operator has to mend, such as a folder without permission, ends the start at once.
+fn may_pass(e: &io::Error) -> bool {
+    use io::ErrorKind::*;
+    let lasting = [PermissionDenied, NotADirectory, IsADirectory, NotFound, ReadOnlyFilesystem, ResourceBusy];
+    e.raw_os_error().is_some() && !lasting.contains(&e.kind())
+}
+
+/// Does something in the folder, again and again while it fails in a way that may pass, unless the process is to leave.
+pub fn wait_out<T>(leave: &AtomicBool, mut act: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let until = Instant::now() + TRY_FOR;
+    let mut said = false;
+    loop {
+        match act() {
+            Err(e) if may_pass(&e) && Instant::now() < until && !leave.load(Ordering::SeqCst) => {
+                if !std::mem::replace(&mut said, true) {
+                    log::error!("the state folder fails, the start waits for it: {e}");
+                }
+                sleep(TRY_AGAIN);
+            }
+            done => return done,
+        }
+    }
+}
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -12,7 +12,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// An address of the rig's own where nobody listens, and nothing else is ever given the port.
 fn nobody(rig: &Rig, port: u16) -> String {
@@ -417,9 +417,8 @@
     let attempts = held.messages.first().map(|m| m.attempts.iter().map(|c| c.at).collect::<Vec<_>>());
     let before = attempts.as_ref().map_or_else(|| calls_of(&hung, &id), Vec::len);
     let closed = attempts.and_then(|c| c.last().copied()).unwrap_or(0) + 1_100_000_000;
-    wait_for("the window's end", || {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64 > closed
-    });
+    // The journal's times are on the dispatcher's clock.
+    wait_for("the window's end", || bellsill_daemon::clock::now() > closed);
     rig.start();
     wait_for("its end", || rig.platform.notice(&id).is_some());
     assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -247,18 +247,18 @@
             model.messages[place].attempts.push(attempt);
         }
         (3, Some(place)) if !model.messages[place].attempts.is_empty() => {
-            journal.outcome(id, size % 2 == 0)?;
+            journal.outcome(id, size % 2 == 0).map_err(|_| NoRoom)?;
             model.messages[place].attempts.last_mut().unwrap().may_have_run = Some(size % 2 == 0);
         }
         (4, Some(place)) => {
             let ending =
                 [None, Some(Ending::Bounced), Some(Ending::Deferred(Nanos::from(size)))][size as usize % 3];
-            journal.ended(id, ending)?;
+            journal.ended(id, ending).map_err(|_| NoRoom)?;
             model.messages.remove(place);
             model.owed.extend(ending.map(|e| (id, e)));
         }
         (5, _) if model.owed.iter().any(|o| o.0 == id) => {
-            journal.told(id)?;
+            journal.told(id).map_err(|_| NoRoom)?;
             model.owed.retain(|o| o.0 != id);
         }
         _ => {}
@@ -316,15 +316,15 @@
     let (mut new, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
     assert_eq!(kept, Kept::default());
     // While the old one is held, nothing of it is taken.
-    let (adopted, held) = new.adopt().unwrap();
+    let (adopted, held) = new.adopt();
     assert!(held && adopted == Kept::default());
     drop(old);
-    let (adopted, held) = new.adopt().unwrap();
+    let (adopted, held) = new.adopt();
     assert!(!held && adopted == model && !folder.0.join("mails").exists());
     // What was taken over is the new one's own from now on: opened again, it is there once.
     drop(new);
     let (mut again, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
-    let (adopted, held) = again.adopt().unwrap();
+    let (adopted, held) = again.adopt();
     assert!(!held && kept == Kept::default() && adopted == model);
 }
 
@@ -342,11 +342,11 @@
         step(&mut new, &mut own, (0, n, 4_000)).unwrap();
     }
     drop(old);
-    assert_eq!(new.adopt().unwrap(), (Kept::default(), true));
+    assert_eq!(new.adopt(), (Kept::default(), true));
     for n in 8..13 {
         step(&mut new, &mut own, (4, n, 0)).unwrap();
     }
-    assert_eq!(new.adopt().unwrap(), (model, false));
+    assert_eq!(new.adopt(), (model, false));
 }
 
 #[test]
--- a/lab/src/capacity/model/rows.rs
+++ b/lab/src/capacity/model/rows.rs
@@ -493,7 +493,7 @@
             value: |i| i.slopes.journal_by_held.slope * i.size.backlog_per_dispatcher(),
             mechanism: Mechanism::InPlace {
                 name: "one file a dispatcher",
-                file: "daemon/src/message_journal.rs",
+                file: "daemon/src/message_journal/",
             },
             ..row
         },
@@ -506,7 +506,7 @@
             value: |i| i.slopes.restart_by_held.slope * MICROSECOND * i.size.backlog_per_dispatcher(),
             mechanism: Mechanism::InPlace {
                 name: "MessageJournal::open",
-                file: "daemon/src/message_journal.rs",
+                file: "daemon/src/message_journal/",
             },
             ..row
         },
--- a/net/src/deadlines.rs
+++ b/net/src/deadlines.rs
@@ -22,6 +22,13 @@
         self.order.insert((at, what));
     }
 
+    /// Sets when this falls due, unless it is set.
+    pub fn set_if_unset(&mut self, what: K, at: Nanos) {
+        if !self.at.contains_key(&what) {
+            self.set(what, at);
+        }
+    }
+
     pub fn clear(&mut self, what: K) {
         if let Some(at) = self.at.remove(&what) {
             self.order.remove(&(at, what));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -57,6 +57,7 @@
         if call_ended || matches!(end.outcome, Outcome::Full(_)) {
             self.observe(attempt, &end, out);
         }
+        self.discount(&end);
         self.cool_down_key(&end);
         self.continue_message(&end, out);
         self.decide(out);
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -27,7 +27,9 @@
             Outcome::Full(retry_after) => self.refused(route, attempt.sent_at, retry_after),
             Outcome::Unconnected if at_once => self.connection_refused(route),
             Outcome::Reset if !attempt.fresh_connection && early_reset => {} // Perhaps dropped while idle.
-            Outcome::Unsent(true) => self.no_slot_until = self.now + NO_SLOT_TICKS * self.facts.tick,
+            Outcome::Unsent(true) | Outcome::NotBegun => {
+                self.no_slot_until = self.now + NO_SLOT_TICKS * self.facts.tick
+            }
             Outcome::Unsent(false) | Outcome::CalledOff => {}
             outcome => self.observe_failure(route, outcome, out),
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -186,12 +186,14 @@
     CalledOff,
     /// Not sent at all; true: no slot was free.
     Unsent(bool),
+    /// The front could not begin it, for want of something of its own: it counts as no attempt.
+    NotBegun,
 }
 
 impl Outcome {
     /// Whether the message may have run in spite of the outcome.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Outcome::Full(_) | Outcome::Unconnected | Outcome::Unsent(_))
+        !matches!(self, Outcome::Full(_) | Outcome::Unconnected | Outcome::Unsent(_) | Outcome::NotBegun)
     }
 }
 
--- a/src/state/transitions.rs
+++ b/src/state/transitions.rs
@@ -23,6 +23,15 @@
         }
     }
 
+    /// An attempt that was not begun is none.
+    pub(crate) fn discount(&mut self, end: &AttemptEnd) {
+        if let Some(message) =
+            self.messages.get_mut(&end.message).filter(|_| end.outcome == Outcome::NotBegun)
+        {
+            message.attempts -= 1;
+        }
+    }
+
     /// The only place where a message changes its stage: sends the final answers and keeps the counts.
     pub(crate) fn transition(&mut self, id: MessageId, to: Stage, out: &mut impl Outlet) {
         let Some(message) = self.messages.get_mut(&id) else { return };
