--- a/daemon/tests/common/ledger.rs
+++ b/daemon/tests/common/ledger.rs
@@ -8,6 +8,8 @@
 const LIMIT_SLACK: Duration = Duration::from_millis(150);
 /// For so long after a restarted dispatcher is ready no notice is overdue.
 const READY_SLACK: Duration = Duration::from_millis(1_500);
+/// A restarted dispatcher is ready within this time.
+const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Calls that come so soon after a wait was told are let through.
 const WAIT_SLACK: Duration = Duration::from_millis(250);
 /// What the account itself may lag behind what it records: its threads share the machine with everything else.
@@ -62,6 +64,8 @@
     restarts: Vec<(Instant, Option<Instant>)>,
     /// The waits told by each limiter: from the answer to its end.
     waits: BTreeMap<usize, Vec<(Instant, Instant)>>,
+    /// When the process that is to be ready was started.
+    down_since: Option<Instant>,
     wrong: Vec<String>,
 }
 
@@ -137,12 +141,32 @@
         }
     }
 
+    /// A client that stopped in the middle of a request was told an error or closed, or waits no longer for that.
+    pub fn bad_client_ended(&mut self, began: Instant, owed: Duration) {
+        let took = began.elapsed();
+        if took > owed + LIMIT_SLACK
+            && !self.restarts.iter().any(|(_, ready)| ready.is_none_or(|r| r >= began))
+        {
+            self.wrong
+                .push(format!("a client that stopped half way was owed an end for {} ms", took.as_millis()));
+        }
+    }
+
     /// A signal that ends the process, or the first of several.
     pub fn restart_began(&mut self) {
         self.restarts.push((Instant::now(), None));
     }
 
+    /// The next process is started.
+    pub fn started_again(&mut self) {
+        self.down_since = Some(Instant::now());
+    }
+
     pub fn restart_ended(&mut self) {
+        let took = self.down_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+        if took > READY_WITHIN {
+            self.wrong.push(format!("ready after {} ms", took.as_millis()));
+        }
         self.restarts.last_mut().unwrap().1 = Some(Instant::now());
     }
 
--- a/daemon/tests/common/soak.rs
+++ b/daemon/tests/common/soak.rs
@@ -1,7 +1,7 @@
 //! A world that a dispatcher is played against for some seconds: clients that keep their connections, endpoints that
 //! answer by chance, the platform, and troubles. A [`Ledger`] judges what came of it.
 
-use super::faults::Faults;
+use super::faults::{EIO, ENOSPC, Faults, words};
 use super::ledger::{Class, Effect, Heard, Ledger, Verdict};
 use super::{Client, Rig, connect, fresh, put, request, stand_in};
 use rand::{RngExt, SeedableRng};
@@ -22,9 +22,13 @@
 const DOWN_FOR: Duration = Duration::from_millis(600);
 /// The earliest kill after SIGTERM.
 const KILL_AFTER_TERM: Duration = Duration::from_millis(3_700);
+/// For so long a dispatcher may be held up.
+const STANDSTILL: Duration = Duration::from_millis(150);
 /// What a hanging endpoint holds a call for at most.
 const HANG_FOR: Duration = Duration::from_secs(30);
 
+/// Within this time a client that stops in the middle of a request is told an error or closed.
+const BAD_CLIENT_OWED: Duration = Duration::from_secs(3);
 const NOTICE_WINDOW: Duration = Duration::from_secs(8);
 
 /// How a world is set up.
@@ -43,18 +47,68 @@
 }
 
 impl Scenario {
+    /// A scenario under these troubles, as far as they are part of its setting.
+    pub fn troubled(seed: u64, troubles: &[Trouble]) -> Scenario {
+        let mut scenario = Scenario::new(seed);
+        for trouble in troubles {
+            match trouble {
+                Trouble::ShortTimes => scenario.lifetimes_ms = 5..400,
+                Trouble::ShortWindow => scenario.window = Duration::from_secs(1),
+                Trouble::Crowd => scenario.idle_clients = 400,
+                _ => {}
+            }
+        }
+        scenario
+    }
+
     pub fn new(seed: u64) -> Scenario {
         Scenario {
             seed,
             lifetimes_ms: 1_500..4_000,
             window: NOTICE_WINDOW,
-            answers: [60, 15, 10, 15],
-            pause: Duration::from_millis(60),
+            answers: [72, 8, 8, 12],
+            pause: Duration::from_millis(100),
             idle_clients: 0,
         }
     }
 }
 
+/// The troubles that a run is played under.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trouble {
+    WallSteps,
+    FailingWrites,
+    HalfWriteAtKill,
+    SocketErrors,
+    DiscoverySilent,
+    Hang,
+    CutAnswers,
+    CloseIdle,
+    Standstill,
+    StopHalfWay,
+    ShortTimes,
+    ShortWindow,
+    Crowd,
+}
+
+impl Trouble {
+    pub const ALL: [Trouble; 13] = [
+        Trouble::WallSteps,
+        Trouble::FailingWrites,
+        Trouble::HalfWriteAtKill,
+        Trouble::SocketErrors,
+        Trouble::DiscoverySilent,
+        Trouble::Hang,
+        Trouble::CutAnswers,
+        Trouble::CloseIdle,
+        Trouble::Standstill,
+        Trouble::StopHalfWay,
+        Trouble::ShortTimes,
+        Trouble::ShortWindow,
+        Trouble::Crowd,
+    ];
+}
+
 /// What the endpoints and the platform do beside answering.
 #[derive(Default)]
 pub struct Troubles {
@@ -95,6 +149,7 @@
     shared: Arc<Shared>,
     clients: Vec<JoinHandle<()>>,
     idle: Vec<TcpStream>,
+    disturbances: Vec<Trouble>,
     pub random: Pcg64,
 }
 
@@ -141,7 +196,7 @@
                 to.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
             }
             n if n < delivered + full => {
-                let wait_ms = shared.draw(100..700);
+                let wait_ms = shared.draw(50..400);
                 shared.ledger().told_to_wait(limiter, Duration::from_millis(wait_ms));
                 end(Effect::NeverRan);
                 let seconds = wait_ms as f64 / 1000.0;
@@ -236,16 +291,16 @@
         }
     }
 
-    /// A connection of its own on which half a request is sent, and which stays open.
+    /// A connection of its own on which half a request is sent, and which stays open until it is told an error or closed.
     fn stop_half_way(&self) {
         let Ok(mut client) = connect(&self.listen) else { return };
         let _ = client.to.write_all(b"*5\r\n$7\r\nMSG.PUT\r\n$16\r\n00000000");
         let shared = Arc::clone(&self.shared);
         std::thread::spawn(move || {
-            let owed = Instant::now() + Duration::from_secs(4);
-            let _ = client.to.set_read_timeout(Some(Duration::from_millis(4_000)));
+            let began = Instant::now();
+            let _ = client.to.set_read_timeout(Some(2 * BAD_CLIENT_OWED));
             let _ = client.from.read(&mut [0; 64]);
-            drop((shared, owed));
+            shared.ledger().bad_client_ended(began, BAD_CLIENT_OWED);
         });
     }
 
@@ -267,6 +322,10 @@
             // Its end crossed the request: once more on a new connection.
             asked = self.ask(&bytes);
         }
+        // In a crowd new connections may be shut unread.
+        if matches!(asked, Asked::Closed) && self.scenario.idle_clients == 0 {
+            self.shared.ledger().closed_unanswered(&id);
+        }
         match asked {
             Asked::Answered(answer) if answer == "+OK" => self.shared.ledger().heard(&id, Heard::Accepted),
             Asked::Answered(answer) if answer.starts_with("-BUSY") => {
@@ -320,7 +379,16 @@
         let faults = Faults::new(&rig.folder, scenario.seed);
         let n = WORLDS.fetch_add(1, Ordering::SeqCst);
         let random = Pcg64::seed_from_u64(scenario.seed.wrapping_add(n << 32));
-        let mut world = World { rig, faults, scenario, shared, clients: vec![], idle: vec![], random };
+        let mut world = World {
+            rig,
+            faults,
+            scenario,
+            shared,
+            clients: vec![],
+            idle: vec![],
+            disturbances: vec![],
+            random,
+        };
         world.start_process();
         world.start_clients();
         world
@@ -376,10 +444,18 @@
     pub fn come_back(&mut self, between: impl FnOnce(&World)) {
         std::thread::sleep(DOWN_FOR);
         between(self);
+        self.shared.ledger().started_again();
         self.start_process();
         self.shared.ledger().restart_ended();
     }
 
+    /// Holds the process up.
+    pub fn stand_still(&self, time: Duration) {
+        self.rig.signal(Signal::STOP);
+        std::thread::sleep(time);
+        self.rig.signal(Signal::CONT);
+    }
+
     /// A planned restart: signals in series, and the kill at the earliest moment.
     pub fn end_and_restart(&mut self, signals: &[(Signal, Duration)]) {
         self.shared.ledger().restart_began();
@@ -391,25 +467,114 @@
                 self.rig.signal(*signal);
             }
         }
-        std::thread::sleep(KILL_AFTER_TERM.saturating_sub(began.elapsed()));
+        self.disturb_for(KILL_AFTER_TERM.saturating_sub(began.elapsed()));
         self.rig.kill();
         self.come_back(|_| {});
     }
 
-    /// Waits for a process that is to be killed in the middle of a write.
-    pub fn await_kill_and_restart(&mut self) {
+    fn is_disturbed_by(&self, trouble: Trouble) -> bool {
+        self.disturbances.contains(&trouble)
+    }
+
+    /// Plays on for a while, with the disturbances that come and go.
+    pub fn disturb_for(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let pause = self.draw_ms(60..400).min(left);
+            std::thread::sleep(pause);
+            if left.is_zero() {
+                return;
+            }
+            self.disturb_once();
+        }
+    }
+
+    fn disturb_once(&mut self) {
+        let runs = self.rig.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none());
+        for trouble in self.disturbances.clone() {
+            let drawn: u64 = self.random.random_range(0..6);
+            match trouble {
+                Trouble::WallSteps => {
+                    let steps = [3_600, -3_600, 5, -5, 0, 0];
+                    self.faults.step_wall_clock(steps[drawn as usize]);
+                }
+                Trouble::FailingWrites if drawn < 2 => {
+                    self.faults.fail_writes(if drawn == 0 { ENOSPC } else { EIO }, drawn == 1);
+                    let failing = self.draw_ms(50..500);
+                    std::thread::sleep(failing);
+                    self.faults.heal_folder();
+                }
+                Trouble::Standstill if drawn == 0 && runs => self.stand_still(STANDSTILL),
+                Trouble::Hang => self.troubles().hang.store(drawn < 2, Ordering::SeqCst),
+                Trouble::DiscoverySilent => {
+                    self.troubles().discovery_silent.store(drawn < 3, Ordering::SeqCst);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// From now on, or as set up already, these troubles are there.
+    pub fn disturb_by(&mut self, troubles: &[Trouble]) {
+        self.disturbances = troubles.to_vec();
+        for trouble in troubles {
+            match trouble {
+                Trouble::SocketErrors => {
+                    self.faults.ask(words::SOCKET_PERMILLE, 50);
+                    self.faults.ask(words::SHORT_PERMILLE, 50);
+                }
+                Trouble::CutAnswers => self.troubles().cut_answers.store(true, Ordering::SeqCst),
+                Trouble::CloseIdle => self.troubles().close_idle.store(true, Ordering::SeqCst),
+                Trouble::StopHalfWay => self.troubles().stop_half_way.store(true, Ordering::SeqCst),
+                _ => {}
+            }
+        }
+    }
+
+    /// All troubles end, so that what is owed can be told.
+    fn calm(&mut self) {
+        self.disturbances.clear();
+        let troubles = self.troubles();
+        for flag in [
+            &troubles.hang,
+            &troubles.close_idle,
+            &troubles.cut_answers,
+            &troubles.discovery_silent,
+            &troubles.stop_half_way,
+        ] {
+            flag.store(false, Ordering::SeqCst);
+        }
+        self.faults.heal_folder();
+        self.faults.ask(words::SOCKET_PERMILLE, 0);
+        self.faults.ask(words::SHORT_PERMILLE, 0);
+    }
+
+    /// A restart by SIGKILL, in the middle of a write where that is one of the troubles.
+    pub fn kill_while_disturbed(&mut self) {
+        if self.is_disturbed_by(Trouble::HalfWriteAtKill) {
+            let nth = self.random.random_range(1..40);
+            self.shared.ledger().restart_began();
+            self.faults.ask(words::KILL_AT_WRITE, nth);
+            return self.await_kill_and_restart();
+        }
+        self.kill_and_restart(|_| {});
+    }
+
+    /// Waits for a process that is killed in the middle of a write.
+    fn await_kill_and_restart(&mut self) {
         let mut child = self.rig.child.take().unwrap();
         let until = Instant::now() + Duration::from_secs(20);
         while child.try_wait().unwrap().is_none() {
             assert!(Instant::now() < until, "nothing was written");
             std::thread::sleep(Duration::from_millis(1));
         }
-        self.shared.ledger().restart_began();
         self.come_back(|_| {});
     }
 
     /// Clients stop; everything accepted is given the time to end; the verdict.
     pub fn finish(mut self) -> Verdict {
+        self.calm();
         self.shared.stop.store(true, Ordering::SeqCst);
         for client in self.clients.drain(..) {
             client.join().unwrap();
--- a/daemon/tests/preload/lib.rs
+++ b/daemon/tests/preload/lib.rs
@@ -154,6 +154,22 @@
     fail(errno) as isize
 }
 
+/// # Safety
+/// As the C library's function.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(fd: c_int, bytes: *mut c_void, length: usize) -> isize {
+    let errno = asked(READ_ERRNO);
+    // The configuration is a file too, but not one of the folder that lasts: those are opened for writing as well.
+    // SAFETY: the call only reads the descriptor's flags.
+    if errno != 0 && is_file(fd) && unsafe { libc::fcntl(fd, libc::F_GETFL) } & libc::O_APPEND != 0 {
+        count(OPEN_FAULTS);
+        return fail(errno) as isize;
+    }
+    let next = next!(c"read", fn(c_int, *mut c_void, usize) -> isize);
+    // SAFETY: the caller's arguments.
+    unsafe { next(fd, bytes, length) }
+}
+
 /// # Safety
 /// As the C library's function.
 #[unsafe(no_mangle)]
--- a/daemon/tests/preload/words.rs
+++ b/daemon/tests/preload/words.rs
@@ -23,6 +23,8 @@
 pub const RANDOM_STATE: usize = 11;
 /// The library's own mark that half of a write was written.
 pub const HALF_WRITTEN: usize = 12;
+/// The error of reading files of the folder that lasts, nought for none.
+pub const READ_ERRNO: usize = 13;
 /// How many calls failed, by kind.
 pub const WRITE_FAULTS: usize = 16;
 pub const TRUNCATE_FAULTS: usize = 17;
--- /dev/null
+++ b/daemon/tests/strict_terms.rs
@@ -0,0 +1,198 @@
+//! Clauses of the pages in their strictest fair reading, each at its limit: `docs/terms-audit.md` names them by row.
+
+mod common;
+
+use common::faults::{EIO, ENOSPC, Faults, words};
+use common::*;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+fn calls_of(endpoint: &Endpoint, id: &str) -> usize {
+    endpoint.calls().iter().filter(|call| call.header("X-Trace-Id") == id).count()
+}
+
+fn start(rig: &mut Rig, faults: &Faults) {
+    let mut command = rig.command("serve");
+    faults.preload(&mut command, &rig.folder.join("state"));
+    rig.start_by(command);
+}
+
+fn change(rig: &Rig, version: u64, entries: Vec<Value>) {
+    rig.platform.tell(&format!("{}\n", json!({"version": version, "full": false, "servers": entries})));
+}
+
+/// Row R1: a message goes to an endpoint whose cell is its destination, also after a change of that cell.
+#[test]
+fn an_endpoint_whose_cell_changes_gets_only_messages_of_its_new_destination() {
+    let (moving, staying) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&moving, 7), (&staying, 7)]);
+    rig.start();
+    let before = rig.client().message("notice", 7, 8_000, "before");
+    wait_for("the first message", || calls_of(&moving, &before) + calls_of(&staying, &before) == 1);
+    change(&rig, 2, vec![moving.entry("e0", 8, "up")]);
+    wait_for("the news", || rig.client().says(&put(&fresh(), "c=notice,d=8000,k=n,dest=8", "news")) == "+OK");
+    let mut client = rig.client();
+    let old: Vec<String> = (0..20).map(|_| client.message("notice", 7, 8_000, "for 7")).collect();
+    let new: Vec<String> = (0..5).map(|_| client.message("notice", 8, 8_000, "for 8")).collect();
+    wait_for("all of them", || {
+        old.iter().all(|id| calls_of(&moving, id) + calls_of(&staying, id) == 1)
+            && new.iter().all(|id| calls_of(&moving, id) + calls_of(&staying, id) == 1)
+    });
+    assert!(old.iter().all(|id| calls_of(&moving, id) == 0), "of another destination");
+    assert!(new.iter().all(|id| calls_of(&staying, id) == 0), "of another destination");
+}
+
+/// Row R2: the fields of a request name each value once.
+#[test]
+fn a_request_that_names_a_field_twice_is_refused() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    for fields in [
+        "c=notice,c=payment,d=8000,k=a,dest=7",
+        "c=notice,d=8000,d=1,k=a,dest=7",
+        "c=notice,d=8000,k=a,k=b,dest=7",
+        "c=notice,d=8000,k=a,dest=7,dest=7",
+    ] {
+        let answer = client.says(&put(&fresh(), fields, "x"));
+        assert!(answer.starts_with("-ERR"), "{fields}: {answer}");
+    }
+    client.message("notice", 7, 8_000, "good");
+    wait_for("the good one", || e.calls().len() == 1);
+    assert_eq!(e.calls()[0].body, "good");
+}
+
+/// Row L1: what is read gets its answer. A new connection whose time is up is closed with nothing read from it any more;
+/// one that stopped in the middle of a request is told so before it is ended.
+#[test]
+fn a_new_connection_ends_unread_and_half_a_request_ends_with_an_error() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let request = put(&fresh(), "c=notice,d=8000,k=a,dest=7", "x");
+    let (mut silent, mut half) = (rig.client(), rig.client());
+    half.to.write_all(&request[..30]).unwrap();
+    let began = Instant::now();
+    let mut told = Vec::new();
+    half.from.read_to_end(&mut told).unwrap();
+    assert!(told.starts_with(b"-ERR"), "{:?}", String::from_utf8_lossy(&told));
+    assert_eq!(silent.line(), "", "ended");
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    // Its request crosses the end. Read and thrown away it would be lost; unread, the connection is reset.
+    let _ = silent.to.write_all(&request);
+    let mut reset = false;
+    wait_for("a reset", || {
+        reset = silent.to.write_all(b"PING\r\n").is_err();
+        reset
+    });
+    assert!(reset && e.calls().is_empty());
+}
+
+/// Row T6: a start waits for a folder that fails, and answers nobody before.
+#[test]
+fn a_start_waits_out_a_folder_that_fails_and_forgets_nothing() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    let faults = Faults::new(&rig.folder, 1);
+    start(&mut rig, &faults);
+    let held = rig.client().message("payment", 7, 20_000, "held");
+    wait_for("a refusal", || rig.never_ran(&held));
+    rig.kill();
+    e.does(OK);
+    for (word, errno) in [(words::OPEN_ERRNO, EIO), (words::UNLINK_ERRNO, EIO), (words::READ_ERRNO, EIO)] {
+        faults.ask(word, errno);
+    }
+    let mut command = rig.command("serve");
+    faults.preload(&mut command, &rig.folder.join("state"));
+    rig.child = Some(command.spawn().unwrap());
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(1_500) {
+        assert!(rig.child.as_mut().unwrap().try_wait().unwrap().is_none(), "it has ended");
+        assert!(std::net::TcpStream::connect(&rig.listen).is_err(), "clients are let in");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    faults.heal_folder();
+    faults.ask(words::READ_ERRNO, 0);
+    wait_for("the message held", || calls_of(&e, &held) == 2);
+    assert_eq!(rig.platform.notice(&held), None);
+}
+
+/// Row T6: what was taken over from another process's journal is not taken again, though that could not be emptied.
+#[test]
+fn a_journal_taken_over_and_not_emptied_is_not_taken_over_again() {
+    let hung = Endpoint::start(Does::Hangs);
+    let mut rig = Rig::new(&[(&hung, 7)]);
+    let faults = Faults::new(&rig.folder, 1);
+    start(&mut rig, &faults);
+    let mut client = rig.client();
+    let tagged = client.message("notice", 7, 20_000, "tagged");
+    wait_for("the call", || calls_of(&hung, &tagged) == 1);
+    let mut old = rig.child.take().unwrap();
+    start(&mut rig, &faults);
+    let state = rig.folder.join("state");
+    wait_for("a journal of its own", || state.join("mails.1").exists());
+    faults.ask(words::TRUNCATE_ERRNO, EIO);
+    hung.does(OK);
+    old.kill().unwrap();
+    old.wait().unwrap();
+    wait_for("the message again", || calls_of(&hung, &tagged) == 2);
+    wait_for("its end", || rig.kept_in("mails.1") == Default::default());
+    assert!(state.join("mails").exists(), "not emptied");
+    rig.kill();
+    faults.heal_folder();
+    start(&mut rig, &faults);
+    let last = rig.client().message("payment", 7, 20_000, "last");
+    wait_for("a later message", || calls_of(&hung, &last) == 1);
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(calls_of(&hung, &tagged), 2, "taken over again");
+    assert_eq!(rig.platform.notice(&tagged), None);
+}
+
+/// Row D3: an endpoint is out from a second after the call, whatever becomes of the folder.
+#[test]
+fn an_endpoint_is_out_though_the_list_of_those_cannot_be_written() {
+    let (out, other) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&out, 7), (&other, 7)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    let faults = Faults::new(&rig.folder, 1);
+    start(&mut rig, &faults);
+    faults.ask(words::OPEN_ERRNO, ENOSPC);
+    rig.call("disable-server e0");
+    std::thread::sleep(Duration::from_secs(1));
+    let mut client = rig.client();
+    let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
+    wait_for("all of them", || ids.iter().all(|id| calls_of(&other, id) + calls_of(&out, id) == 1));
+    assert!(out.calls().is_empty(), "taken out");
+    // Once the folder is good again a restart knows it too.
+    faults.heal_folder();
+    wait_for("the list", || {
+        std::fs::read_to_string(rig.folder.join("state/held-out")).is_ok_and(|text| text.contains("e0"))
+    });
+    rig.kill();
+    start(&mut rig, &faults);
+    let mut client = rig.client();
+    let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
+    wait_for("all of them", || ids.iter().all(|id| calls_of(&other, id) + calls_of(&out, id) == 1));
+    assert!(out.calls().is_empty(), "taken out, also over the restart");
+}
+
+/// Row C1: a message whose class the settings no longer name may run by no other class's rules.
+#[test]
+fn a_message_of_a_class_that_is_gone_after_a_restart_is_ended_and_not_sent() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let held = rig.client().message("payment", 7, 20_000, "held");
+    wait_for("a refusal", || rig.never_ran(&held));
+    rig.kill();
+    e.does(OK);
+    let before = calls_of(&e, &held);
+    rig.json["settings"]["services"].as_array_mut().unwrap().pop();
+    rig.start();
+    wait_for("its notice", || rig.platform.notice(&held).is_some());
+    let last = rig.client().message("notice", 7, 8_000, "last");
+    wait_for("a later message", || calls_of(&e, &last) == 1);
+    assert_eq!(calls_of(&e, &held), before);
+}
