Strict terms: a changed cell, a field named twice, what is read gets its answer

Change: an endpoint whose entry names another destination, zone or kind is another endpoint under that name, the old one is gone; a field named twice is refused by name; a new connection is closed unread; half a request is told that it did not come whole, then ended.

--- a/daemon/src/clients.rs
+++ b/daemon/src/clients.rs
@@ -77,13 +77,33 @@
         self.conns.close(id);
     }
 
+    /// Ends a client that has had its time. One in the middle of a request is told so: its rest may still come, and read
+    /// without an answer it would be lost.
+    fn end_overdue(&mut self, id: ConnId) {
+        let now = self.now;
+        let Some(conn) = self.conns.get_mut(id) else { return };
+        if !conn.input.is_empty() && conn.output.is_empty() {
+            conn.input.consume(conn.input.len());
+            conn.say("-ERR the request did not come whole in time\r\n", now);
+            if self.conns.flush(id).is_err() {
+                return self.close_client(id);
+            }
+        }
+        self.part_with(id);
+    }
+
     /// Parts with a client: the own side ends, and what still comes is read and thrown away until the other side has ended
     /// too, or for a while. Closed over bytes that are not read, the connection would be reset, and answers that the client
     /// has not read would be lost with it. It covers a request that crosses the end: nothing of it is accepted, and the
     /// client sends it once more elsewhere. The harm: the place is held for as long as that takes.
+    ///
+    /// One that was told nothing yet has no answer to lose, and is closed: its first request is not read then, where read and
+    /// thrown away it would be lost.
     pub fn part_with(&mut self, id: ConnId) {
         self.deadlines.clear(Due::Read(id));
-        let polite = self.conns.get(id).is_some_and(|c| !c.lingers && !c.ended && c.output.is_empty());
+        let told = |c: &crate::conns::Conn| c.asked || c.errors > 0;
+        let polite =
+            self.conns.get(id).is_some_and(|c| told(c) && !c.lingers && !c.ended && c.output.is_empty());
         if polite && self.conns.linger(id).and_then(|()| self.conns.arm(id)).is_ok() {
             // What is here already is met now.
             self.deadlines.set(Due::Conn(id), self.now + LINGER);
@@ -166,7 +186,7 @@
         }
         // A request that begins now has its own time from now on.
         match self.runtime.hear(id) {
-            Ok(false) => self.runtime.part_with(id),
+            Ok(false) => self.runtime.end_overdue(id),
             heard => self.meet(id, heard.is_err()),
         }
     }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -18,6 +18,7 @@
     name: String,
     pub addr: SocketAddr,
     pub zone: String,
+    pub kind: String,
     pub serving: bool,
     /// Where it was listed last; none once it is forgotten.
     pub destination: Option<u64>,
@@ -67,18 +68,19 @@
 }
 
 impl Endpoints {
-    /// The number of the endpoint of that name, which is given one if it has none.
-    pub fn know(&mut self, name: &str, addr: SocketAddr, zone: &str, destination: u64) -> EndpointId {
-        if let Some(id) = self.find(name) {
+    /// The number of a listed endpoint, which is given one if it has none.
+    pub fn know(&mut self, listed: &ListedEndpoint, addr: SocketAddr) -> EndpointId {
+        if let Some(id) = self.find(&listed.name) {
             return id;
         }
-        *self.by_destination.entry(destination).or_default() += 1;
+        *self.by_destination.entry(listed.destination).or_default() += 1;
         let row = Endpoint {
-            name: name.to_string(),
+            name: listed.name.clone(),
             addr,
-            zone: zone.to_string(),
+            zone: listed.zone.clone(),
+            kind: listed.kind.clone(),
             serving: false,
-            destination: Some(destination),
+            destination: Some(listed.destination),
             idle: vec![],
         };
         let id = match self.free.pop() {
@@ -91,10 +93,25 @@
                 EndpointId(self.rows.len() as u32 - 1)
             }
         };
-        self.by_name.insert(name.to_string(), id);
+        self.by_name.insert(listed.name.clone(), id);
         id
     }
 
+    /// Takes the name from an endpoint whose entry now says another destination, zone or kind: what goes to it, and may be
+    /// repeated there, hangs on all three, so that name is another endpoint's from now on. The number of the old one.
+    fn release_name(&mut self, listed: &ListedEndpoint) -> Option<EndpointId> {
+        let id = self.find(&listed.name)?;
+        let row = &mut self[id];
+        let same =
+            row.destination == Some(listed.destination) && row.zone == listed.zone && row.kind == listed.kind;
+        if same {
+            return None;
+        }
+        row.name.clear();
+        self.by_name.remove(&listed.name);
+        Some(id)
+    }
+
     /// Endpoints come under new names for as long as a dispatcher runs: one that the decisions have forgotten gives its
     /// row to the next one.
     pub fn forget(&mut self, id: EndpointId) {
@@ -400,6 +417,7 @@
         let runtime = &mut self.runtime;
         let mut entries = Vec::with_capacity(list.endpoints.len());
         for listed in &list.endpoints {
+            entries.extend(runtime.end_replaced(listed));
             match runtime.entry(listed) {
                 Ok(entry) => entries.extend(entry),
                 Err(what) => endpoint_list::warn_of_entry(what),
@@ -428,6 +446,20 @@
 }
 
 impl Runtime {
+    /// What the decisions are told of the endpoint that had a listed one's name and is another by its entry: it is gone.
+    fn end_replaced(&mut self, listed: &ListedEndpoint) -> Option<ListEntry> {
+        if !listed.serving {
+            return None;
+        }
+        let endpoint = self.endpoints.release_name(listed)?;
+        let destination = self.endpoints[endpoint].destination.unwrap_or_default();
+        log::info!(
+            "endpoint {} is another by its entry: it was one of destination {destination}",
+            listed.name
+        );
+        Some(ListEntry { endpoint, destination: DestinationId(destination), ..ListEntry::default() })
+    }
+
     /// What the decisions are told of a listed endpoint; nothing of one that never served and does not now, since nothing
     /// hangs on it. Else the field that cannot be read.
     fn entry(&mut self, listed: &ListedEndpoint) -> Result<Option<ListEntry>, &'static str> {
@@ -440,7 +472,7 @@
         if known.is_none() && !listed.serving {
             return Ok(None);
         }
-        let endpoint = self.endpoints.know(&listed.name, addr, &listed.zone, listed.destination);
+        let endpoint = self.endpoints.know(listed, addr);
         if self.endpoints[endpoint].addr != addr {
             self.move_endpoint(endpoint, addr);
         }
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -1,5 +1,6 @@
 //! RESP2 as clients speak it: commands in, replies out. Its words end here.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 
 /// The most that a body may hold.
@@ -92,9 +93,13 @@
     };
     let (key, id) = (hex("key", key)?, hex("id", id)?);
     let fields = std::str::from_utf8(fields).map_err(|_| "fields: expected text")?;
-    let find = |name: &str| {
-        fields.split(',').find_map(|f| f.split_once('=').filter(|(n, _)| *n == name)).map(|(_, value)| value)
-    };
+    let mut values = BTreeMap::new();
+    for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
+        if values.insert(name, value).is_some() {
+            return Err(format!("{}: named twice", name.escape_debug()));
+        }
+    }
+    let find = |name: &str| values.get(name).copied();
     let whole = |name: &str| {
         let digits = find(name).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
         digits.and_then(|v| v.parse::<u64>().ok()).ok_or(format!("{name}: expected a whole number"))
--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -4,6 +4,7 @@
 use bellsill_daemon::backoff::{Backoff, FIRST_LINE_WITHIN, SILENT_FOR, UP_WITHIN};
 use bellsill_daemon::deadlines::Deadlines;
 use bellsill_daemon::discovery::KEPT_FOR;
+use bellsill_daemon::endpoint_list::ListedEndpoint;
 use bellsill_daemon::endpoints::Endpoints;
 use bellsill_daemon::http::{self, Body};
 use bellsill_daemon::message_journal::{Ending, Kept, KeptAttempt, KeptMessage, MessageJournal, NoRoom};
@@ -349,14 +350,28 @@
     assert_eq!(new.adopt(), (model, false));
 }
 
+/// An entry of the list.
+fn listed(name: &str, destination: u64) -> ListedEndpoint {
+    ListedEndpoint {
+        name: name.to_string(),
+        addr: None,
+        zone: "a".into(),
+        kind: "shops".into(),
+        destination,
+        serving: true,
+        weight: None,
+        rate: 0.0,
+    }
+}
+
 #[test]
 fn an_endpoint_s_row_is_the_next_one_s_once_it_is_forgotten() {
     let mut endpoints = Endpoints::default();
     let addr = "127.0.0.1:1".parse().unwrap();
-    let stays = endpoints.know("stays", addr, "a", 1);
+    let stays = endpoints.know(&listed("stays", 1), addr);
     for n in 0..1000 {
-        let id = endpoints.know(&format!("e{n}"), addr, "a", 2);
-        assert_eq!(endpoints.know(&format!("e{n}"), addr, "a", 2), id);
+        let id = endpoints.know(&listed(&format!("e{n}"), 2), addr);
+        assert_eq!(endpoints.know(&listed(&format!("e{n}"), 2), addr), id);
         assert!(id != stays && endpoints.ids().count() <= 2 && endpoints.serve(2));
         endpoints.forget(id);
         assert!(endpoints.find(&format!("e{n}")).is_none() && !endpoints.serve(2) && endpoints.serve(1));
