--- a/daemon/tests/parts.rs
+++ b/daemon/tests/parts.rs
@@ -350,6 +350,64 @@
     assert_eq!(new.adopt(), (model, false));
 }
 
+/// A message as a test takes it, due in the far future of the dispatcher's clock.
+fn message(id: u64) -> KeptMessage {
+    KeptMessage {
+        id: MessageId(id),
+        class: "payment".into(),
+        key: 0,
+        destination: 7,
+        due: bellsill_daemon::clock::now() + 1_000_000_000_000,
+        tag: String::new(),
+        body: vec![b'x'; 300],
+        attempts: vec![],
+    }
+}
+
+/// A record as every version of the journal frames it.
+fn framed(payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32).to_le_bytes();
+    let checksum = crc32fast::hash(payload).to_le_bytes();
+    [&length[..], &checksum[..], payload].concat()
+}
+
+/// Damage in the middle of a file is no end: what stands behind it is read, and the file is whole afterwards.
+#[test]
+fn what_stands_behind_a_tear_in_the_middle_of_a_journal_is_read() {
+    let folder = Folder::new("tear");
+    let path = folder.0.join("mails");
+    let (mut journal, _) = MessageJournal::open(&folder.0, 60_000).unwrap();
+    (1..=3).for_each(|id| journal.taken(&message(id)).unwrap());
+    drop(journal);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let record = (bytes.len() - 80) / 3;
+    let second = bytes.len() - 2 * record + 40;
+    bytes[second..second + 20].fill(0xee);
+    std::fs::write(&path, &bytes).unwrap();
+    for _ in 0..2 {
+        let (_, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
+        let ids: Vec<u64> = kept.messages.iter().map(|message| message.id.0).collect();
+        assert_eq!(ids, [1, 3], "all but the damaged one");
+    }
+}
+
+/// A journal of a program that kept its times on the wall clock is still read.
+#[test]
+fn an_older_journal_s_times_are_put_on_the_dispatcher_s_clock() {
+    let folder = Folder::new("older");
+    let due = bellsill_daemon::clock::wall_now() + 60_000_000_000;
+    let text = |bytes: &[u8]| [&(bytes.len() as u32).to_le_bytes()[..], bytes].concat();
+    let numbers = |numbers: &[u64]| numbers.iter().flat_map(|n| n.to_le_bytes()).collect::<Vec<u8>>();
+    let fields = [vec![b'M'], numbers(&[9, 5, 7, due]), text(b"notice"), text(b"t"), text(b"body")].concat();
+    std::fs::write(folder.0.join("mails"), framed(&fields)).unwrap();
+    for _ in 0..2 {
+        let (_, kept) = MessageJournal::open(&folder.0, 60_000).unwrap();
+        let left = kept.messages[0].due.saturating_sub(bellsill_daemon::clock::now());
+        assert!((50_000_000_000..=60_000_000_000).contains(&left), "{left} ns left");
+        assert_eq!((kept.messages[0].id.0, kept.messages[0].key), (9, 5));
+    }
+}
+
 /// An entry of the list.
 fn listed(name: &str, destination: u64) -> ListedEndpoint {
     ListedEndpoint {
--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -6,6 +6,7 @@
 use common::*;
 use serde_json::{Value, json};
 use std::io::{Read, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 fn calls_of(endpoint: &Endpoint, id: &str) -> usize {
@@ -178,6 +179,22 @@
     assert!(out.calls().is_empty(), "taken out, also over the restart");
 }
 
+/// Row D4: an entry that drains its endpoint counts, whatever else of it cannot be read.
+#[test]
+fn an_endpoint_drains_though_the_rest_of_its_entry_cannot_be_read() {
+    let (draining, other) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&draining, 7), (&other, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    let entry = json!({"id": "e0", "state": "draining", "weight": "heavy"});
+    let newcomer = Endpoint::start(OK);
+    change(&rig, 2, vec![entry, newcomer.entry("e2", 8, "up")]);
+    wait_for("the news", || client.says(&put(&fresh(), "c=notice,d=8000,k=n,dest=8", "news")) == "+OK");
+    let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
+    wait_for("all of them", || ids.iter().all(|id| calls_of(&other, id) + calls_of(&draining, id) == 1));
+    assert!(ids.iter().all(|id| calls_of(&draining, id) == 0), "it drains");
+}
+
 /// Row C1: a message whose class the settings no longer name may run by no other class's rules.
 #[test]
 fn a_message_of_a_class_that_is_gone_after_a_restart_is_ended_and_not_sent() {
@@ -196,3 +213,49 @@
     wait_for("a later message", || calls_of(&e, &last) == 1);
     assert_eq!(calls_of(&e, &held), before);
 }
+
+/// Row K1: the folder holds no more than its limit at any time, also with an old and a new process in it, the endpoints
+/// held out, and a journal taken over.
+#[test]
+fn two_processes_in_one_folder_keep_its_limit_together() {
+    const LIMIT: u64 = 400_000;
+    // Messages end soon, so that both journals are long with what is over.
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["limits"]["disk_mb"] = json!(LIMIT as f64 / 1e6);
+    rig.start();
+    let body = "x".repeat(30_000);
+    let state = rig.folder.join("state");
+    let used = move || -> u64 {
+        let files = std::fs::read_dir(&state).unwrap().flatten();
+        files.map(|file| file.metadata().map_or(0, |m| m.len().div_ceil(512) * 512)).sum()
+    };
+    let accepted = AtomicUsize::new(0);
+    let fill = |client: &mut Client| {
+        for _ in 0..12 {
+            let answer = client.says(&put(&fresh(), "c=payment,d=20000,k=x,dest=7", &body));
+            assert!(used() <= LIMIT, "{} bytes of {LIMIT}", used());
+            accepted.fetch_add(usize::from(answer == "+OK"), Ordering::SeqCst);
+        }
+    };
+    let mut first = rig.client();
+    fill(&mut first);
+    let mut old = rig.child.take().unwrap();
+    rig.json["mgmt"] = rig.mgmt_at(1).into();
+    rig.start_beside();
+    // Connections go to either process: enough of them reach both.
+    for _ in 0..24 {
+        fill(&mut rig.client());
+    }
+    assert!(accepted.load(Ordering::SeqCst) > 60, "{accepted:?} accepted");
+    old.kill().unwrap();
+    old.wait().unwrap();
+    for _ in 0..40 {
+        assert!(used() <= LIMIT, "{} bytes of {LIMIT} while taken over", used());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    wait_for("the old journal taken over", || {
+        assert!(used() <= LIMIT, "{} bytes of {LIMIT} while taken over", used());
+        !rig.folder.join("state/mails").exists() || !rig.folder.join("state/mails.1").exists()
+    });
+}
