--- a/daemon/src/endpoint_list.rs
+++ b/daemon/src/endpoint_list.rs
@@ -70,12 +70,26 @@
 /// Reads an entry, or says which of its fields cannot be read.
 fn read_endpoint(server: &Value, names: &Names) -> Result<ListedEndpoint, &'static str> {
     let word = |field: &'static str| server.get(field).and_then(Value::as_str).ok_or(field);
-    let (name, zone, kind, state) = (word("id")?, word("zone")?, word("kind")?, word("state")?);
-    let serving = match state {
+    let name = word("id")?;
+    let serving = match word("state")? {
         "up" => true,
         "draining" | "removed" => false,
         _ => return Err("state"),
     };
+    if !serving {
+        // That it takes nothing new is all that counts, whatever else of it can be read.
+        return Ok(ListedEndpoint {
+            name: name.to_string(),
+            addr: word("addr").ok().and_then(|addr| addr.parse().ok()),
+            zone: word("zone").unwrap_or_default().to_string(),
+            kind: word("kind").unwrap_or_default().to_string(),
+            destination: server.get("cell").and_then(Value::as_u64).unwrap_or_default(),
+            serving,
+            weight: None,
+            rate: 0.0,
+        });
+    }
+    let (zone, kind) = (word("zone")?, word("kind")?);
     let weight = server.get("weight").map(|w| w.as_f64().ok_or("weight")).transpose()?;
     let rate = names.rate(weight).ok_or("weight")?;
     let destination = server.get("cell").and_then(Value::as_u64).ok_or("cell")?;
--- a/daemon/src/message_journal/adoption.rs
+++ b/daemon/src/message_journal/adoption.rs
@@ -3,6 +3,7 @@
 
 use super::record::Extent;
 use super::replay::replay;
+use bellsill::interface::Nanos;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
 use std::os::unix::fs::MetadataExt;
@@ -50,6 +51,23 @@
         (0..JOURNALS_MOST).filter(move |&journal| journal != own)
     }
 
+    /// What all files but one journal take, and whether there is another journal among them. The scoped configuration has a
+    /// share of the limit to itself, which is not the journals'.
+    fn bytes_of_others(&self, own: usize) -> (u64, bool) {
+        let (path, next) = (self.path(own), self.next_path(own));
+        let (mut bytes, mut journals) = (0, false);
+        let Ok(files) = std::fs::read_dir(&self.folder) else { return (bytes, journals) };
+        for file in files.flatten().filter(|file| file.path() != path && file.path() != next) {
+            let name = file.file_name().to_string_lossy().into_owned();
+            if !name.starts_with(crate::scope::SCOPE_FILE) {
+                let length = file.metadata().map_or(0, |metadata| metadata.len());
+                bytes += super::blocks(length);
+                journals |= name.starts_with(FILE) && length > 0;
+            }
+        }
+        (bytes, journals)
+    }
+
     /// The first journal that no other process holds.
     pub fn open_own(&self) -> io::Result<(usize, File)> {
         for journal in 0..JOURNALS_MOST {
@@ -99,6 +117,38 @@
     }
 }
 
+/// What everything else in a folder takes of the disk limit, looked at now and then.
+pub struct Neighbours {
+    bytes: u64,
+    /// Another process's journal is among them, and may grow.
+    journals: bool,
+    looked_at: Option<Nanos>,
+}
+
+/// For so long there is taken to be no other journal where there was none.
+const LOOK_EVERY: Nanos = 20_000_000;
+
+impl Neighbours {
+    pub fn new() -> Neighbours {
+        Neighbours { bytes: 0, journals: false, looked_at: None }
+    }
+
+    /// The bytes that all other files of the folder take.
+    pub fn bytes(&mut self, journals: &Journals, own: usize) -> u64 {
+        let now = crate::clock::now();
+        if self.journals || self.looked_at.is_none_or(|at| now >= at + LOOK_EVERY) {
+            (self.bytes, self.journals) = journals.bytes_of_others(own);
+            self.looked_at = Some(now);
+        }
+        self.bytes
+    }
+
+    /// Whether another journal was there when they were looked at.
+    pub fn has_journals(&self) -> bool {
+        self.journals
+    }
+}
+
 /// A journal that was taken over and has to be emptied and removed; held for as long, so that nobody else takes it.
 pub struct Emptying {
     pub journal: usize,
--- a/daemon/src/message_journal/mod.rs
+++ b/daemon/src/message_journal/mod.rs
@@ -15,7 +15,7 @@
 mod replay;
 
 use crate::clock::{ClockReading, Translation};
-use adoption::{Emptying, Journals};
+use adoption::{Emptying, Journals, Neighbours};
 use bellsill::interface::{MessageId, Nanos};
 use live::LiveRecords;
 use record::Extent;
@@ -97,7 +97,9 @@
     failing: bool,
     /// Journals taken over that still have to be emptied.
     emptying: Vec<Emptying>,
+    /// The disk limit, which this journal shares with everything else in the folder.
     room: u64,
+    neighbours: Neighbours,
 }
 
 fn blocks(length: u64) -> u64 {
@@ -133,6 +135,7 @@
             failing: false,
             emptying: vec![],
             room,
+            neighbours: Neighbours::new(),
         };
         journal.repair(&read, &clock, spent > 0 || translation != Translation::Same)?;
         Ok((journal, read.kept))
@@ -220,10 +223,19 @@
         Ok(Adoption::Taken(kept))
     }
 
-    /// A new message, before its client hears of it. A quarter of the room is left to what follows for the messages held.
+    /// A new message, before its client hears of it. A quarter of the room is left to what follows for the messages held, also
+    /// beside another process's journal.
     pub fn taken(&mut self, message: &KeptMessage) -> Result<(), NoRoom> {
         let record = record::taken(message);
-        if 2 * (blocks(self.live.total() + record.len() as u64) + BLOCK) > self.room / 4 * 3 {
+        let size = record.len() as u64;
+        if 2 * (blocks(self.live.total() + size) + BLOCK) > self.room / 4 * 3 {
+            return Err(NoRoom);
+        }
+        if !self.leaves_a_quarter(size) && self.gains() {
+            // Where it cannot be written anew now, the message is refused.
+            let _ = self.write_anew();
+        }
+        if !self.leaves_a_quarter(size) {
             return Err(NoRoom);
         }
         self.append(&record)?;
@@ -309,15 +321,44 @@
         self.write(record)
     }
 
+    /// Whether this much more leaves a quarter of the room to itself and another process's journal; without one, the records
+    /// that still count are bounded instead.
+    fn leaves_a_quarter(&mut self, more: u64) -> bool {
+        let all = blocks(self.length + more) + self.others();
+        !self.neighbours.has_journals() || all <= self.room / 4 * 3
+    }
+
+    /// Whether much of the file is over.
+    fn gains(&self) -> bool {
+        self.length > 2 * self.live.total()
+    }
+
+    /// What all else in the folder takes of the disk limit.
+    fn others(&mut self) -> u64 {
+        self.neighbours.bytes(&self.journals, self.own)
+    }
+
     /// Whether the file, this much longer, could still be written anew beside itself.
-    fn fits(&self, more: u64) -> bool {
-        blocks(self.length + more) + blocks(self.live.total() + more) + 2 * BLOCK <= self.room
+    fn could_be_written_anew(&mut self, more: u64) -> bool {
+        let both = blocks(self.length + more) + blocks(self.live.total() + more);
+        both + 2 * BLOCK + self.others() <= self.room
+    }
+
+    /// Whether the file may be this much longer. Beside another process's journal, which will be gone soon, it need not leave
+    /// the place to be written anew: two such places would leave hardly any for messages.
+    fn fits(&mut self, more: u64) -> bool {
+        let others = self.others();
+        match self.neighbours.has_journals() {
+            true => blocks(self.length + more) + 2 * BLOCK + others <= self.room,
+            false => self.could_be_written_anew(more),
+        }
     }
 
     /// Writes the file anew where it has grown long, or where it would grow beyond its room.
     fn make_room(&mut self, more: u64) -> Result<(), NoRoom> {
         let long = self.length > ANEW_FROM.max(ANEW_TIMES * self.live.total());
-        if !long && self.fits(more) {
+        let tight = self.gains() && !self.could_be_written_anew(more);
+        if !long && !tight && self.fits(more) {
             return Ok(());
         }
         // Too long a file is no failure as long as there is room.
@@ -385,8 +426,9 @@
         bytes.extend(self.live.bytes());
         let length = bytes.len() as u64;
         let old = self.file.metadata().map_or(self.length, |file| file.len());
-        if blocks(old) + blocks(length) > self.room {
-            return Err(io::Error::other("both files together would pass the disk limit"));
+        if blocks(old) + blocks(length) + self.others() > self.room {
+            let why = "all files together would pass the disk limit";
+            return Err(io::Error::new(io::ErrorKind::StorageFull, why));
         }
         let (next, path) = (self.journals.next_path(self.own), self.journals.path(self.own));
         let opened = OpenOptions::new().append(true).create(true).open(&next);
--- a/daemon/src/state_folder.rs
+++ b/daemon/src/state_folder.rs
@@ -14,7 +14,8 @@
 fn may_pass(e: &io::Error) -> bool {
     use io::ErrorKind::*;
     let lasting = [PermissionDenied, NotADirectory, IsADirectory, NotFound, ReadOnlyFilesystem, ResourceBusy];
-    e.raw_os_error().is_some() && !lasting.contains(&e.kind())
+    let known = e.raw_os_error().is_some() || e.kind() == StorageFull;
+    known && !lasting.contains(&e.kind())
 }
 
 /// Does something in the folder, again and again while it fails in a way that may pass, unless the process is to leave.
--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -236,6 +236,7 @@
             let answer = client.says(&put(&fresh(), "c=payment,d=20000,k=x,dest=7", &body));
             assert!(used() <= LIMIT, "{} bytes of {LIMIT}", used());
             accepted.fetch_add(usize::from(answer == "+OK"), Ordering::SeqCst);
+            std::thread::sleep(Duration::from_millis(8));
         }
     };
     let mut first = rig.client();
