Growth: the standing test's table as a laboratory experiment, known red

Change: lab/experiments/growth.toml and lab/tests/growth.rs play the usual size and sixteen times the endpoints, by larger destinations and by more of them; a run tells the busiest endpoint's calls over the mean of its destination.

--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -9,7 +9,7 @@
 use bellsill::interface::{MessageId, Nanos};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The span of one point of the curves.
 pub const BUCKET: Nanos = 500 * MS;
@@ -121,6 +121,9 @@
     pub opened: u64,
     pub turned_away: u64,
     pub no_answer: u64,
+    /// The largest number of calls of any endpoint, over the mean of its destination's endpoints; nought with no calls.
+    #[serde(default)]
+    pub largest_over_mean: f64,
 }
 
 struct State {
@@ -134,6 +137,9 @@
     arrivals: Vec<State>,
     calls: HashMap<CallNo, MessageId>,
     unheard: HashSet<MessageId>,
+    /// Calls by endpoint, and the destination of each endpoint.
+    calls_by_endpoint: Vec<u64>,
+    destinations: Vec<usize>,
     latency: Vec<Histogram<u64>>,
     hand_in: Histogram<u64>,
     results: Results,
@@ -150,6 +156,8 @@
             arrivals: vec![],
             calls: HashMap::new(),
             unheard: HashSet::new(),
+            calls_by_endpoint: vec![0; plan.endpoints.len()],
+            destinations: plan.endpoints.iter().map(|endpoint| endpoint.destination).collect(),
             results: Results {
                 classes: classes.iter().map(row).collect(),
                 points: vec![Point::default(); points],
@@ -201,8 +209,12 @@
                 self.results.no_answer += 1;
                 self.unheard.insert(*mail);
             }
-            Seen::Call { call, mail, .. } => {
+            Seen::Call { call, mail, endpoint, .. } => {
                 self.calls.insert(*call, *mail);
+                // Endpoints that come later in a run are not compared: they had less time.
+                if let Some(calls) = self.calls_by_endpoint.get_mut(endpoint.0 as usize) {
+                    *calls += 1;
+                }
                 self.results.calls += 1;
                 self.point(at).calls += 1;
             }
@@ -251,7 +263,21 @@
         self.point(meant).delivered += worth;
     }
 
+    /// The largest share of an endpoint among those of its destination, where 1 is an even one.
+    fn largest_over_mean(&self) -> f64 {
+        let mut by_destination: BTreeMap<usize, Vec<u64>> = BTreeMap::new();
+        for (&destination, &calls) in self.destinations.iter().zip(&self.calls_by_endpoint) {
+            by_destination.entry(destination).or_default().push(calls);
+        }
+        let of = |calls: &Vec<u64>| {
+            let mean = calls.iter().sum::<u64>() as f64 / calls.len() as f64;
+            if mean > 0.0 { calls.iter().copied().max().unwrap_or(0) as f64 / mean } else { 0.0 }
+        };
+        by_destination.values().map(of).fold(0.0, f64::max)
+    }
+
     pub fn finish(mut self) -> Results {
+        self.results.largest_over_mean = self.largest_over_mean();
         let r = &mut self.results;
         for (row, h) in r.classes.iter_mut().zip(&self.latency) {
             row.latency = Spread::of(h);
--- /dev/null
+++ b/lab/tests/growth.rs
@@ -0,0 +1,72 @@
+//! The standing test's table on growth, as far as virtual time can tell it: what a dispatcher needs at sixteen times the
+//! endpoints, over the same day at the usual size.
+
+use bellsill_lab::experiment;
+use bellsill_lab::measure::Results;
+use bellsill_lab::spec::Spec;
+use bellsill_lab::virtual_time;
+use bellsill_lab::world::plan::Plan;
+use std::path::Path;
+
+/// Of the table: connections made to endpoints, and the share served.
+const CONNECTIONS_TIMES: f64 = 2.5;
+const CONNECTIONS_MORE: f64 = 40.0;
+const SHARE_KEPT: f64 = 0.85;
+/// No bound of the table: endpoints have to share the load evenly, and with calls that are drawn by chance the busiest of
+/// 480 is this far over the mean at the most.
+const LARGEST_OVER_MEAN: f64 = 1.5;
+
+fn usual() -> Spec {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/growth.toml");
+    experiment::read(&path, false).unwrap().variants.remove(0).spec
+}
+
+fn play(spec: &Spec, seed: u64) -> Results {
+    let played = virtual_time::run(Plan::new(spec, seed), &mut |_| {});
+    assert!(played.verdict.kept(), "{:?}", played.verdict.words);
+    played.results
+}
+
+/// Plays both sizes with a number of dispatchers, and holds the larger to the table.
+fn compare(dispatchers: usize, rate: f64, grow: impl Fn(&mut Spec)) {
+    let mut small = usual();
+    small.dispatchers.count = dispatchers;
+    small.load.rate = rate;
+    let mut large = small.clone();
+    grow(&mut large);
+    for seed in [1, 2] {
+        let (before, after) = (play(&small, seed), play(&large, seed));
+        let each = |results: &Results| results.opened as f64 / dispatchers as f64;
+        let most = CONNECTIONS_TIMES * each(&before) + CONNECTIONS_MORE;
+        println!(
+            "{dispatchers} dispatchers, seed {seed}: connections {:.1} to {:.1} of {most:.1}, share {:.3} to {:.3}, \
+             refused {} to {}, largest over mean {:.2} to {:.2}",
+            each(&before),
+            each(&after),
+            before.share,
+            after.share,
+            before.refused,
+            after.refused,
+            before.largest_over_mean,
+            after.largest_over_mean
+        );
+        assert!(each(&after) <= most, "{:.1} connections a dispatcher, {most:.1} allowed", each(&after));
+        assert!(after.share >= SHARE_KEPT * before.share, "share {} of {}", after.share, before.share);
+        assert!(after.largest_over_mean <= LARGEST_OVER_MEAN, "uneven: {:.2}", after.largest_over_mean);
+    }
+}
+
+#[test]
+fn sixteen_times_the_endpoints_of_each_destination_keep_the_table() {
+    compare(300, 1_500.0, |spec| spec.world.endpoints_each *= 16);
+}
+
+#[test]
+fn sixteen_times_the_destinations_keep_the_table() {
+    compare(300, 1_500.0, |spec| spec.world.destinations *= 16);
+}
+
+#[test]
+fn a_fleet_of_fifty_keeps_the_table_too() {
+    compare(50, 500.0, |spec| spec.world.endpoints_each *= 16);
+}
