--- a/daemon/src/conns.rs
+++ b/daemon/src/conns.rs
@@ -272,9 +272,7 @@
         let socket = socket2::Socket::new(socket2::Domain::for_address(to), socket2::Type::STREAM, None)?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
-            Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != io::ErrorKind::WouldBlock => {
-                return Err(e);
-            }
+            Err(e) if !goes_on(&e) => return Err(e),
             _ => {}
         }
         let id = self.admit(socket.into(), role, bounds, true)?;
@@ -407,8 +405,11 @@
     }
 }
 
-/// What a non-blocking connect answers while it is under way.
-const EINPROGRESS: i32 = 115;
+/// Whether a connect that answered this is under way: one that was interrupted goes on by itself too.
+fn goes_on(e: &io::Error) -> bool {
+    e.raw_os_error() == Some(libc::EINPROGRESS)
+        || matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
 
 fn event(id: ConnId, (read, write): (bool, bool)) -> Event {
     Event::new(id.0 as usize, read, write)
--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -196,6 +196,7 @@
                 bad_report_said: false,
                 figures: Default::default(),
                 held_out,
+                recent: Default::default(),
             },
             dispatcher: Dispatcher::boot(now, facts),
             turned_away: false,
@@ -300,6 +301,9 @@
 
     /// Messages go back to the decisions with their past; notices are owed until they are answered.
     fn recover(&mut self, kept: Kept) {
+        for id in self.runtime.journal.take_ended() {
+            self.runtime.recent.note(self.runtime.now, id);
+        }
         for (id, ending) in kept.owed {
             self.runtime.notices.owe(id, ending);
         }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod installation;
 pub mod logger;
 pub mod message_journal;
+pub mod recent_ids;
 pub mod resp;
 pub mod scope;
--- a/daemon/src/message_journal/mod.rs
+++ b/daemon/src/message_journal/mod.rs
@@ -95,6 +95,8 @@
     must_write_anew: bool,
     /// The last write failed.
     failing: bool,
+    /// Messages that had ended before this process, as far as the files still said.
+    ended: Vec<MessageId>,
     /// Journals taken over that still have to be emptied.
     emptying: Vec<Emptying>,
     /// The disk limit, which this journal shares with everything else in the folder.
@@ -133,6 +135,7 @@
             unwritten: vec![],
             must_write_anew: false,
             failing: false,
+            ended: read.ended.iter().copied().collect(),
             emptying: vec![],
             room,
             neighbours: Neighbours::new(),
@@ -201,6 +204,7 @@
         let now = ClockReading { monotonic: crate::clock::now(), ..self.clock.clone() };
         let translation = read.translate(&ClockReading { wall: crate::clock::wall_now(), ..now });
         warn_of_translation(translation, &read);
+        self.ended.extend(read.ended);
         let mut kept = read.kept;
         kept.messages.retain(|m| !self.live.contains(m.id));
         kept.owed.retain(|(id, _)| !self.live.contains(*id));
@@ -223,6 +227,11 @@
         Ok(Adoption::Taken(kept))
     }
 
+    /// The messages that had ended before, by the journals read since the last call.
+    pub fn take_ended(&mut self) -> Vec<MessageId> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// A new message, before its client hears of it. A quarter of the room is left to what follows for the messages held, also
     /// beside another process's journal.
     pub fn taken(&mut self, message: &KeptMessage) -> Result<(), NoRoom> {
--- a/daemon/src/message_journal/replay.rs
+++ b/daemon/src/message_journal/replay.rs
@@ -3,8 +3,9 @@
 use super::record::{self, Extent, Record};
 use super::{Kept, KeptMessage};
 use crate::clock::{ClockReading, Translation};
+use crate::recent_ids;
 use bellsill::interface::MessageId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// What a journal's bytes came to.
 #[derive(Debug, Default)]
@@ -18,6 +19,8 @@
     pub clock: Option<ClockReading>,
     /// Journals whose records were taken over into this one.
     pub adopted: Vec<Extent>,
+    /// The messages of which it says that they ended, the latest last.
+    pub ended: VecDeque<MessageId>,
 }
 
 /// Collects what still counts while records are read in order.
@@ -28,6 +31,7 @@
     owed: Vec<(MessageId, super::Ending)>,
     clock: Option<ClockReading>,
     adopted: Vec<Extent>,
+    ended: VecDeque<MessageId>,
 }
 
 impl Replay {
@@ -53,6 +57,10 @@
                 }
             }
             Record::Ended { id, ending } => {
+                self.ended.push_back(id);
+                if self.ended.len() > recent_ids::MOST {
+                    self.ended.pop_front();
+                }
                 if let Some(place) = self.place.remove(&id) {
                     self.messages[place] = None;
                 }
@@ -96,6 +104,7 @@
         damaged,
         clock: all.clock,
         adopted: all.adopted,
+        ended: all.ended,
     }
 }
 
--- a/daemon/src/messages.rs
+++ b/daemon/src/messages.rs
@@ -8,6 +8,7 @@
 use crate::event_loop::Daemon;
 use crate::message_journal::{Ending, KeptAttempt, KeptMessage, MessageJournal};
 use crate::notices::Notices;
+use crate::recent_ids::RecentIds;
 use crate::slots::{SlotId, Slots};
 use bellsill::interface::*;
 use bellsill_watch::{CacheFull, Knowledge};
@@ -147,6 +148,8 @@
     pub figures: crate::mgmt::Figures,
     /// The endpoints taken out by hand, by their ids in the list; kept in the folder that lasts.
     pub held_out: std::collections::BTreeSet<String>,
+    /// Messages that have ended of late.
+    pub recent: RecentIds,
 }
 
 impl Runtime {
@@ -250,6 +253,7 @@
         if to.ended() && self.messages.get(slot).is_some_and(|m| m.call.is_none()) {
             self.messages.remove(slot).into_iter().for_each(|gone| self.release(gone.destination));
             self.slots.remove(&id);
+            self.recent.note(self.now, id);
         }
     }
 
@@ -449,7 +453,7 @@
 
 impl Daemon {
     /// Accepts a message, by whatever front it came: it is written to the journal, then its client is answered, then the
-    /// decisions begin. One that is held already is answered like one that was just taken.
+    /// decisions begin. One that is held already, or has ended of late, is answered like one that was just taken.
     pub fn accept(&mut self, message: KeptMessage, answer: impl FnOnce(&mut Runtime)) -> Result<(), Refusal> {
         let takes = self.accepts_messages();
         let runtime = &mut self.runtime;
@@ -464,7 +468,7 @@
         if !runtime.may_serve(message.destination) {
             return Err(Refusal::UnknownDestination);
         }
-        if runtime.slots.contains_key(&message.id) {
+        if runtime.slots.contains_key(&message.id) || runtime.recent.contains(message.id) {
             answer(runtime);
             return Ok(());
         }
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -310,7 +310,9 @@
                 self.hold_out(held);
                 if changed {
                     self.held_unwritten.insert(name.clone(), out);
-                    self.save_held();
+                    if let Err(e) = self.save_held() {
+                        log::error!("{HELD_FILE}: cannot be written yet: {e}");
+                    }
                 }
                 format!("SUCCESS {name} is {}\n", if out { "out" } else { "back" })
             }
@@ -337,23 +339,20 @@
                 Err(e) => log::error!("{HELD_FILE}: cannot be read: {e}"),
             }
         }
-        self.save_held();
+        // Said when the call came.
+        let _ = self.save_held();
     }
 
     /// Writes the list of endpoints held out where a call has changed it. It is in force before: the platform counts the
     /// endpoint as out a second after the call, whatever becomes of the file. A write that fails is tried again whenever
     /// the list is looked at.
-    fn save_held(&mut self) {
-        if self.held_unwritten.is_empty() {
-            return;
-        }
-        match write_held(&self.state, &self.runtime.held_out) {
-            Ok(()) => {
-                self.held_unwritten.clear();
-                self.held_stamp = held_stamp(&self.state);
-            }
-            Err(e) => log::error!("{HELD_FILE}: cannot be written yet: {e}"),
+    fn save_held(&mut self) -> std::io::Result<()> {
+        if !self.held_unwritten.is_empty() {
+            write_held(&self.state, &self.runtime.held_out)?;
+            self.held_unwritten.clear();
+            self.held_stamp = held_stamp(&self.state);
         }
+        Ok(())
     }
 
     /// From now on these are held out by hand and no others.
