Tests: a told wait beside X-Over-Slots, and a repeat late in its window: known red

Measured: the next call 50 ms after a wait of 1.5 s was told; a repeat sent with 100 ms of its window left.

--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -294,3 +294,19 @@
     wait_for("a later message", || calls_of(&e, &last) == 1);
     assert_eq!((calls_of(&e, &id), rig.platform.notice(&id)), (1, None));
 }
+
+/// Row W1: a wait that a refusal tells binds, whatever else the answer says.
+#[test]
+fn a_told_wait_binds_though_the_answer_names_slots_too() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1.5\r\nX-Over-Slots: 1"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let mut client = rig.client();
+    client.message("notice", 7, 8_000, "first");
+    wait_for("the refusal", || e.calls().len() == 1);
+    let told = Instant::now();
+    e.does(OK);
+    client.message("notice", 7, 8_000, "second");
+    wait_for("the next call", || e.calls().len() > 1);
+    assert!(told.elapsed() > Duration::from_millis(1_350), "called after {:?}", told.elapsed());
+}
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -570,3 +570,16 @@
     }
     assert!(first(12 * S, false) >= 2 * S && first(12 * S, true) == 5 * S);
 }
+
+/// The operators' term: a dispatcher may be held up for 0.15 s between reading its clock and writing, and a window has to
+/// allow for that. A repeat decided 5 ms before the window's end came 145 ms after it.
+#[test]
+fn no_repeat_begins_so_late_that_a_standstill_carries_it_out_of_its_window() {
+    const WINDOW: Nanos = 6 * S;
+    for (left, sent) in [(100 * MS, false), (140 * MS, false), (200 * MS, true)] {
+        let mut w = World::lone(facts());
+        let past = Past { attempts: 1, ran: Some((w.o.now + left - WINDOW, ZoneId(0))) };
+        w.mail_with_past(1, 0, past);
+        assert_eq!(!w.o.sent.is_empty(), sent, "with {} ms of the window left", left / MS);
+    }
+}
