--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -266,7 +266,9 @@
                 self.endpoints.answers.insert(id, answer);
                 return Ok(false);
             }
-            429 | 503 if answer.head.as_ref().is_some_and(|head| head.over_slots) => Outcome::Unsent(true),
+            503 if wait == 0 && answer.head.as_ref().is_some_and(|head| head.over_slots) => {
+                Outcome::Unsent(true)
+            }
             // A server with no place for one more connection takes it, says so and closes it: no limit was met. Could
             // take another refusal for that, where the server closes after each: that route alone then rests.
             503 if wait == 0 && answer.head.as_ref().is_some_and(|head| head.last) => Outcome::Unconnected,
--- a/src/control/retries.rs
+++ b/src/control/retries.rs
@@ -4,6 +4,9 @@
 
 /// How many ticks before the end of its lifetime a message is given up.
 const DEADLINE_MARGIN_TICKS: Nanos = 2;
+/// For so long a dispatcher may be held up between reading its clock and writing: a repeat that begins later than this
+/// before the end of its window may come after it. Its cost: the last repeats of short windows.
+const LONGEST_HOLD_UP: Nanos = 150 * MS;
 
 impl Dispatcher {
     pub(super) fn deadline_margin(&self) -> Nanos {
@@ -22,7 +25,9 @@
         let ran_at = message.ran.map(|(at, _)| at).or(then);
         match (ran_at, self.facts.classes[message.class].repeat) {
             (None, _) | (_, Repeat::Idempotent) => true,
-            (Some(at), Repeat::Deduplicated { window, .. }) => now + self.facts.tick < at + window,
+            (Some(at), Repeat::Deduplicated { window, .. }) => {
+                now + self.facts.tick + LONGEST_HOLD_UP < at + window
+            }
             (Some(_), Repeat::AtMostOnce) => false,
         }
     }
