--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -54,6 +54,8 @@
         verdict.noticed,
         verdict.broken.len()
     );
+    // At once: a run that is cut off later has said it.
+    verdict.broken.iter().for_each(|what| println!("seed {seed} {troubles:?}: {what}"));
     verdict.broken.into_iter().map(|what| format!("seed {seed} {troubles:?}: {what}")).collect()
 }
 
--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -310,3 +310,23 @@
     wait_for("the next call", || e.calls().len() > 1);
     assert!(told.elapsed() > Duration::from_millis(1_350), "called after {:?}", told.elapsed());
 }
+
+/// Row T5: a start waits for sockets that cannot be had for a moment.
+#[test]
+fn a_start_waits_for_its_listeners() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["mgmt"] = rig.mgmt_at(0).into();
+    let faults = Faults::new(&rig.folder, 1);
+    faults.ask(words::SOCKET_PERMILLE, 1_000);
+    let mut command = rig.command("serve");
+    faults.preload(&mut command, &rig.folder.join("state"));
+    rig.child = Some(command.spawn().unwrap());
+    wait_for("sockets that fail", || faults.count(words::SOCKET_FAULTS) > 3);
+    assert!(rig.child.as_mut().unwrap().try_wait().unwrap().is_none(), "it has ended");
+    faults.ask(words::SOCKET_PERMILLE, 0);
+    wait_for("a dispatcher that serves", || connect(&rig.listen).is_ok());
+    let id = rig.client().message("payment", 7, 8_000, "x");
+    wait_for("the message", || calls_of(&e, &id) == 1);
+    assert!(rig.call("ready")[0].starts_with("SUCCESS"));
+}
