A start waits for its listeners

Change: the clients' and the operators' listeners are tried for 25 s where the machine is out of something for the moment; an address that is another's, or not this machine's, still ends the start at once.

--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -13,7 +13,7 @@
 use crate::scope::{self, SAVE_EVERY, ScopeFile};
 use crate::slots::Slots;
 use crate::start::{self, Source, Start};
-use crate::state_folder;
+use crate::start_retry;
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
 use bellsill_watch::{Applied, ScopedList, ScopedOptions, Watch};
@@ -156,16 +156,16 @@
         };
         let in_folder = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", start.state.display()));
         let (mut journal, mut kept) =
-            state_folder::wait_out(&told.leave, || MessageJournal::open(&start.state, journal_bytes))
+            start_retry::wait_out(&told.leave, || MessageJournal::open(&start.state, journal_bytes))
                 .map_err(in_folder)?;
         // What an old process left is taken before clients are answered; one that still runs is looked for again.
         let (adopted, others_held) = journal.adopt();
-        let held_out = state_folder::wait_out(&told.leave, || crate::mgmt::load_held(&start.state))
-            .map_err(in_folder)?;
+        let held_out =
+            start_retry::wait_out(&told.leave, || crate::mgmt::load_held(&start.state)).map_err(in_folder)?;
         kept.messages.extend(adopted.messages);
         kept.owed.extend(adopted.owed);
         let held_stamp = crate::mgmt::held_stamp(&start.state);
-        let bind = shared_listener(start.listen);
+        let bind = start_retry::wait_out(&told.leave, || shared_listener(start.listen));
         let listener = bind.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", start.listen)))?;
         // Kept for calls, the watch and notices.
         let reserve = facts.slots + 8;
@@ -213,7 +213,8 @@
             state: start.state.clone(),
         };
         if let Some(mgmt) = start.mgmt {
-            let bind = TcpListener::bind(mgmt).and_then(|l| daemon.runtime.conns.listen_mgmt(l));
+            let bind = start_retry::wait_out(&daemon.leave, || TcpListener::bind(mgmt));
+            let bind = bind.and_then(|listener| daemon.runtime.conns.listen_mgmt(listener));
             bind.map_err(|e| io::Error::new(e.kind(), format!("mgmt: {mgmt}: {e}")))?;
             log::info!("operators' calls on {mgmt}");
             daemon.runtime.deadlines.set(Due::HeldOut, now + BESIDE_EVERY);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod clock;
 pub mod command_line;
 pub mod start;
-pub mod state_folder;
+pub mod start_retry;
 
 pub mod event_loop;
 
--- a/daemon/src/state_folder.rs
+++ b/daemon/src/start_retry.rs
@@ -1,4 +1,5 @@
-//! The folder that lasts, at a start: what fails there for a while is tried again before clients are answered.
+//! What fails for a while at a start, in the folder that lasts or for want of a socket, is tried again before clients are
+//! answered.
 
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,15 +11,18 @@
 const TRY_AGAIN: Duration = Duration::from_millis(50);
 
 /// Whether a call may go well if it is made again: the disk is full or fails, or the system is out of something. What the
-/// operator has to mend, such as a folder without permission, ends the start at once.
+/// operator has to mend, such as a folder without permission or another's address, ends the start at once.
 fn may_pass(e: &io::Error) -> bool {
     use io::ErrorKind::*;
-    let lasting = [PermissionDenied, NotADirectory, IsADirectory, NotFound, ReadOnlyFilesystem, ResourceBusy];
+    let of_the_folder =
+        [PermissionDenied, NotADirectory, IsADirectory, NotFound, ReadOnlyFilesystem, ResourceBusy];
+    let of_the_address = [AddrInUse, AddrNotAvailable, InvalidInput];
+    let lasting = of_the_folder.contains(&e.kind()) || of_the_address.contains(&e.kind());
     let known = e.raw_os_error().is_some() || e.kind() == StorageFull;
-    known && !lasting.contains(&e.kind())
+    known && !lasting
 }
 
-/// Does something in the folder, again and again while it fails in a way that may pass, unless the process is to leave.
+/// Does something, again and again while it fails in a way that may pass, unless the process is to leave.
 pub fn wait_out<T>(leave: &AtomicBool, mut act: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     let until = Instant::now() + TRY_FOR;
     let mut said = false;
@@ -26,7 +30,7 @@
         match act() {
             Err(e) if may_pass(&e) && Instant::now() < until && !leave.load(Ordering::SeqCst) => {
                 if !std::mem::replace(&mut said, true) {
-                    log::error!("the state folder fails, the start waits for it: {e}");
+                    log::error!("something fails that may pass, the start waits for it: {e}");
                 }
                 sleep(TRY_AGAIN);
             }
