--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -330,3 +330,25 @@
     wait_for("the message", || calls_of(&e, &id) == 1);
     assert!(rig.call("ready")[0].starts_with("SUCCESS"));
 }
+
+/// Row W3: a wait binds its endpoint also when the list says another zone of it meanwhile.
+#[test]
+fn a_told_wait_outlasts_a_change_of_its_endpoint_s_entry() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 2"));
+    let other = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["known"]["servers"][0]["kind"] = json!("banks");
+    rig.start();
+    let mut client = rig.client();
+    client.message("notice", 7, 8_000, "first");
+    wait_for("the refusal", || e.calls().len() == 1);
+    let told = Instant::now();
+    e.does(OK);
+    let mut moved = e.entry("e0", 7, "up");
+    (moved["kind"], moved["zone"]) = (json!("banks"), json!("south"));
+    change(&rig, 2, vec![moved, other.entry("e1", 8, "up")]);
+    wait_for("the news", || rig.client().says(&put(&fresh(), "c=notice,d=8000,k=n,dest=8", "news")) == "+OK");
+    client.message("notice", 7, 8_000, "second");
+    wait_for("the next call", || e.calls().len() > 1);
+    assert!(told.elapsed() > Duration::from_millis(1_850), "called after {:?}", told.elapsed());
+}
