A told wait goes with an endpoint whose entry changes; a resting connection ends in time

Change: ListEntry::waits_until carries the suspension over; Deadlines::is_due is asked before an idle connection is used.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -243,6 +243,7 @@
             kind: KindId(it.names.kinds.iter().position(|k| *k == item.shape).unwrap_or(usize::MAX)),
             serving: item.serving,
             rate: it.names.rate(item.weight).ok_or_else(|| line.bad("power-hint", "a rate"))?,
+            waits_until: 0,
         });
     }
     Ok(Some((scope, entries)))
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -157,9 +157,12 @@
     /// Finds a connection for an attempt: an idle one, or a new one that has to come up.
     pub fn place(&mut self, slot: MessageSlot, endpoint: EndpointId) {
         while let Some(conn) = self.endpoints[endpoint].idle.pop() {
+            // After a stand-still its time may be up, and its deadline not seen yet.
+            let in_time = !self.deadlines.is_due(Due::Conn(conn), self.now);
             self.deadlines.clear(Due::Conn(conn));
             // The other side may have closed it, and the poller not yet told: a call written then would be lost.
-            let good = self.conns.fill(conn).is_ok()
+            let good = in_time
+                && self.conns.fill(conn).is_ok()
                 && self.conns.get(conn).is_some_and(|c| !c.ended && c.input.is_empty());
             if good {
                 return self.write_call(slot, conn);
@@ -419,9 +422,11 @@
         let runtime = &mut self.runtime;
         let mut entries = Vec::with_capacity(list.endpoints.len());
         for listed in &list.endpoints {
-            entries.extend(runtime.end_replaced(listed));
+            let replaced = runtime.end_replaced(listed);
+            let waits_until = replaced.map_or(0, |old| self.dispatcher.suspended_until(old.endpoint));
+            entries.extend(replaced);
             match runtime.entry(listed) {
-                Ok(entry) => entries.extend(entry),
+                Ok(entry) => entries.extend(entry.map(|entry| ListEntry { waits_until, ..entry })),
                 Err(what) => endpoint_list::warn_of_entry(what),
             }
         }
@@ -488,6 +493,7 @@
             kind: KindId(find(&names.kinds, &listed.kind)),
             serving: listed.serving,
             rate: listed.rate,
+            waits_until: 0,
         }))
     }
 
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -537,6 +537,7 @@
             kind: KindId(plan.kind),
             serving,
             rate: 0.0,
+            waits_until: 0,
         }
     }
 
--- a/net/src/deadlines.rs
+++ b/net/src/deadlines.rs
@@ -35,6 +35,10 @@
         }
     }
 
+    pub fn is_due(&self, what: K, now: Nanos) -> bool {
+        self.at.get(&what).is_some_and(|&at| at <= now)
+    }
+
     pub fn next(&self) -> Option<Nanos> {
         self.order.first().map(|first| first.0)
     }
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -73,6 +73,8 @@
             out.forget(replaced);
         }
         self.inherit(number);
+        let route = &mut self.routes[number];
+        route.suspended_until = route.suspended_until.max(entry.waits_until);
         number
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -147,6 +147,8 @@
     /// The attempts a second that its limiter takes from all dispatchers together, as listed: up to half too high
     /// or too low. Nought where nothing is listed.
     pub rate: f64,
+    /// Until when a wait binds that the endpoint told under an entry of other contents; nought for none.
+    pub waits_until: Nanos,
 }
 
 /// A message that was accepted.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -75,6 +75,11 @@
         route.is_some_and(|route| route.entry.serving && route.suspended_until <= now)
     }
 
+    /// Until when an endpoint is suspended; nought for one that is not known.
+    pub fn suspended_until(&self, endpoint: EndpointId) -> Nanos {
+        self.routes.find(endpoint).map_or(0, |number| self.routes[number].suspended_until)
+    }
+
     /// Whether one more call may be in flight.
     pub(crate) fn has_free_slot(&self) -> bool {
         self.in_flight.count_calls(|_| true) < self.facts.slots
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -280,6 +280,7 @@
             serving: true,
             rate: 0.0,
             shared_order: i.wrapping_mul(0x9e37_79b9),
+            waits_until: 0,
         };
         let o = Outside {
             now,
