--- a/daemon/src/event_loop.rs
+++ b/daemon/src/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::discovery::{Discovery, WatchTimer};
 use crate::endpoint_list;
 use crate::endpoints::Endpoints;
+use crate::leaving::{LET_IN_FOR, Leaving};
 use crate::message_journal::{Kept, MessageJournal};
 use crate::messages::{Due, Runtime, Stage};
 use crate::notices::Notices;
@@ -28,12 +29,6 @@
 use std::time::{Duration, SystemTime};
 
 const MS: Nanos = 1_000_000;
-/// Leaving, counted from the signal. The platform lets new clients come for 400 ms and kills after 3.7 s. Those inside
-/// ask on for as long as they are let: parted with early, all of their messages would go to dispatchers that have work enough.
-const LET_IN_FOR: Nanos = 500 * MS;
-const ANSWER_FOR: Nanos = 2_300 * MS;
-const DECIDE_FOR: Nanos = 2_900 * MS;
-const GONE_AFTER: Nanos = 3_500 * MS;
 /// Between looks at what a process beside this one does in the folder: the journal that it still holds, and the endpoints
 /// that it was told to hold out.
 const BESIDE_EVERY: Nanos = 100 * MS;
@@ -102,21 +97,6 @@
     }
 }
 
-/// How far a dispatcher is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Leaving {
-    No,
-    /// All as ever: clients still come.
-    Told,
-    /// No new clients; those inside are served.
-    Shut,
-    /// No more clients; messages held still go out.
-    Parting,
-    /// The decisions are asked no more; calls that are out still end. What is held is the next process's.
-    Ending,
-    Gone,
-}
-
 pub struct Daemon {
     pub dispatcher: Dispatcher,
     pub runtime: Runtime,
@@ -128,10 +108,10 @@
     /// What the configuration was read from, and what of it only a restart takes.
     source: Option<Source>,
     fixed: Vec<(&'static str, Value)>,
-    leaving: Leaving,
-    told_to_leave: Nanos,
+    pub(crate) leaving: Leaving,
+    pub(crate) told_to_leave: Nanos,
     /// Drained by an operator: `PING` says no, clients are parted with between requests; all else goes on.
-    draining: bool,
+    pub(crate) draining: bool,
     /// The folder that lasts.
     pub state: std::path::PathBuf,
     /// Of the list of endpoints held out there, as it was read or written last.
@@ -233,7 +213,7 @@
         daemon.settle();
         daemon.runtime.send_notices();
         log::info!(
-            "{} listens on {}, {} mails held",
+            "{} listens on {}, {} messages held",
             start.name,
             start.listen,
             daemon.runtime.messages.len()
@@ -326,7 +306,7 @@
         let (known, unknown): (Vec<_>, Vec<_>) = kept.messages.into_iter().partition(known);
         for message in unknown {
             if let Some(&slot) = self.runtime.slots.get(&message.id) {
-                log::warn!("mail {:016x} is of no class that is known now", message.id.0);
+                log::warn!("message {:016x} is of no class that is known now", message.id.0);
                 self.runtime.shift(slot, Stage::Bounced);
             }
         }
@@ -341,7 +321,7 @@
             self.turn()?;
         }
         self.save_scope();
-        log::info!("left, {} mails held for the next process", self.runtime.messages.len());
+        log::info!("left, {} messages held for the next process", self.runtime.messages.len());
         Ok(())
     }
 
@@ -381,21 +361,6 @@
         Ok(())
     }
 
-    /// Whether a process on its way out has nothing left to wait for. Only then are messages and connections looked
-    /// through: with a large backlog a look in each turn took more time than the messages themselves.
-    fn may_end(&self) -> bool {
-        if self.leaving < Leaving::Parting {
-            return false;
-        }
-        // A client still here is within a request, has not read its answer, or has not ended its side.
-        let inside = self.runtime.conns.iter().any(|(_, c)| c.role == Role::Client);
-        let recorded = !self.runtime.journal.is_behind();
-        let quiet =
-            self.runtime.messages.is_empty() && self.runtime.notices.owed() == 0 && !inside && recorded;
-        let out = || self.runtime.messages.iter().any(|(_, m)| m.call.is_some());
-        (self.leaving == Leaving::Parting && quiet) || (self.leaving == Leaving::Ending && !inside && !out())
-    }
-
     /// Tells the decisions of the outcomes that became known while they were at work.
     fn settle(&mut self) {
         while let Some(end) = self.runtime.ended.pop_front() {
@@ -468,7 +433,7 @@
                     (runtime.messages.len(), runtime.notices.owed(), runtime.conns.len());
                 let busy = busy() / MS;
                 log::info!(
-                    "standing: {held} mails held, {out} out, {owed} notices owed, {open} connections, busy for {busy} ms"
+                    "standing: {held} messages held, {out} out, {owed} notices owed, {open} connections, busy for {busy} ms"
                 );
                 runtime.deadlines.set(Due::Standing, now + STANDING);
             }
@@ -481,7 +446,7 @@
             self.read_again();
         }
         if self.leave.load(Ordering::SeqCst) && self.leaving == Leaving::No {
-            log::info!("told to leave, {} mails held", self.runtime.messages.len());
+            log::info!("told to leave, {} messages held", self.runtime.messages.len());
             self.leaving = Leaving::Told;
             self.told_to_leave = self.runtime.now;
             self.runtime.deadlines.set(Due::Leave, self.told_to_leave + LET_IN_FOR);
@@ -510,72 +475,4 @@
         discovery.relocate(&mut io, new.discovery);
         self.runtime.notify_at(new.discovery);
     }
-
-    /// The next step of leaving.
-    fn leave_on(&mut self) {
-        let (next, then) = match self.leaving {
-            Leaving::Told => (Leaving::Shut, ANSWER_FOR),
-            Leaving::Shut => (Leaving::Parting, DECIDE_FOR),
-            Leaving::Parting => (Leaving::Ending, GONE_AFTER),
-            _ => {
-                self.leaving = Leaving::Gone;
-                return;
-            }
-        };
-        self.leaving = next;
-        self.runtime.deadlines.set(Due::Leave, self.told_to_leave + then);
-        if next == Leaving::Shut {
-            // Whoever has come is let in: closed over them, the listener would reset them.
-            while self.let_in() {}
-            self.runtime.deadlines.clear(Due::Accept);
-            self.runtime.conns.close_listener();
-        }
-        if next == Leaving::Parting {
-            for id in self.clients() {
-                self.client_ready(id);
-                self.part(id);
-            }
-        }
-    }
-
-    /// All clients that are inside now.
-    fn clients(&self) -> Vec<ConnId> {
-        self.runtime.conns.iter().filter(|(_, c)| c.role == Role::Client).map(|(id, _)| id).collect()
-    }
-
-    /// On the way out, parts with a client whose last request is answered; it sends its next one elsewhere.
-    fn part(&mut self, id: ConnId) {
-        let between = |c: &crate::conns::Conn| c.between() && !c.lingers;
-        let parts = self.leaving >= Leaving::Parting || self.draining;
-        if parts && self.runtime.conns.get(id).is_some_and(between) {
-            self.runtime.part_with(id);
-        }
-    }
-
-    /// Whether clients are told yes: neither drained nor leaving.
-    pub fn serves(&self) -> bool {
-        !self.draining && self.leaving < Leaving::Shut
-    }
-
-    /// Drains, or takes clients again. Those between requests go at once; the others once they are answered.
-    pub fn drain(&mut self, on: bool) {
-        if std::mem::replace(&mut self.draining, on) == on {
-            return;
-        }
-        log::info!("{}", if on { "drained by a call" } else { "takes clients again" });
-        if on {
-            for id in self.clients() {
-                // What has come is met first; and one that came just now has its time to ask.
-                self.client_ready(id);
-                if self.runtime.conns.get(id).is_some_and(|c| c.asked) {
-                    self.part(id);
-                }
-            }
-        }
-    }
-
-    /// Whether new messages are still taken.
-    pub fn accepts_messages(&self) -> bool {
-        self.leaving < Leaving::Ending
-    }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod start_retry;
 
 pub mod event_loop;
+pub mod leaving;
 
 pub mod clients;
 pub mod endpoints;
--- a/daemon/src/messages.rs
+++ b/daemon/src/messages.rs
@@ -265,7 +265,7 @@
             message.attempts -= 1;
         }
         let (id, stage) = (message.id, message.stage);
-        log::debug!("mail {:016x}: connect {} ended, begun {}: {outcome:?}", id.0, call.no.0, call.begun);
+        log::debug!("message {:016x}: attempt {} ended, begun {}: {outcome:?}", id.0, call.no.0, call.begun);
         self.deadlines.clear(Due::Call(slot));
         let was_over = stage.ended();
         if call.begun && !was_over && outcome != Outcome::Relayed {
@@ -343,7 +343,7 @@
         }
         call.begun = true;
         log::debug!(
-            "mail {:016x}: connect {} to {}, {} ms after it was decided",
+            "message {:016x}: attempt {} to {}, {} ms after it was decided",
             message.id.0,
             call.no.0,
             endpoint.addr,
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -107,7 +107,7 @@
     if boot.facts.batch.iter().any(|most| *most > 1) {
         return Err(r.bad(
             "settings.family-info.per-call",
-            "1 for each kind: a call to an endpoint carries one mail",
+            "1 for each kind: a call to an endpoint carries one message",
         ));
     }
     Ok(Start {
