--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -323,6 +323,22 @@
     value.unwrap_or_else(|| panic!("{name} in {lines:?}")).parse().unwrap()
 }
 
+/// A process that does not outlive its test, however that ends.
+pub struct OldProcess(pub Child);
+
+impl OldProcess {
+    pub fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for OldProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 impl Drop for Rig {
     fn drop(&mut self) {
         if self.child.is_some() {
--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -7,7 +7,9 @@
 
 use super::*;
 
-/// How many routes a dispatcher uses at the least: a destination that has no more of them is not divided.
+/// A destination that has no more routes is not divided.
+const UNDIVIDED_ROUTES: usize = 8;
+/// How many routes of a larger one a dispatcher uses at the least.
 const SUBSET_SIZE: usize = 4;
 /// How many dispatchers have to use each route. A small fleet uses more routes each, or all of them: those in nobody's
 /// subset would stand idle, and the others would be overrun.
@@ -23,7 +25,7 @@
         let serving = |&index: &usize| self.routes[routes[index]].entry.serving;
         let mut order: Vec<usize> = (0..routes.len()).filter(serving).collect();
         let size = self.subset_size(order.len());
-        if order.len() <= size {
+        if order.len() <= size.max(UNDIVIDED_ROUTES) {
             return eligible;
         }
         order.sort_unstable_by_key(|&index| {
