--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -7,9 +7,7 @@
 
 use super::*;
 
-/// A destination that has no more routes is not divided.
-const UNDIVIDED_ROUTES: usize = 8;
-/// How many routes of a larger one a dispatcher uses at the least.
+/// How many routes a dispatcher uses at the least: a destination that has no more of them is not divided.
 const SUBSET_SIZE: usize = 4;
 /// How many dispatchers have to use each route. A small fleet uses more routes each, or all of them: those in nobody's
 /// subset would stand idle, and the others would be overrun.
@@ -25,7 +23,7 @@
         let serving = |&index: &usize| self.routes[routes[index]].entry.serving;
         let mut order: Vec<usize> = (0..routes.len()).filter(serving).collect();
         let size = self.subset_size(order.len());
-        if order.len() <= size.max(UNDIVIDED_ROUTES) {
+        if order.len() <= size {
             return eligible;
         }
         order.sort_unstable_by_key(|&index| {
