--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -4,6 +4,7 @@
 
 use common::faults::{EINTR, EIO, ENOSPC, Faults, words};
 use common::*;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -350,3 +351,88 @@
     wait_for("the next call", || e.calls().len() > 1);
     assert!(told.elapsed() > Duration::from_millis(1_850), "called after {:?}", told.elapsed());
 }
+
+/// Row D5: of new configurations in quick succession the last counts, for the list and for notices.
+#[test]
+fn of_several_configurations_in_quick_succession_the_last_counts() {
+    let (leaving, staying) = (Endpoint::start(OK), Endpoint::start(OK));
+    let mut rig = Rig::new(&[(&leaving, 7), (&staying, 7)]);
+    rig.start();
+    let platforms: Vec<Platform> = (0..4).map(|_| Platform::start()).collect();
+    for platform in &platforms {
+        rig.json["discovery"] = platform.addr.clone().into();
+        // Writes the file.
+        drop(rig.command("serve"));
+        rig.signal(Signal::HUP);
+        std::thread::sleep(Duration::from_millis(15));
+    }
+    let signalled = Instant::now();
+    let last = platforms.last().unwrap();
+    last.tell(&format!(
+        "{}\n",
+        json!({"version": 9, "full": false, "servers": [leaving.entry("e0", 7, "draining")]})
+    ));
+    assert!(signalled.elapsed() < Duration::from_secs(4), "asked after {:?}", signalled.elapsed());
+    std::thread::sleep(Duration::from_secs(4).saturating_sub(signalled.elapsed()));
+    let before = leaving.calls().len();
+    let mut client = rig.client();
+    let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
+    wait_for("all of them", || ids.iter().all(|id| calls_of(&staying, id) + calls_of(&leaving, id) == 1));
+    assert_eq!(leaving.calls().len(), before, "it drains");
+    staying.does(Does::Says("500 Oops"));
+    let failed = client.message("payment", 7, 8_000, "fails");
+    wait_for("its notice", || last.notice(&failed).is_some());
+}
+
+/// Row R18: messages of one key go in the order in which they were taken, one at a time, also over a kill.
+#[test]
+fn messages_of_one_key_go_in_their_order_over_a_restart() {
+    let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 0.4"));
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.json["settings"]["services"][0]["in-turn"] = json!(true);
+    rig.start();
+    let mut client = rig.client();
+    let ids: Vec<String> = (0..6).map(|_| fresh()).collect();
+    for id in &ids {
+        let request = String::from_utf8(put(id, &format!("c=notice,d=15000,k={id},dest=7"), "x")).unwrap();
+        // The key of the order is the first word.
+        let request = request.replacen("0000000000000000", "00000000000000aa", 1);
+        assert_eq!(client.says(request.as_bytes()), "+OK");
+    }
+    wait_for("a refusal", || rig.never_ran(&ids[0]));
+    rig.kill();
+    e.does(OK);
+    let before = e.calls().len();
+    rig.start();
+    wait_for("all of them", || {
+        ids.iter().all(|id| e.calls()[before..].iter().any(|c| c.header("X-Trace-Id") == *id))
+    });
+    let order: Vec<String> = e.calls()[before..].iter().map(|c| c.header("X-Trace-Id").to_string()).collect();
+    assert_eq!(order, ids);
+}
+
+/// Row C1: a value of 60 MB is answered or closed within 6 s, and the others are served meanwhile.
+#[test]
+fn a_value_of_sixty_megabytes_is_turned_away_in_time() {
+    let e = Endpoint::start(OK);
+    let mut rig = Rig::new(&[(&e, 7)]);
+    rig.start();
+    let began = Instant::now();
+    let mut huge = rig.client();
+    let mut to = huge.to.try_clone().unwrap();
+    let sender = std::thread::spawn(move || {
+        let _ =
+            to.write_all(b"*5\r\n$7\r\nMSG.PUT\r\n$16\r\n0000000000000000\r\n$16\r\n00000000000000bb\r\n");
+        let _ = to.write_all(b"$28\r\nc=notice,d=8000,k=a,dest=7  \r\n$60000000\r\n");
+        let part = vec![b'x'; 1 << 20];
+        (0..58).all(|_| to.write_all(&part).is_ok())
+    });
+    let served = rig.client().message("notice", 7, 8_000, "a usual one");
+    wait_for("the usual one", || calls_of(&e, &served) == 1);
+    let mut told = Vec::new();
+    let _ = huge.from.read_to_end(&mut told);
+    assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
+    drop(huge);
+    sender.join().unwrap();
+    assert_eq!(e.calls().len(), 1);
+}
