--- a/daemon/src/endpoint_list.rs
+++ b/daemon/src/endpoint_list.rs
@@ -67,6 +67,11 @@
     log::warn!("discovery: an entry was skipped, its {field} cannot be read");
 }
 
+/// A field of an entry. Of an endpoint that takes nothing new only that counts, whatever else of it can be read.
+fn needed<T: Default>(field: Result<T, &'static str>, serving: bool) -> Result<T, &'static str> {
+    field.or_else(|what| if serving { Err(what) } else { Ok(T::default()) })
+}
+
 /// Reads an entry, or says which of its fields cannot be read.
 fn read_endpoint(server: &Value, names: &Names) -> Result<ListedEndpoint, &'static str> {
     let word = |field: &'static str| server.get(field).and_then(Value::as_str).ok_or(field);
@@ -76,23 +81,11 @@
         "draining" | "removed" => false,
         _ => return Err("state"),
     };
-    if !serving {
-        // That it takes nothing new is all that counts, whatever else of it can be read.
-        return Ok(ListedEndpoint {
-            name: name.to_string(),
-            addr: word("addr").ok().and_then(|addr| addr.parse().ok()),
-            zone: word("zone").unwrap_or_default().to_string(),
-            kind: word("kind").unwrap_or_default().to_string(),
-            destination: server.get("cell").and_then(Value::as_u64).unwrap_or_default(),
-            serving,
-            weight: None,
-            rate: 0.0,
-        });
-    }
-    let (zone, kind) = (word("zone")?, word("kind")?);
-    let weight = server.get("weight").map(|w| w.as_f64().ok_or("weight")).transpose()?;
+    let (zone, kind) = (needed(word("zone"), serving)?, needed(word("kind"), serving)?);
+    let weight = server.get("weight").filter(|_| serving);
+    let weight = weight.map(|w| w.as_f64().ok_or("weight")).transpose()?;
     let rate = names.rate(weight).ok_or("weight")?;
-    let destination = server.get("cell").and_then(Value::as_u64).ok_or("cell")?;
+    let destination = needed(server.get("cell").and_then(Value::as_u64).ok_or("cell"), serving)?;
     Ok(ListedEndpoint {
         name: name.to_string(),
         addr: word("addr").ok().and_then(|addr| addr.parse().ok()),
--- a/daemon/src/message_journal/mod.rs
+++ b/daemon/src/message_journal/mod.rs
@@ -158,8 +158,7 @@
         }
         if self.torn {
             log::warn!("message journal: an unfinished record at its end was dropped");
-            self.file.set_len(self.length)?;
-            self.torn = false;
+            self.truncate()?;
         }
         Ok(())
     }
@@ -201,8 +200,7 @@
         file.read_to_end(&mut bytes)?;
         let spent = self.journals.adopted_by_others(other, &bytes)?;
         let mut read = replay(&bytes[spent..]);
-        let now = ClockReading { monotonic: crate::clock::now(), ..self.clock.clone() };
-        let translation = read.translate(&ClockReading { wall: crate::clock::wall_now(), ..now });
+        let translation = read.translate(&ClockReading::take());
         warn_of_translation(translation, &read);
         self.ended.extend(read.ended);
         let mut kept = read.kept;
@@ -392,19 +390,23 @@
             Err(e) => {
                 self.tell(Some(&e));
                 self.torn = true;
-                let _ = self.file.set_len(self.length).map(|()| self.torn = false);
+                // Where it cannot be cut back now, it is before the next write.
+                let _ = self.truncate();
                 Err(NoRoom)
             }
         }
     }
 
-    /// Cuts the file back to its whole records, or else puts a new one in its place.
+    /// Cuts the file back to its whole records.
+    fn truncate(&mut self) -> io::Result<()> {
+        self.file.set_len(self.length)?;
+        self.torn = false;
+        Ok(())
+    }
+
+    /// The same, or else puts a new file in its place.
     fn cut_back(&mut self) -> Result<(), NoRoom> {
-        if self.file.set_len(self.length).is_ok() {
-            self.torn = false;
-            return Ok(());
-        }
-        self.replace_file()
+        self.truncate().or_else(|_| self.replace_file())
     }
 
     /// Logs that writes fail, or go again, once each.
--- a/daemon/src/mgmt.rs
+++ b/daemon/src/mgmt.rs
@@ -50,6 +50,11 @@
     Ok(held)
 }
 
+/// Takes an endpoint out or puts it back. True: that was a change.
+fn set_out(held: &mut std::collections::BTreeSet<String>, name: &str, out: bool) -> bool {
+    if out { held.insert(name.to_string()) } else { held.remove(name) }
+}
+
 /// What changes with the list of endpoints held out each time that it is written: none while there is none.
 pub fn held_stamp(folder: &std::path::Path) -> Option<(u64, std::time::SystemTime)> {
     use std::os::unix::fs::MetadataExt;
@@ -302,7 +307,7 @@
                 // What another process of this folder has written meanwhile stays.
                 self.heed_held_out();
                 let mut held = self.runtime.held_out.clone();
-                let changed = if out { held.insert(name.clone()) } else { held.remove(&name) };
+                let changed = set_out(&mut held, &name, out);
                 if held.len() > HELD_MOST {
                     return format!("FAILURE {HELD_MOST} endpoints are out already\n");
                 }
@@ -328,11 +333,7 @@
                 Ok(mut held) => {
                     self.held_stamp = stamp;
                     for (name, &out) in &self.held_unwritten {
-                        if out {
-                            held.insert(name.clone())
-                        } else {
-                            held.remove(name)
-                        };
+                        set_out(&mut held, name, out);
                     }
                     self.hold_out(held);
                 }
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -16,16 +16,11 @@
 const MOST: usize = 256;
 const BYTES_MOST: usize = 64 * 1024;
 
-/// A notice that is owed.
-struct Owed {
-    ending: Ending,
-    /// Its record is not written yet: until then, or until this time, it waits.
-    unrecorded_until: Option<Nanos>,
-}
-
 pub struct Notices {
     addr: SocketAddr,
-    owed: BTreeMap<MessageId, Owed>,
+    owed: BTreeMap<MessageId, Ending>,
+    /// Those whose records are not written yet: until then, or until this time, they wait.
+    unrecorded_until: BTreeMap<MessageId, Nanos>,
     /// Those of the request that is out.
     out: Vec<MessageId>,
     conn: Option<ConnId>,
@@ -40,6 +35,7 @@
         Notices {
             addr,
             owed: BTreeMap::new(),
+            unrecorded_until: BTreeMap::new(),
             out: vec![],
             conn: None,
             rests: false,
@@ -49,18 +45,19 @@
     }
 
     pub fn owe(&mut self, id: MessageId, ending: Ending) {
-        self.owed.insert(id, Owed { ending, unrecorded_until: None });
+        self.owed.insert(id, ending);
     }
 
     /// Owes a notice whose record could not be written. Sent at once, a kill would forget it, and the message would go out
     /// after its notice. At `due` it is sent in any case: nothing goes out for the message from then on.
     pub fn owe_once_recorded(&mut self, id: MessageId, ending: Ending, due: Nanos) {
-        self.owed.insert(id, Owed { ending, unrecorded_until: Some(due) });
+        self.owe(id, ending);
+        self.unrecorded_until.insert(id, due);
     }
 
     /// All records are written now.
     pub fn recorded(&mut self) {
-        self.owed.values_mut().for_each(|owed| owed.unrecorded_until = None);
+        self.unrecorded_until.clear();
     }
 
     pub fn owed(&self) -> usize {
@@ -68,7 +65,7 @@
     }
 
     fn lines(&self) -> String {
-        let line = |id: &MessageId| match self.owed[id].ending {
+        let line = |id: &MessageId| match self.owed[id] {
             Ending::Bounced => format!("{{\"ref\":\"{:016x}\",\"result\":\"dead\"}}\n", id.0),
             Ending::Deferred(wait) => {
                 let ms = wait.div_ceil(1_000_000);
@@ -87,8 +84,8 @@
             return;
         }
         let now = self.now;
-        let may_go = |owed: &Owed| owed.unrecorded_until.is_none_or(|until| now >= until);
-        n.out = n.owed.iter().filter(|(_, owed)| may_go(owed)).map(|(id, _)| *id).take(MOST).collect();
+        let may_go = |id: &MessageId| n.unrecorded_until.get(id).is_none_or(|&until| now >= until);
+        n.out = n.owed.keys().copied().filter(may_go).take(MOST).collect();
         if n.out.is_empty() {
             return;
         }
@@ -167,6 +164,7 @@
                 self.notices.again = AGAIN;
                 for message in std::mem::take(&mut self.notices.out) {
                     self.notices.owed.remove(&message);
+                    self.notices.unrecorded_until.remove(&message);
                     // Until it is written, a restart would tell it once more.
                     let _ = self.journal.told(message);
                 }
--- a/daemon/tests/common/ledger.rs
+++ b/daemon/tests/common/ledger.rs
@@ -85,6 +85,14 @@
     pub broken: Vec<String>,
 }
 
+impl std::fmt::Display for Verdict {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Verdict { accepted, refused, delivered, noticed, stalled, broken } = self;
+        write!(f, "accepted {accepted}, refused {refused}, delivered {delivered}, noticed {noticed}, ")?;
+        write!(f, "machine stalled {} ms, broken {}", stalled.as_millis(), broken.len())
+    }
+}
+
 impl Ledger {
     /// A thread that only sleeps was held up for so long.
     pub fn stalled(&mut self, time: Duration) {
@@ -200,10 +208,6 @@
         self.messages.values().all(|m| m.heard != Heard::Accepted || ended(m))
     }
 
-    pub fn accepted(&self) -> usize {
-        self.messages.values().filter(|m| m.heard == Heard::Accepted).count()
-    }
-
     /// The verdict at this moment; what is still in time is not yet judged as lost.
     pub fn verdict(&self) -> Verdict {
         let mut verdict = Verdict { broken: self.wrong.clone(), stalled: self.stalled, ..Verdict::default() };
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod soak;
 
 use bellsill_daemon::message_journal::{Kept, MessageJournal};
+use faults::Faults;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -129,6 +130,10 @@
     pub fn calls(&self) -> Vec<Call> {
         self.calls.lock().unwrap().clone()
     }
+    /// How many calls came for a message.
+    pub fn calls_of(&self, id: &str) -> usize {
+        self.calls().iter().filter(|call| call.header("X-Trace-Id") == id).count()
+    }
     pub fn entry(&self, id: &str, cell: u64, state: &str) -> Value {
         entry(id, &self.addr, cell, state)
     }
@@ -234,6 +239,24 @@
         self.start_by(command);
     }
 
+    /// The command of a process whose system calls can be made to fail.
+    pub fn command_with(&self, faults: &Faults) -> Command {
+        let mut command = self.command("serve");
+        faults.preload(&mut command, &self.folder.join("state"));
+        command
+    }
+
+    /// Starts such a process, and waits until it is ready.
+    pub fn start_with(&mut self, faults: &Faults) {
+        let command = self.command_with(faults);
+        self.start_by(command);
+    }
+
+    /// Starts such a process, and does not wait.
+    pub fn spawn_with(&mut self, faults: &Faults) {
+        self.child = Some(self.command_with(faults).spawn().unwrap());
+    }
+
     pub fn start_by(&mut self, mut command: Command) {
         self.child = Some(command.spawn().unwrap());
         wait_for("a dispatcher that is ready", || {
--- a/daemon/tests/common/soak.rs
+++ b/daemon/tests/common/soak.rs
@@ -445,8 +445,7 @@
     }
 
     fn start_process(&mut self) {
-        let mut command = self.rig.command("serve");
-        self.faults.preload(&mut command, &self.rig.folder.join("state"));
+        let mut command = self.rig.command_with(&self.faults);
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log_path()).unwrap();
         command.arg("--log").arg("debug").stderr(log);
         self.rig.start_by(command);
@@ -646,15 +645,7 @@
 
 /// Fails with what was broken.
 pub fn assert_kept(verdict: &Verdict) {
-    println!(
-        "accepted {}, refused {}, delivered {}, noticed {}, machine stalled {} ms, broken {}",
-        verdict.accepted,
-        verdict.refused,
-        verdict.delivered,
-        verdict.noticed,
-        verdict.stalled.as_millis(),
-        verdict.broken.len()
-    );
+    println!("{verdict}");
     let first: Vec<_> = verdict.broken.iter().take(12).collect();
     assert!(verdict.broken.is_empty(), "{} broken, the first: {first:#?}", verdict.broken.len());
 }
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -49,10 +49,6 @@
     got
 }
 
-fn calls_of(e: &Endpoint, id: &str) -> usize {
-    e.calls().iter().filter(|c| c.header("X-Trace-Id") == id).count()
-}
-
 fn kept_ids(rig: &Rig) -> BTreeSet<String> {
     rig.kept().messages.iter().map(|m| format!("{:016x}", m.id.0)).collect()
 }
@@ -166,7 +162,7 @@
     crowd(&rig, &mut inside);
     let one = inside.remove(0);
     let relayed = hand_in(&rig, one, "payment", 7, 20_000);
-    wait_for("the message", || calls_of(&sound, &relayed) == 1);
+    wait_for("the message", || sound.calls_of(&relayed) == 1);
     crowd(&rig, &mut inside);
     assert!(rig.call("ready")[0].starts_with("SUCCESS"));
     wait_for("the figure", || rig.figure("downstream_requests.payment.completed") == 1);
@@ -185,8 +181,8 @@
     wait_for("the news", || rig.figure("members") == 3);
     let client = rig.client();
     let last = hand_in(&rig, client, "notice", 9, 19_000);
-    wait_for("a message by the news", || calls_of(&sound, &last) == 1);
-    assert_eq!((calls_of(&sound, &relayed), calls_of(&failing, &dead)), (1, 1));
+    wait_for("a message by the news", || sound.calls_of(&last) == 1);
+    assert_eq!((sound.calls_of(&relayed), failing.calls_of(&dead)), (1, 1));
     assert!(rig.platform.notice(&relayed).is_none() && rig.platform.notice(&last).is_none());
 }
 
@@ -213,9 +209,9 @@
     forward(&refuses, &sound.addr);
     rig.json["known"]["servers"][1]["addr"] = sound.addr.clone().into();
     rig.start();
-    wait_for("all of them", || messages.iter().all(|id| calls_of(&sound, id) > 0));
+    wait_for("all of them", || messages.iter().all(|id| sound.calls_of(id) > 0));
     wait_for("their ends", || rig.kept() == Kept::default());
-    assert!(messages.iter().all(|id| calls_of(&sound, id) == 1), "each once");
+    assert!(messages.iter().all(|id| sound.calls_of(id) == 1), "each once");
     assert_eq!(rig.platform.notices(), Vec::<Value>::new());
 }
 
@@ -255,7 +251,7 @@
         rig.kept() == Kept::default()
     });
     for id in &ids {
-        let (relayed, told) = (calls_of(&sound, id), rig.platform.notice(id).is_some());
+        let (relayed, told) = (sound.calls_of(id), rig.platform.notice(id).is_some());
         assert!(relayed <= 1, "{id} went out {relayed} times");
         let ends = relayed + usize::from(told);
         match taken.contains(id) {
@@ -297,7 +293,7 @@
     let later = rig.client().message("payment", 7, 8000, "x");
     wait_for("a later notice", || new.told(&later) >= 1);
     assert_eq!((old.told(&dead), new.told(&dead)), (before, told));
-    assert_eq!((calls_of(&failing, &dead), calls_of(&failing, &later)), (1, 1));
+    assert_eq!((failing.calls_of(&dead), failing.calls_of(&later)), (1, 1));
 }
 
 #[test]
@@ -387,18 +383,18 @@
     let mut client = rig.client();
     let once = client.message("payment", 7, 23_000, "x");
     let tagged = client.message("notice", 7, 19_000, "x");
-    wait_for("both calls", || calls_of(&hung, &once) == 1 && calls_of(&hung, &tagged) >= 1);
+    wait_for("both calls", || hung.calls_of(&once) == 1 && hung.calls_of(&tagged) >= 1);
     rig.kill();
     hung.does(OK);
-    let before = calls_of(&hung, &tagged);
+    let before = hung.calls_of(&tagged);
     rig.start();
-    wait_for("the tagged one again", || calls_of(&hung, &tagged) > before);
+    wait_for("the tagged one again", || hung.calls_of(&tagged) > before);
     wait_for("the end of the other", || rig.platform.notice(&once).is_some());
     assert_eq!(rig.platform.notice(&once).unwrap()["result"], "dead");
     wait_for("all to be over", || rig.kept() == Kept::default());
     let last = rig.client().message("payment", 7, 20_000, "x");
-    wait_for("a later message", || calls_of(&hung, &last) == 1);
-    assert_eq!(calls_of(&hung, &once), 1, "it may have run");
+    wait_for("a later message", || hung.calls_of(&last) == 1);
+    assert_eq!(hung.calls_of(&once), 1, "it may have run");
     assert!(rig.platform.notice(&tagged).is_none(), "it is relayed");
 }
 
@@ -409,13 +405,13 @@
     rig.json["settings"]["services"][0]["window-ns"] = json!(1_000_000_000);
     rig.start();
     let id = rig.client().message("notice", 7, 19_000, "x");
-    wait_for("the call", || calls_of(&hung, &id) >= 1);
+    wait_for("the call", || hung.calls_of(&id) >= 1);
     rig.kill();
     hung.does(OK);
     // The journal stands still. A machine that stands still may have had it go again before.
     let held = rig.kept();
     let attempts = held.messages.first().map(|m| m.attempts.iter().map(|c| c.at).collect::<Vec<_>>());
-    let before = attempts.as_ref().map_or_else(|| calls_of(&hung, &id), Vec::len);
+    let before = attempts.as_ref().map_or_else(|| hung.calls_of(&id), Vec::len);
     let closed = attempts.and_then(|c| c.last().copied()).unwrap_or(0) + 1_100_000_000;
     // The journal's times are on the dispatcher's clock.
     wait_for("the window's end", || bellsill_daemon::clock::now() > closed);
@@ -423,6 +419,6 @@
     wait_for("its end", || rig.platform.notice(&id).is_some());
     assert_eq!(rig.platform.notice(&id).unwrap()["result"], "dead", "it may have run");
     let last = rig.client().message("payment", 7, 20_000, "x");
-    wait_for("a later message", || calls_of(&hung, &last) == 1);
-    assert!(calls_of(&hung, &id) <= before, "{} after {before}", calls_of(&hung, &id));
+    wait_for("a later message", || hung.calls_of(&last) == 1);
+    assert!(hung.calls_of(&id) <= before, "{} after {before}", hung.calls_of(&id));
 }
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -46,18 +46,12 @@
     world.kill_while_disturbed();
     world.disturb_for(Duration::from_millis(random.random_range(300..1_000)));
     let verdict = world.finish();
-    println!(
-        "seed {seed} {troubles:?}: accepted {}, refused {}, delivered {}, noticed {}, machine stalled {} ms, broken {}",
-        verdict.accepted,
-        verdict.refused,
-        verdict.delivered,
-        verdict.noticed,
-        verdict.stalled.as_millis(),
-        verdict.broken.len()
-    );
+    println!("seed {seed} {troubles:?}: {verdict}");
+    let broken: Vec<String> =
+        verdict.broken.iter().map(|what| format!("seed {seed} {troubles:?}: {what}")).collect();
     // At once: a run that is cut off later has said it.
-    verdict.broken.iter().for_each(|what| println!("seed {seed} {troubles:?}: {what}"));
-    verdict.broken.into_iter().map(|what| format!("seed {seed} {troubles:?}: {what}")).collect()
+    broken.iter().for_each(|what| println!("{what}"));
+    broken
 }
 
 fn seeds() -> Vec<u64> {
--- a/daemon/tests/strict_terms.rs
+++ b/daemon/tests/strict_terms.rs
@@ -10,16 +10,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-fn calls_of(endpoint: &Endpoint, id: &str) -> usize {
-    endpoint.calls().iter().filter(|call| call.header("X-Trace-Id") == id).count()
-}
-
-fn start(rig: &mut Rig, faults: &Faults) {
-    let mut command = rig.command("serve");
-    faults.preload(&mut command, &rig.folder.join("state"));
-    rig.start_by(command);
-}
-
 fn change(rig: &Rig, version: u64, entries: Vec<Value>) {
     rig.platform.tell(&format!("{}\n", json!({"version": version, "full": false, "servers": entries})));
 }
@@ -31,18 +21,18 @@
     let mut rig = Rig::new(&[(&moving, 7), (&staying, 7)]);
     rig.start();
     let before = rig.client().message("notice", 7, 8_000, "before");
-    wait_for("the first message", || calls_of(&moving, &before) + calls_of(&staying, &before) == 1);
+    wait_for("the first message", || moving.calls_of(&before) + staying.calls_of(&before) == 1);
     change(&rig, 2, vec![moving.entry("e0", 8, "up")]);
     wait_for("the news", || rig.client().says(&put(&fresh(), "c=notice,d=8000,k=n,dest=8", "news")) == "+OK");
     let mut client = rig.client();
     let old: Vec<String> = (0..20).map(|_| client.message("notice", 7, 8_000, "for 7")).collect();
     let new: Vec<String> = (0..5).map(|_| client.message("notice", 8, 8_000, "for 8")).collect();
     wait_for("all of them", || {
-        old.iter().all(|id| calls_of(&moving, id) + calls_of(&staying, id) == 1)
-            && new.iter().all(|id| calls_of(&moving, id) + calls_of(&staying, id) == 1)
+        old.iter().all(|id| moving.calls_of(id) + staying.calls_of(id) == 1)
+            && new.iter().all(|id| moving.calls_of(id) + staying.calls_of(id) == 1)
     });
-    assert!(old.iter().all(|id| calls_of(&moving, id) == 0), "of another destination");
-    assert!(new.iter().all(|id| calls_of(&staying, id) == 0), "of another destination");
+    assert!(old.iter().all(|id| moving.calls_of(id) == 0), "of another destination");
+    assert!(new.iter().all(|id| staying.calls_of(id) == 0), "of another destination");
 }
 
 /// Row R2: the fields of a request name each value once.
@@ -98,7 +88,7 @@
     let e = Endpoint::start(Does::Says("429 Full\r\nRetry-After: 1"));
     let mut rig = Rig::new(&[(&e, 7)]);
     let faults = Faults::new(&rig.folder, 1);
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     let held = rig.client().message("payment", 7, 20_000, "held");
     wait_for("a refusal", || rig.never_ran(&held));
     rig.kill();
@@ -106,9 +96,7 @@
     for (word, errno) in [(words::OPEN_ERRNO, EIO), (words::UNLINK_ERRNO, EIO), (words::READ_ERRNO, EIO)] {
         faults.ask(word, errno);
     }
-    let mut command = rig.command("serve");
-    faults.preload(&mut command, &rig.folder.join("state"));
-    rig.child = Some(command.spawn().unwrap());
+    rig.spawn_with(&faults);
     let began = Instant::now();
     while began.elapsed() < Duration::from_millis(1_500) {
         assert!(rig.child.as_mut().unwrap().try_wait().unwrap().is_none(), "it has ended");
@@ -117,7 +105,7 @@
     }
     faults.heal_folder();
     faults.ask(words::READ_ERRNO, 0);
-    wait_for("the message held", || calls_of(&e, &held) == 2);
+    wait_for("the message held", || e.calls_of(&held) == 2);
     assert_eq!(rig.platform.notice(&held), None);
 }
 
@@ -127,27 +115,27 @@
     let hung = Endpoint::start(Does::Hangs);
     let mut rig = Rig::new(&[(&hung, 7)]);
     let faults = Faults::new(&rig.folder, 1);
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     let mut client = rig.client();
     let tagged = client.message("notice", 7, 20_000, "tagged");
-    wait_for("the call", || calls_of(&hung, &tagged) == 1);
+    wait_for("the call", || hung.calls_of(&tagged) == 1);
     let mut old = OldProcess(rig.child.take().unwrap());
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     let state = rig.folder.join("state");
     wait_for("a journal of its own", || state.join("mails.1").exists());
     faults.ask(words::TRUNCATE_ERRNO, EIO);
     hung.does(OK);
     old.kill();
-    wait_for("the message again", || calls_of(&hung, &tagged) == 2);
+    wait_for("the message again", || hung.calls_of(&tagged) == 2);
     wait_for("its end", || rig.kept_in("mails.1") == Default::default());
     assert!(state.join("mails").exists(), "not emptied");
     rig.kill();
     faults.heal_folder();
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     let last = rig.client().message("payment", 7, 20_000, "last");
-    wait_for("a later message", || calls_of(&hung, &last) == 1);
+    wait_for("a later message", || hung.calls_of(&last) == 1);
     std::thread::sleep(Duration::from_millis(300));
-    assert_eq!(calls_of(&hung, &tagged), 2, "taken over again");
+    assert_eq!(hung.calls_of(&tagged), 2, "taken over again");
     assert_eq!(rig.platform.notice(&tagged), None);
 }
 
@@ -158,13 +146,13 @@
     let mut rig = Rig::new(&[(&out, 7), (&other, 7)]);
     rig.json["mgmt"] = rig.mgmt_at(0).into();
     let faults = Faults::new(&rig.folder, 1);
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     faults.ask(words::OPEN_ERRNO, ENOSPC);
     rig.call("disable-server e0");
     std::thread::sleep(Duration::from_secs(1));
     let mut client = rig.client();
     let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
-    wait_for("all of them", || ids.iter().all(|id| calls_of(&other, id) + calls_of(&out, id) == 1));
+    wait_for("all of them", || ids.iter().all(|id| other.calls_of(id) + out.calls_of(id) == 1));
     assert!(out.calls().is_empty(), "taken out");
     // Once the folder is good again a restart knows it too.
     faults.heal_folder();
@@ -172,10 +160,10 @@
         std::fs::read_to_string(rig.folder.join("state/held-out")).is_ok_and(|text| text.contains("e0"))
     });
     rig.kill();
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     let mut client = rig.client();
     let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
-    wait_for("all of them", || ids.iter().all(|id| calls_of(&other, id) + calls_of(&out, id) == 1));
+    wait_for("all of them", || ids.iter().all(|id| other.calls_of(id) + out.calls_of(id) == 1));
     assert!(out.calls().is_empty(), "taken out, also over the restart");
 }
 
@@ -191,8 +179,8 @@
     change(&rig, 2, vec![entry, newcomer.entry("e2", 8, "up")]);
     wait_for("the news", || client.says(&put(&fresh(), "c=notice,d=8000,k=n,dest=8", "news")) == "+OK");
     let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
-    wait_for("all of them", || ids.iter().all(|id| calls_of(&other, id) + calls_of(&draining, id) == 1));
-    assert!(ids.iter().all(|id| calls_of(&draining, id) == 0), "it drains");
+    wait_for("all of them", || ids.iter().all(|id| other.calls_of(id) + draining.calls_of(id) == 1));
+    assert!(ids.iter().all(|id| draining.calls_of(id) == 0), "it drains");
 }
 
 /// Row C1: a message whose class the settings no longer name may run by no other class's rules.
@@ -205,13 +193,13 @@
     wait_for("a refusal", || rig.never_ran(&held));
     rig.kill();
     e.does(OK);
-    let before = calls_of(&e, &held);
+    let before = e.calls_of(&held);
     rig.json["settings"]["services"].as_array_mut().unwrap().pop();
     rig.start();
     wait_for("its notice", || rig.platform.notice(&held).is_some());
     let last = rig.client().message("notice", 7, 8_000, "last");
-    wait_for("a later message", || calls_of(&e, &last) == 1);
-    assert_eq!(calls_of(&e, &held), before);
+    wait_for("a later message", || e.calls_of(&last) == 1);
+    assert_eq!(e.calls_of(&held), before);
 }
 
 /// Row K1: the folder holds no more than its limit at any time, also with an old and a new process in it, the endpoints
@@ -266,11 +254,11 @@
     let e = Endpoint::start(OK);
     let mut rig = Rig::new(&[(&e, 7)]);
     let faults = Faults::new(&rig.folder, 1);
-    start(&mut rig, &faults);
+    rig.start_with(&faults);
     faults.ask(words::CONNECT_ERRNO, EINTR);
     let id = rig.client().message("payment", 7, 3_000, "x");
-    wait_for("its end", || calls_of(&e, &id) > 0 || rig.platform.notice(&id).is_some());
-    assert_eq!((calls_of(&e, &id), rig.platform.notice(&id)), (1, None));
+    wait_for("its end", || e.calls_of(&id) > 0 || rig.platform.notice(&id).is_some());
+    assert_eq!((e.calls_of(&id), rig.platform.notice(&id)), (1, None));
     assert!(faults.count(words::SOCKET_FAULTS) > 0, "no connect was interrupted");
 }
 
@@ -284,14 +272,14 @@
     let id = fresh();
     let request = put(&id, "c=payment,d=8000,dest=7", "once");
     assert_eq!(rig.client().says(&request), "+OK");
-    wait_for("its end", || calls_of(&e, &id) == 1 && rig.kept() == Default::default());
+    wait_for("its end", || e.calls_of(&id) == 1 && rig.kept() == Default::default());
     assert_eq!(rig.client().says(&request), "+OK");
     rig.kill();
     rig.start();
     assert_eq!(rig.client().says(&request), "+OK");
     let last = rig.client().message("notice", 7, 8_000, "last");
-    wait_for("a later message", || calls_of(&e, &last) == 1);
-    assert_eq!((calls_of(&e, &id), rig.platform.notice(&id)), (1, None));
+    wait_for("a later message", || e.calls_of(&last) == 1);
+    assert_eq!((e.calls_of(&id), rig.platform.notice(&id)), (1, None));
 }
 
 /// Row W1: a wait that a refusal tells binds, whatever else the answer says.
@@ -318,15 +306,13 @@
     rig.json["mgmt"] = rig.mgmt_at(0).into();
     let faults = Faults::new(&rig.folder, 1);
     faults.ask(words::SOCKET_PERMILLE, 1_000);
-    let mut command = rig.command("serve");
-    faults.preload(&mut command, &rig.folder.join("state"));
-    rig.child = Some(command.spawn().unwrap());
+    rig.spawn_with(&faults);
     wait_for("sockets that fail", || faults.count(words::SOCKET_FAULTS) > 3);
     assert!(rig.child.as_mut().unwrap().try_wait().unwrap().is_none(), "it has ended");
     faults.ask(words::SOCKET_PERMILLE, 0);
     wait_for("a dispatcher that serves", || connect(&rig.listen).is_ok());
     let id = rig.client().message("payment", 7, 8_000, "x");
-    wait_for("the message", || calls_of(&e, &id) == 1);
+    wait_for("the message", || e.calls_of(&id) == 1);
     assert!(rig.call("ready")[0].starts_with("SUCCESS"));
 }
 
@@ -377,7 +363,7 @@
     let before = leaving.calls().len();
     let mut client = rig.client();
     let ids: Vec<String> = (0..10).map(|_| client.message("notice", 7, 8_000, "x")).collect();
-    wait_for("all of them", || ids.iter().all(|id| calls_of(&staying, id) + calls_of(&leaving, id) == 1));
+    wait_for("all of them", || ids.iter().all(|id| staying.calls_of(id) + leaving.calls_of(id) == 1));
     assert_eq!(leaving.calls().len(), before, "it drains");
     staying.does(Does::Says("500 Oops"));
     let failed = client.message("payment", 7, 8_000, "fails");
@@ -428,7 +414,7 @@
         (0..58).all(|_| to.write_all(&part).is_ok())
     });
     let served = rig.client().message("notice", 7, 8_000, "a usual one");
-    wait_for("the usual one", || calls_of(&e, &served) == 1);
+    wait_for("the usual one", || e.calls_of(&served) == 1);
     let mut told = Vec::new();
     let _ = huge.from.read_to_end(&mut told);
     assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
--- a/tests/subset.rs
+++ b/lab/tests/subset.rs
@@ -2,35 +2,16 @@
 
 use bellsill::control::Dispatcher;
 use bellsill::interface::*;
+use bellsill_lab::recording_outlet::RecordingOutlet;
 use std::collections::BTreeMap;
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
 const DESTINATION: DestinationId = DestinationId(7);
 
-/// Records attempts, and does nothing else.
-#[derive(Default)]
-struct Recorder {
-    attempts: Vec<(MessageId, EndpointId)>,
-}
-
-impl Outlet for Recorder {
-    fn attempt(&mut self, message: MessageId, endpoint: EndpointId, _: Nanos) {
-        self.attempts.push((message, endpoint));
-    }
-    fn defer(&mut self, _: MessageId, _: Nanos) {}
-    fn bounce(&mut self, _: MessageId) {}
-    fn cancel(&mut self, _: MessageId, _: AttemptNumber) {}
-    fn close_idle(&mut self, _: EndpointId) {}
-    fn forget(&mut self, _: EndpointId) {}
-    fn request_watch(&mut self) {}
-    fn wake(&mut self, _: Nanos) {}
-    fn log(&mut self, _: &str) {}
-}
-
 struct Fleet {
     dispatcher: Dispatcher,
-    out: Recorder,
+    out: RecordingOutlet,
     now: Nanos,
     next: u64,
 }
@@ -65,7 +46,7 @@
             ..BootFacts::default()
         };
         let now = 1_000 * S;
-        let mut out = Recorder::default();
+        let mut out = RecordingOutlet::default();
         let mut dispatcher = Dispatcher::boot(now, facts);
         let entries: Vec<ListEntry> = (0..routes).map(entry).collect();
         dispatcher.apply_list(now, ListScope::Whole, &entries, &mut out);
