Log and count why requests are refused, connections closed and calls repeated

Change: typed reasons for closes and refusals; at debug level a line with the id for each reply, close, message state, attempt and notification, and for each failed system call on a socket; counters of all of these behind a new operators' call, show-diagnostics. The reply to show-stat keeps its bytes. No decision changes.

--- a/crates/daemon/src/admin/commands.rs
+++ b/crates/daemon/src/admin/commands.rs
@@ -1,5 +1,6 @@
 //! Execution of admin requests.
 
+use super::diagnostics::show_diagnostics;
 use super::disabled::{DISABLED_FILE, DisabledFile, MAX_DISABLED, refresh_disabled, update};
 use super::request::Request;
 use super::stats::show_stat;
@@ -51,6 +52,7 @@
         Request::Ready if context.ready => "SUCCESS ready\n".into(),
         Request::Ready => "FAILURE not ready: draining or leaving\n".into(),
         Request::ShowStat => show_stat(context.delivery, context.scope_file).into(),
+        Request::ShowDiagnostics => show_diagnostics(&context.delivery.runtime).into(),
         Request::Drain => Reply {
             text: "SUCCESS draining\n".into(),
             drain: Some(DrainRequest::Drain),
--- a/crates/daemon/src/admin/request.rs
+++ b/crates/daemon/src/admin/request.rs
@@ -14,6 +14,8 @@
     Ready,
     /// Reports the metrics.
     ShowStat,
+    /// Reports the diagnostic counters.
+    ShowDiagnostics,
     /// Disables the endpoint with this id: nothing is sent to it.
     Disable(String),
     /// Enables the endpoint with this id again.
@@ -80,6 +82,7 @@
     match name {
         "ready" => without_id(Request::Ready),
         "show-stat" => without_id(Request::ShowStat),
+        "show-diagnostics" => without_id(Request::ShowDiagnostics),
         "drain" => without_id(Request::Drain),
         "resume" => without_id(Request::Resume),
         "disable-server" => with_id(Request::Disable),
--- a/crates/daemon/src/client/accept.rs
+++ b/crates/daemon/src/client/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections and evicts existing ones at the connection limit.
 
+use super::close_reason::CloseReason;
 use super::closing::{REQUEST_TIMEOUT, close};
 use super::resp::MAX_COMMAND_BYTES;
 use super::session::{Input, read};
@@ -78,6 +79,7 @@
 
 fn start_session(runtime: &mut Runtime, id: ConnectionId) {
     let now = runtime.now;
+    log::debug!("connection {id} (Client): accepted");
     if let Some(conn) = runtime.connections.get_mut(id) {
         (conn.last_active, conn.last_received) = (now, now);
     }
@@ -120,7 +122,7 @@
         if !lingering && matches!(read(runtime, id), Ok(Input::Received)) {
             runtime.timers.set(Timer::ReadClient(id), now);
         } else {
-            close(runtime, id);
+            close(runtime, id, CloseReason::Evicted);
         }
     }
     if runtime.connections.is_full() {
--- a/crates/daemon/src/client/closing.rs
+++ b/crates/daemon/src/client/closing.rs
@@ -1,5 +1,6 @@
 //! Closing of client connections, and their timeouts.
 
+use super::close_reason::CloseReason;
 use super::policy::ClientPolicy;
 use crate::connection::{Connection, ConnectionId};
 use crate::delivery::Runtime;
@@ -15,7 +16,16 @@
 pub(super) const LINGER_TIMEOUT: Nanos = 2_000_000_000;
 
 /// Closes a client's connection at once.
-pub(super) fn close(runtime: &mut Runtime, id: ConnectionId) {
+pub(super) fn close(runtime: &mut Runtime, id: ConnectionId, reason: CloseReason) {
+    if let Some(conn) = runtime.connections.get(id) {
+        log::debug!(
+            "connection {id} (Client): closed: {}; {} bytes of input unhandled, {} bytes of replies unsent",
+            reason.name(),
+            conn.input.len(),
+            conn.output.len()
+        );
+        runtime.metrics.count_client_close(reason);
+    }
     runtime.timers.cancel(Timer::Connection(id));
     runtime.timers.cancel(Timer::ReadClient(id));
     runtime.connections.close(id);
@@ -28,21 +38,29 @@
 ///
 /// A client without a reply has none to lose and is closed at once: its first request stays unread, whereas it would be
 /// lost if it were read and discarded.
-pub(super) fn close_gracefully(runtime: &mut Runtime, id: ConnectionId) {
+pub(super) fn close_gracefully(runtime: &mut Runtime, id: ConnectionId, reason: CloseReason) {
     runtime.timers.cancel(Timer::ReadClient(id));
     let lingers = |c: &Connection| {
         (c.replied || c.error_replies > 0) && !c.lingering && !c.peer_closed && c.output.is_empty()
     };
-    if runtime.connections.get(id).is_some_and(lingers) && linger(runtime, id).is_ok() {
+    if runtime.connections.get(id).is_some_and(lingers) && linger(runtime, id, reason).is_ok() {
         // Input that has already arrived is discarded when this timer expires.
         runtime.timers.set(Timer::ReadClient(id), runtime.now);
     } else {
-        close(runtime, id);
+        close(runtime, id, reason);
     }
 }
 
 /// Shuts down the sending side of a client's connection, which is closed after [`LINGER_TIMEOUT`] at the latest.
-pub(super) fn linger(runtime: &mut Runtime, id: ConnectionId) -> io::Result<()> {
+pub(super) fn linger(
+    runtime: &mut Runtime,
+    id: ConnectionId,
+    reason: CloseReason,
+) -> io::Result<()> {
+    log::debug!(
+        "connection {id} (Client): shutting down the sending side: {}",
+        reason.name()
+    );
     runtime.connections.shutdown_write(id)?;
     runtime.connections.arm(id)?;
     runtime
@@ -55,6 +73,6 @@
 pub(crate) fn close_if_idle(runtime: &mut Runtime, id: ConnectionId, policy: ClientPolicy) {
     let idle = |c: &Connection| c.is_idle() && !c.lingering;
     if policy.close_idle && runtime.connections.get(id).is_some_and(idle) {
-        close_gracefully(runtime, id);
+        close_gracefully(runtime, id, CloseReason::Draining);
     }
 }
--- a/crates/daemon/src/client/commands.rs
+++ b/crates/daemon/src/client/commands.rs
@@ -1,5 +1,6 @@
 //! Executes the commands of clients: PING, QUIT and MSG.PUT.
 
+use super::close_reason::CloseReason;
 use super::closing::{IDLE_TIMEOUT, REQUEST_TIMEOUT, linger};
 use super::policy::ClientPolicy;
 use super::resp::{self, MAX_COMMAND_BYTES, PutCommand};
@@ -20,10 +21,6 @@
 const MIN_REPLY_CAPACITY: usize = MAX_COMMAND_BYTES / 2;
 const NANOS_PER_MS: Nanos = 1_000_000;
 
-/// The session with a client has ended, and the connection must be closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct SessionEnded;
-
 /// A message that a client submits.
 struct NewMessage {
     put: PutCommand,
@@ -48,12 +45,13 @@
     Put(NewMessage),
 }
 
-/// Executes the commands that have arrived completely, up to [`MAX_COMMANDS_PER_EVENT`].
+/// Executes the commands that have arrived completely, up to [`MAX_COMMANDS_PER_EVENT`]. An error means that the
+/// connection must be closed for this reason.
 pub(super) fn execute_commands(
     delivery: &mut Delivery,
     id: ConnectionId,
     policy: ClientPolicy,
-) -> Result<(), SessionEnded> {
+) -> Result<(), CloseReason> {
     let now = delivery.runtime.now;
     let mut left = MAX_COMMANDS_PER_EVENT;
     loop {
@@ -89,9 +87,9 @@
     runtime: &mut Runtime,
     id: ConnectionId,
     limit_reached: bool,
-) -> Result<(), SessionEnded> {
+) -> Result<(), CloseReason> {
     if runtime.connections.flush(id).is_err() {
-        return Err(SessionEnded);
+        return Err(CloseReason::CallFailed);
     }
     let Some(conn) = runtime.connections.get(id) else {
         return Ok(());
@@ -108,10 +106,10 @@
         return Ok(());
     }
     // Closing a socket with unread input resets the connection, and the client may lose the last reply.
-    if !conn.peer_closed && linger(runtime, id).is_ok() {
-        return Ok(());
+    if conn.peer_closed {
+        return Err(CloseReason::PeerClosed);
     }
-    Err(SessionEnded)
+    linger(runtime, id, CloseReason::SessionEnded).map_err(|_linger_failed| CloseReason::CallFailed)
 }
 
 /// Executes the next command of the input, if it is complete; `MSG.PUT` is only parsed.
@@ -214,15 +212,24 @@
     };
     let admission = match peer_open {
         true => delivery.admit(message),
-        false => Err(Rejection::NoCapacity),
+        false => Err(Rejection::ClientGone),
     };
+    if let Err(rejection) = &admission {
+        delivery.runtime.metrics.count_refusal(*rejection);
+    }
     let text = match &admission {
         Ok(_) => "+OK\r\n",
         Err(Rejection::UnknownClass) => "-ERR c: unknown class\r\n",
         Err(Rejection::UnknownDestination) => "-ERR dest: unknown destination\r\n",
         Err(Rejection::LifetimeTooLong) => "-ERR d: longer than the class allows\r\n",
         Err(Rejection::MissingIdempotencyKey) => "-ERR k: expected in this class\r\n",
-        Err(Rejection::NoCapacity) => {
+        Err(
+            Rejection::NoCapacity
+            | Rejection::Stopped
+            | Rejection::LookupsFull
+            | Rejection::JournalFailed
+            | Rejection::ClientGone,
+        ) => {
             if let Some(class) = class {
                 delivery
                     .runtime
@@ -232,8 +239,22 @@
             "-BUSY\r\n"
         }
     };
+    log::debug!(
+        "message {:016x}: on connection {id}: {}",
+        put.id,
+        describe(&admission)
+    );
     send_reply(&mut delivery.runtime, id, text);
     if let Ok(Admission::New(message)) = admission {
         delivery.dispatch(&[message]);
     }
 }
+
+/// The admission of a message, for the log.
+fn describe(admission: &Result<Admission, Rejection>) -> &'static str {
+    match admission {
+        Ok(Admission::New(_)) => "accepted",
+        Ok(Admission::Duplicate) => "accepted before, the reply is repeated",
+        Err(rejection) => rejection.name(),
+    }
+}
--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -1,7 +1,8 @@
 //! Events of a client's connection: input and timeouts.
 
+use super::close_reason::CloseReason;
 use super::closing::{close, close_gracefully, close_if_idle};
-use super::commands::{SessionEnded, execute_commands};
+use super::commands::execute_commands;
 use super::policy::ClientPolicy;
 use crate::connection::ConnectionId;
 use crate::delivery::{Delivery, Runtime};
@@ -45,8 +46,10 @@
     };
     if conn.lingering {
         conn.input.consume(conn.input.len());
-        if read.is_err() || conn.peer_closed || runtime.connections.arm(id).is_err() {
-            close(runtime, id);
+        if conn.peer_closed {
+            close(runtime, id, CloseReason::PeerClosed);
+        } else if read.is_err() || runtime.connections.arm(id).is_err() {
+            close(runtime, id, CloseReason::CallFailed);
         }
     } else {
         execute_or_close(delivery, id, policy, &read);
@@ -69,8 +72,12 @@
     policy: ClientPolicy,
     read: &io::Result<Input>,
 ) {
-    if read.is_err() || execute_commands(delivery, id, policy) == Err(SessionEnded) {
-        close(&mut delivery.runtime, id);
+    let executed = match read {
+        Ok(_) => execute_commands(delivery, id, policy),
+        Err(_) => Err(CloseReason::CallFailed),
+    };
+    if let Err(reason) = executed {
+        close(&mut delivery.runtime, id, reason);
     }
 }
 
@@ -80,7 +87,7 @@
 pub(crate) fn handle_timeout(delivery: &mut Delivery, id: ConnectionId, policy: ClientPolicy) {
     let runtime = &mut delivery.runtime;
     if runtime.connections.get(id).is_some_and(|c| c.lingering) {
-        return close(runtime, id);
+        return close(runtime, id, CloseReason::LingerTimeout);
     }
     // A request whose first bytes are read here gets a timeout of its own.
     match read(runtime, id) {
@@ -100,8 +107,8 @@
         conn.input.consume(conn.input.len());
         conn.queue_reply("-ERR the request did not come whole in time\r\n", now);
         if runtime.connections.flush(id).is_err() {
-            return close(runtime, id);
+            return close(runtime, id, CloseReason::CallFailed);
         }
     }
-    close_gracefully(runtime, id);
+    close_gracefully(runtime, id, CloseReason::Overdue);
 }
--- a/crates/daemon/src/connection/listeners.rs
+++ b/crates/daemon/src/connection/listeners.rs
@@ -1,5 +1,6 @@
 //! The client and admin listeners, and the pipe that reports signals.
 
+use super::failed_calls::SocketCall;
 use super::id::ConnectionId;
 use super::role::Role;
 use super::socket::BufferBounds;
@@ -29,7 +30,9 @@
     ) -> io::Result<Option<ConnectionId>> {
         match accepted {
             Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
+                stream
+                    .set_nonblocking(true)
+                    .inspect_err(|e| self.failed_calls.record(SocketCall::Configure, e))?;
                 let bounds = BufferBounds {
                     input: bound,
                     output: bound,
@@ -38,7 +41,10 @@
                     .map(Some)
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
-            Err(e) => Err(e),
+            Err(e) => {
+                self.failed_calls.record(SocketCall::Accept, &e);
+                Err(e)
+            }
         }
     }
 
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -1,5 +1,6 @@
 //! The connection table, which owns the poller and all sockets registered with it.
 
+use super::failed_calls::{FailedCalls, SocketCall};
 use super::id::ConnectionId;
 use super::limits::ConnectionLimits;
 use super::role::Role;
@@ -51,6 +52,7 @@
     pub(super) limits: ConnectionLimits,
     pub(super) client_count: usize,
     pub(super) admin_count: usize,
+    pub(super) failed_calls: FailedCalls,
 }
 
 /// Adds a source to the poller. All sources are added here, which confines the unsafe code.
@@ -85,6 +87,7 @@
             limits,
             client_count: 0,
             admin_count: 0,
+            failed_calls: FailedCalls::default(),
         })
     }
 
@@ -92,7 +95,10 @@
     pub(crate) fn wait(&mut self, timeout: Option<Duration>) -> io::Result<Vec<PollEvent>> {
         self.events.clear();
         match self.poller.wait(&mut self.events, timeout) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => {
+                self.failed_calls.record(SocketCall::Wait, &e);
+                return Err(e);
+            }
             _ => {}
         }
         let mut seen = Vec::new();
@@ -115,6 +121,11 @@
         Ok(seen)
     }
 
+    /// How many system calls on sockets have failed.
+    pub(crate) fn failed_calls(&self) -> &FailedCalls {
+        &self.failed_calls
+    }
+
     /// The number of open connections.
     pub(crate) fn len(&self) -> usize {
         self.connections.len()
@@ -127,17 +138,9 @@
         role: Role,
         bounds: BufferBounds,
     ) -> io::Result<ConnectionId> {
-        let socket = socket2::Socket::new(
-            socket2::Domain::for_address(to),
-            socket2::Type::STREAM,
-            None,
-        )?;
-        socket.set_nonblocking(true)?;
-        match socket.connect(&to.into()) {
-            Err(e) if !connect_in_progress(&e) => return Err(e),
-            _ => {}
-        }
-        let id = self.insert(socket.into(), role, bounds, Handshake::InProgress)?;
+        let stream =
+            start_connect(to).inspect_err(|e| self.failed_calls.record(SocketCall::Connect, e))?;
+        let id = self.insert(stream, role, bounds, Handshake::InProgress)?;
         if let Some(conn) = self.get_mut(id) {
             conn.opened_to = Some(to);
         }
@@ -179,6 +182,8 @@
         self.client_count += usize::from(role == Role::Client);
         self.admin_count += usize::from(role == Role::Admin);
         if let Err(e) = added {
+            self.failed_calls
+                .record_on(SocketCall::Register, id, role, &e);
             self.close(id);
             return Err(e);
         }
@@ -238,7 +243,11 @@
             return Ok(());
         };
         conn.lingering = true;
-        conn.stream.shutdown(Shutdown::Write)
+        let role = conn.role;
+        conn.stream.shutdown(Shutdown::Write).inspect_err(|e| {
+            self.failed_calls
+                .record_on(SocketCall::Shutdown, id, role, e)
+        })
     }
 
     /// Reads the available input into the input buffer.
@@ -246,7 +255,12 @@
         let Some(conn) = self.connections.get_mut(id) else {
             return Ok(());
         };
-        conn.peer_closed |= conn.input.read_from(&mut conn.stream)?;
+        let role = conn.role;
+        let ended = conn
+            .input
+            .read_from(&mut conn.stream)
+            .inspect_err(|e| self.failed_calls.record_on(SocketCall::Read, id, role, e))?;
+        conn.peer_closed |= ended;
         Ok(())
     }
 
@@ -255,7 +269,10 @@
         let Some(conn) = self.connections.get_mut(id).filter(|c| !c.connecting) else {
             return Ok(());
         };
-        conn.output.write_to(&mut conn.stream)?;
+        let role = conn.role;
+        conn.output
+            .write_to(&mut conn.stream)
+            .inspect_err(|e| self.failed_calls.record_on(SocketCall::Write, id, role, e))?;
         self.arm(id)
     }
 
@@ -275,7 +292,13 @@
         };
         if conn.armed != Some(interest) {
             conn.armed = Some(interest);
-            self.poller.modify(&conn.stream, event(id, interest))?;
+            let role = conn.role;
+            self.poller
+                .modify(&conn.stream, event(id, interest))
+                .inspect_err(|e| {
+                    self.failed_calls
+                        .record_on(SocketCall::Register, id, role, e);
+                })?;
         }
         Ok(())
     }
@@ -294,6 +317,20 @@
     }
 }
 
+/// Creates a non-blocking socket and starts to connect it.
+fn start_connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = socket2::Socket::new(
+        socket2::Domain::for_address(to),
+        socket2::Type::STREAM,
+        None,
+    )?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&to.into()) {
+        Err(e) if !connect_in_progress(&e) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
 /// Whether this error of `connect` means that the handshake is in progress; an interrupted one continues too.
 fn connect_in_progress(e: &io::Error) -> bool {
     e.raw_os_error() == Some(libc::EINPROGRESS)
--- a/crates/daemon/src/delivery/admission.rs
+++ b/crates/daemon/src/delivery/admission.rs
@@ -25,7 +25,7 @@
 
 /// The reason for rejecting a message at admission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Rejection {
+pub enum Rejection {
     /// No configured queue class has this name.
     UnknownClass,
     /// No endpoint serves the destination.
@@ -36,6 +36,44 @@
     LifetimeTooLong,
     /// The dispatcher has no capacity at present; the client may retry.
     NoCapacity,
+    /// The shutdown has reached the phase in which no message is accepted; the client may retry elsewhere.
+    Stopped,
+    /// The destination has to be looked up, and every cache entry is in use; the client may retry.
+    LookupsFull,
+    /// The message could not be written to the journal; the client may retry.
+    JournalFailed,
+    /// The client has closed its side, so it may have submitted the message elsewhere.
+    ClientGone,
+}
+
+impl Rejection {
+    /// All reasons, in the order in which they are reported.
+    pub const ALL: [Rejection; 9] = [
+        Rejection::UnknownClass,
+        Rejection::UnknownDestination,
+        Rejection::MissingIdempotencyKey,
+        Rejection::LifetimeTooLong,
+        Rejection::NoCapacity,
+        Rejection::Stopped,
+        Rejection::LookupsFull,
+        Rejection::JournalFailed,
+        Rejection::ClientGone,
+    ];
+
+    /// The name in metrics and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rejection::UnknownClass => "unknown_class",
+            Rejection::UnknownDestination => "unknown_destination",
+            Rejection::MissingIdempotencyKey => "missing_idempotency_key",
+            Rejection::LifetimeTooLong => "lifetime_too_long",
+            Rejection::NoCapacity => "no_capacity",
+            Rejection::Stopped => "stopped",
+            Rejection::LookupsFull => "lookups_full",
+            Rejection::JournalFailed => "journal_failed",
+            Rejection::ClientGone => "client_gone",
+        }
+    }
 }
 
 impl Delivery {
@@ -62,12 +100,17 @@
         let admitted = self
             .dispatcher
             .admits(ClassId(class), DestinationId(message.destination));
-        if self.stopped || !admitted || self.look_up(message.destination).is_err() {
-            return Err(Rejection::NoCapacity);
+        if self.stopped {
+            return Err(Rejection::Stopped);
         }
-        if self.runtime.journal.append_accepted(&message).is_err() {
+        if !admitted {
             return Err(Rejection::NoCapacity);
         }
+        self.look_up(message.destination)
+            .map_err(|CacheFull| Rejection::LookupsFull)?;
+        // The journal logs its errors itself.
+        let recorded = self.runtime.journal.append_accepted(&message);
+        recorded.map_err(|_logged| Rejection::JournalFailed)?;
         self.insert(message.clone());
         Ok(Admission::New(message))
     }
--- a/crates/daemon/src/delivery/attempts.rs
+++ b/crates/daemon/src/delivery/attempts.rs
@@ -134,6 +134,7 @@
         };
         if outcome == Outcome::NotStarted {
             message.attempts -= 1;
+            self.metrics.attempts_not_started += 1;
         }
         let (id, state) = (message.id, message.state);
         log::debug!(
--- a/crates/daemon/src/delivery/runtime.rs
+++ b/crates/daemon/src/delivery/runtime.rs
@@ -151,7 +151,9 @@
         match notifications.connection_ready(&mut io, id) {
             NotificationEvent::Waiting => {}
             NotificationEvent::Acknowledged(messages) => {
+                self.metrics.notifications_acknowledged += messages.len() as u64;
                 for message in messages {
+                    log::debug!("message {:016x}: notification acknowledged", message.0);
                     // If this write fails, a restart sends the notification again, which is harmless.
                     self.journal.append_notified(message).ok();
                 }
@@ -181,6 +183,11 @@
         self.journal.has_pending_writes()
     }
 
+    /// The number of journal writes that failed.
+    pub(crate) fn journal_failures(&self) -> u64 {
+        self.journal.failures()
+    }
+
     /// Changes the state of a message. No other function does so, which keeps the journal, the notifications and the
     /// tables consistent.
     pub(super) fn transition(&mut self, slot: MessageSlot, to: DeliveryState) {
@@ -188,6 +195,7 @@
             return;
         };
         let from = std::mem::replace(&mut message.state, to);
+        log::debug!("message {:016x}: {from:?} -> {to:?}", message.id.0);
         if !to.is_final() {
             return;
         }
@@ -228,6 +236,10 @@
         match resolution {
             Some(resolution) if recorded => self.notifications.enqueue(id, resolution),
             Some(resolution) => {
+                log::debug!(
+                    "message {:016x}: notification held back until its record is written",
+                    id.0
+                );
                 self.notifications
                     .enqueue_unrecorded(id, resolution, deadline);
             }
--- a/crates/daemon/src/journal/mod.rs
+++ b/crates/daemon/src/journal/mod.rs
@@ -122,6 +122,11 @@
         self.writer.end_message_or_queue(id, record::notified(id))
     }
 
+    /// The number of writes that failed.
+    pub fn failures(&self) -> u64 {
+        self.writer.failures()
+    }
+
     /// Whether the last write failed, or records are queued.
     pub fn has_pending_writes(&self) -> bool {
         self.writer.has_pending_writes()
--- a/crates/daemon/src/journal/writer.rs
+++ b/crates/daemon/src/journal/writer.rs
@@ -36,6 +36,8 @@
     must_compact: bool,
     /// Whether the last write failed.
     is_failing: bool,
+    /// The number of failed writes.
+    failures: u64,
     /// Adopted journals whose files still have to be truncated and removed.
     adopted: Vec<AdoptedJournal>,
     capacity_bytes: u64,
@@ -64,6 +66,7 @@
             queued: vec![],
             must_compact: false,
             is_failing: false,
+            failures: 0,
             adopted: vec![],
             capacity_bytes,
             other_files: OtherFiles::default(),
@@ -332,8 +335,14 @@
         }
     }
 
-    /// Logs that writes fail, only once until they succeed again.
+    /// The number of failed writes.
+    pub(super) fn failures(&self) -> u64 {
+        self.failures
+    }
+
+    /// Counts a failed write. Logs that writes fail, only once until they succeed again.
     fn report_failure(&mut self, error: &JournalError) {
+        self.failures += 1;
         if !std::mem::replace(&mut self.is_failing, true) {
             log::error!(
                 "message journal: write failed, new messages are rejected until writes succeed: {error}"
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,8 @@
 //! The counters of the process, incremented where the events occur.
 
+use crate::client::CloseReason;
+use crate::delivery::Rejection;
+
 /// The result of a message, as counted in the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MessageResult {
@@ -32,6 +35,12 @@
     pub reloads: u64,
     /// Configuration reloads that were rejected.
     pub reload_errors: u64,
+    /// Attempts that could not start: no record in the journal, no descriptor or no port.
+    pub attempts_not_started: u64,
+    /// Notifications that the platform has acknowledged.
+    pub notifications_acknowledged: u64,
+    client_closes: [u64; CloseReason::ALL.len()],
+    refusals: [u64; Rejection::ALL.len()],
 }
 
 impl Metrics {
@@ -48,6 +57,26 @@
         }
     }
 
+    /// Counts the close of a client's connection.
+    pub(crate) fn count_client_close(&mut self, reason: CloseReason) {
+        self.client_closes[reason as usize] += 1;
+    }
+
+    /// Counts a request whose message was not accepted.
+    pub(crate) fn count_refusal(&mut self, reason: Rejection) {
+        self.refusals[reason as usize] += 1;
+    }
+
+    /// The number of client connections closed for this reason.
+    pub fn client_closes(&self, reason: CloseReason) -> u64 {
+        self.client_closes[reason as usize]
+    }
+
+    /// The number of requests whose message was not accepted for this reason.
+    pub fn refusals(&self, reason: Rejection) -> u64 {
+        self.refusals[reason as usize]
+    }
+
     /// The counters of a queue class; zeros if none of its messages has ended.
     pub fn class_counters(&self, class: usize) -> ClassCounters {
         self.classes.get(class).copied().unwrap_or_default()
--- a/crates/daemon/src/notification/sender.rs
+++ b/crates/daemon/src/notification/sender.rs
@@ -8,6 +8,7 @@
 use bellsill_core::interface::{MessageId, Nanos};
 use std::net::SocketAddr;
 
+const NANOS_PER_MS: Nanos = 1_000_000;
 /// The timeout of a response.
 const RESPONSE_TIMEOUT: Nanos = 400_000_000;
 /// The maximum backoff. The backoff doubles with each failure.
@@ -40,6 +41,9 @@
         if self.in_flight.is_empty() {
             return;
         }
+        for message in &self.in_flight {
+            log::debug!("message {:016x}: notification sent", message.0);
+        }
         let request = http::notification_request(self.addr, &self.body());
         let bounds = BufferBounds {
             input: http::MAX_HEAD_BYTES,
@@ -71,7 +75,13 @@
             io.connections.close(id);
         }
         self.head = None;
-        if !std::mem::take(&mut self.in_flight).is_empty() {
+        let unacknowledged = std::mem::take(&mut self.in_flight);
+        if !unacknowledged.is_empty() {
+            log::debug!(
+                "notifications: {} unacknowledged, sent again in {} ms",
+                unacknowledged.len(),
+                self.backoff / NANOS_PER_MS
+            );
             self.backing_off = true;
             io.timers
                 .set(Timer::NotificationRetry, io.now + self.backoff);
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,5 +1,6 @@
 //! The periodic status line in the log.
 
+use crate::admin::diagnostic_counters;
 use crate::delivery::Runtime;
 
 const NANOS_PER_MS: u64 = 1_000_000;
@@ -13,7 +14,8 @@
         .unwrap_or(0)
 }
 
-/// Logs the numbers of pending messages, notifications and connections, and the CPU time used.
+/// Logs the numbers of pending messages, notifications and connections, the CPU time used, and the diagnostic counters
+/// that are not zero.
 pub(crate) fn log_status(runtime: &Runtime) {
     log::info!(
         "status: {} messages pending, {} in flight, {} notifications pending, {} connections, {} ms of CPU time",
@@ -23,4 +25,10 @@
         runtime.connections.len(),
         cpu_time() / NANOS_PER_MS
     );
+    let counters: Vec<String> = diagnostic_counters(runtime)
+        .iter()
+        .filter(|counter| counter.value > 0)
+        .map(|counter| format!("{}={}", counter.name, counter.value))
+        .collect();
+    log::debug!("diagnostics: {}", counters.join(" "));
 }
--- a/crates/daemon/tests/admin_and_configuration.rs
+++ b/crates/daemon/tests/admin_and_configuration.rs
@@ -363,3 +363,21 @@
         "{text}"
     );
 }
+
+#[test]
+fn diagnostics_count_why_messages_are_refused_and_connections_closed() {
+    let e = Endpoint::start(OK);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.config["mgmt"] = process.admin_addr(0).into();
+    process.start();
+    let mut client = process.client();
+    let reply = client.send(&put(&new_id(), "c=nothing,d=8000,k=a,dest=7", "x"));
+    assert!(reply.starts_with("-ERR c:"), "{reply}");
+    assert_eq!(process.diagnostic("refusals.unknown_class"), 1);
+    let closed_before = process.diagnostic("client_closes.peer_closed");
+    drop(client);
+    wait_for("the close", || {
+        process.diagnostic("client_closes.peer_closed") == closed_before + 1
+    });
+    assert_eq!(process.diagnostic("client_closes.call_failed"), 0);
+}
--- a/crates/daemon/tests/mgmt.rs
+++ b/crates/daemon/tests/mgmt.rs
@@ -9,6 +9,7 @@
 fn every_request_is_parsed() {
     assert_eq!(parse(b"ready"), Ok(Request::Ready));
     assert_eq!(parse(b"show-stat"), Ok(Request::ShowStat));
+    assert_eq!(parse(b"show-diagnostics"), Ok(Request::ShowDiagnostics));
     assert_eq!(parse(b"drain"), Ok(Request::Drain));
     assert_eq!(parse(b"  resume "), Ok(Request::Resume));
     assert_eq!(
--- a/crates/test-support/src/admin.rs
+++ b/crates/test-support/src/admin.rs
@@ -13,7 +13,7 @@
     stream.write_all(format!("{line}\n").as_bytes()).unwrap();
     let mut lines = BufReader::new(stream).lines().map(|l| l.unwrap());
     let first = lines.next().unwrap();
-    let multiline = line == "show-stat" && first.starts_with("SUCCESS");
+    let multiline = line.starts_with("show-") && first.starts_with("SUCCESS");
     let rest = lines
         .take_while(|l| l != "EOT")
         .take(if multiline { usize::MAX } else { 0 });
@@ -22,7 +22,15 @@
 
 /// Returns the metric with this name from `show-stat` at this admin address.
 pub fn metric_at(addr: &str, name: &str) -> u64 {
-    let lines = admin_request(addr, "show-stat");
+    value_in(&admin_request(addr, "show-stat"), name)
+}
+
+/// Returns the counter with this name from `show-diagnostics` at this admin address.
+pub fn diagnostic_at(addr: &str, name: &str) -> u64 {
+    value_in(&admin_request(addr, "show-diagnostics"), name)
+}
+
+fn value_in(lines: &[String], name: &str) -> u64 {
     let value = lines
         .iter()
         .find_map(|l| l.strip_prefix(&format!("dispatcher.{name}=")));
--- a/crates/test-support/src/dispatcher_process.rs
+++ b/crates/test-support/src/dispatcher_process.rs
@@ -1,6 +1,6 @@
 //! A dispatcher that runs as a separate process, with loopback sockets.
 
-use crate::admin::{admin_request, metric_at};
+use crate::admin::{admin_request, diagnostic_at, metric_at};
 use crate::client::{Client, connect};
 use crate::endpoint::Endpoint;
 use crate::faults::Faults;
@@ -207,6 +207,11 @@
         metric_at(self.config["mgmt"].as_str().unwrap(), name)
     }
 
+    /// Returns the current value of a diagnostic counter; see [`diagnostic_at`].
+    pub fn diagnostic(&self, name: &str) -> u64 {
+        diagnostic_at(self.config["mgmt"].as_str().unwrap(), name)
+    }
+
     /// Opens a client connection.
     pub fn client(&self) -> Client {
         connect(&self.listen).unwrap()
