--- a/crates/daemon/tests/preload/lib.rs
+++ b/crates/daemon/tests/preload/lib.rs
@@ -2,95 +2,41 @@
 //! makes them fail as the test requests. The test and the library share one page of 64-bit words, mapped from the file
 //! named by `BELLSILL_FAULTS`; [`words`] defines the words. Only the tests use the library; `run` does not need it.
 
-use std::ffi::{CStr, CString, c_char, c_int, c_void};
+use std::ffi::{CStr, c_char, c_int, c_void};
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 
+/// The C library's function of this name and type, looked up on the first use.
+macro_rules! next {
+    ($name:literal, fn($($argument:ty),*) -> $result:ty) => {{
+        static NEXT: OnceLock<usize> = OnceLock::new();
+        let address = *NEXT.get_or_init(|| next_symbol($name) as usize);
+        // SAFETY: the C library's function of that name has this type.
+        unsafe { std::mem::transmute::<usize, unsafe extern "C" fn($($argument),*) -> $result>(address) }
+    }};
+}
+
+#[path = "page.rs"]
+mod page;
+#[path = "transient.rs"]
+mod transient;
 #[path = "words.rs"]
 pub mod words;
+use page::{fail, increment, is_selected, load_word, word};
+use transient::{Origin, is_failing, set_origin};
 use words::{
-    CONNECT_ERRNO, FILE_CALL_FAULTS, HALF_WRITTEN, KILL_AT_WRITE, MONOTONIC_SHIFT_SECONDS,
-    OPEN_ERRNO, PAGE_BYTES, RANDOM_STATE, READ_ERRNO, RENAME_ERRNO, SHORT_PERMILLE, SOCKET_FAULTS,
+    ACCEPT, CONNECT_ERRNO, FILE_CALL_FAULTS, HALF_WRITTEN, KILL_AT_WRITE, MONOTONIC_SHIFT_SECONDS,
+    OPEN_ERRNO, READ_ERRNO, READ_PIPE, RECEIVE, RENAME_ERRNO, SEND, SHORT_PERMILLE, SOCKET_FAULTS,
     SOCKET_PERMILLE, TRUNCATE_ERRNO, TRUNCATE_FAULTS, UNLINK_ERRNO, WALL_STEP_SECONDS, WRITE_ERRNO,
     WRITE_FAULTS, WRITE_HALF,
 };
 
-struct Page(*mut AtomicU64);
-// SAFETY: the page stays mapped for the lifetime of the process and is accessed only by atomic operations.
-unsafe impl Send for Page {}
-// SAFETY: as above.
-unsafe impl Sync for Page {}
-
-/// The shared page; `None` if `BELLSILL_FAULTS` does not name a file that can be opened and mapped.
-fn page() -> Option<&'static Page> {
-    static PAGE: OnceLock<Option<Page>> = OnceLock::new();
-    PAGE.get_or_init(|| {
-        // SAFETY: all strings passed to the C library end in a null byte; the mapping is never removed.
-        unsafe {
-            let name = CString::new("BELLSILL_FAULTS").ok()?;
-            let path = libc::getenv(name.as_ptr());
-            if path.is_null() {
-                return None;
-            }
-            let file =
-                libc::syscall(libc::SYS_open, path, libc::O_RDWR | libc::O_CLOEXEC, 0) as c_int;
-            if file < 0 {
-                return None;
-            }
-            let protection = libc::PROT_READ | libc::PROT_WRITE;
-            let address = libc::mmap(
-                std::ptr::null_mut(),
-                PAGE_BYTES,
-                protection,
-                libc::MAP_SHARED,
-                file,
-                0,
-            );
-            libc::close(file);
-            (address != libc::MAP_FAILED).then_some(Page(address.cast()))
-        }
-    })
-    .as_ref()
-}
-
-fn word(index: usize) -> Option<&'static AtomicU64> {
-    // SAFETY: every index in `words` is less than the number of words of the page, which stays mapped.
-    page().map(|page| unsafe { &*page.0.add(index) })
-}
-
-fn load_word(index: usize) -> u64 {
-    word(index).map_or(0, |word| word.load(Ordering::SeqCst))
-}
-
-fn increment(index: usize) {
-    if let Some(word) = word(index) {
-        word.fetch_add(1, Ordering::SeqCst);
-    }
-}
-
 /// The address of the function that this library interposes.
 fn next_symbol(name: &CStr) -> *mut c_void {
     // SAFETY: the name ends in a null byte.
     unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) }
 }
 
-/// The C library's function of this name and type, looked up on the first use.
-macro_rules! next {
-    ($name:literal, fn($($argument:ty),*) -> $result:ty) => {{
-        static NEXT: OnceLock<usize> = OnceLock::new();
-        let address = *NEXT.get_or_init(|| next_symbol($name) as usize);
-        // SAFETY: the C library's function of that name has this type.
-        unsafe { std::mem::transmute::<usize, unsafe extern "C" fn($($argument),*) -> $result>(address) }
-    }};
-}
-
-/// Sets `errno` and returns the result of a failed call.
-fn fail(errno: u64) -> c_int {
-    // SAFETY: the pointer to this thread's `errno` is always valid.
-    unsafe { *libc::__errno_location() = errno as c_int };
-    -1
-}
-
 /// Whether a descriptor refers to a regular file other than the standard streams. The dispatcher writes such files only
 /// in its state directory.
 fn is_regular_file(fd: c_int) -> bool {
@@ -116,22 +62,6 @@
     }
 }
 
-/// Selects calls at random with the permille value in the word at this index. The pseudo-random sequence depends only
-/// on the seed in the page.
-fn is_selected(permille_index: usize) -> bool {
-    let permille = load_word(permille_index);
-    if permille == 0 {
-        return false;
-    }
-    let Some(state) = word(RANDOM_STATE) else {
-        return false;
-    };
-    let value = state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::SeqCst);
-    let mut mixed = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (mixed ^ (mixed >> 31)) % 1000 < permille
-}
-
 /// One of these error numbers, chosen in turn by the number of failed socket calls.
 fn next_errno(errors: &[c_int]) -> u64 {
     errors[(load_word(SOCKET_FAULTS) as usize) % errors.len()] as u64
@@ -198,6 +128,9 @@
         increment(FILE_CALL_FAULTS);
         return fail(errno) as isize;
     }
+    if is_failing(READ_PIPE, fd) {
+        return -1;
+    }
     let next = next!(c"read", fn(c_int, *mut c_void, usize) -> isize);
     // SAFETY: the caller guarantees valid arguments.
     unsafe { next(fd, bytes, length) }
@@ -226,6 +159,9 @@
         increment(FILE_CALL_FAULTS);
         return fail(errno);
     }
+    if !is_in_fault_directory(path) && transient::is_failing_anywhere(words::OPEN_ELSEWHERE) {
+        return -1;
+    }
     let next = next!(c"open64", fn(*const c_char, c_int, libc::mode_t) -> c_int);
     // SAFETY: the caller guarantees valid arguments.
     unsafe { next(path, flags, mode) }
@@ -293,7 +229,9 @@
     }
     let next = next!(c"socket", fn(c_int, c_int, c_int) -> c_int);
     // SAFETY: the caller guarantees valid arguments.
-    unsafe { next(domain, kind, protocol) }
+    let fd = unsafe { next(domain, kind, protocol) };
+    set_origin(fd, Origin::Created);
+    fd
 }
 
 /// # Safety
@@ -338,6 +276,9 @@
     length: *mut libc::socklen_t,
     flags: c_int,
 ) -> c_int {
+    if is_failing(ACCEPT, fd) {
+        return -1;
+    }
     if is_selected(SOCKET_PERMILLE) {
         let errno = next_errno(&[libc::ECONNABORTED, libc::ENFILE, libc::EINTR]);
         increment(SOCKET_FAULTS);
@@ -348,13 +289,18 @@
         fn(c_int, *mut libc::sockaddr, *mut libc::socklen_t, c_int) -> c_int
     );
     // SAFETY: the caller guarantees valid arguments.
-    unsafe { next(fd, from, length, flags) }
+    let accepted = unsafe { next(fd, from, length, flags) };
+    set_origin(accepted, Origin::Accepted);
+    accepted
 }
 
 /// # Safety
 /// The same as for the C library's function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(fd: c_int, bytes: *mut c_void, length: usize, flags: c_int) -> isize {
+    if is_failing(RECEIVE, fd) {
+        return -1;
+    }
     if is_selected(SHORT_PERMILLE) {
         return fail(libc::EINTR as u64) as isize;
     }
@@ -372,6 +318,9 @@
     length: usize,
     flags: c_int,
 ) -> isize {
+    if is_failing(SEND, fd) {
+        return -1;
+    }
     if is_selected(SHORT_PERMILLE) {
         return fail(libc::EINTR as u64) as isize;
     }
--- /dev/null
+++ b/crates/daemon/tests/transient_failures.rs
@@ -0,0 +1,133 @@
+//! System calls that fail for a moment. Every request that was written to an open connection gets its reply, and every
+//! accepted message its end, whichever call fails.
+
+use bellsill_test_support::client::{Client, new_id, put};
+use bellsill_test_support::dispatcher_process::DispatcherProcess;
+use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
+use bellsill_test_support::faults::Faults;
+use bellsill_test_support::faults::words::{
+    ACCEPTED_SOCKETS, POLL_ADD, RECEIVE, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
+};
+use bellsill_test_support::program;
+use bellsill_test_support::wait::wait_for;
+use serde_json::json;
+use std::io::{BufRead, Write};
+use std::time::{Duration, Instant};
+
+/// How long a client waits for a reply.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A dispatcher with one endpoint of destination 7, started with fault injection.
+fn start(endpoint: &Endpoint) -> (DispatcherProcess, Faults) {
+    let mut process = DispatcherProcess::new(program!(), &[(endpoint, 7)]);
+    let faults = Faults::new(&process.dir, 1);
+    process.start_with_faults(&faults);
+    (process, faults)
+}
+
+/// Writes a request and returns the reply, or why there was none.
+fn reply_to_put(client: &mut Client, id: &str) -> String {
+    client.writer.set_read_timeout(Some(REPLY_TIMEOUT)).unwrap();
+    let request = put(id, &format!("c=payment,d=8000,k=k{id},dest=7"), "x");
+    if let Err(e) = client.writer.write_all(&request) {
+        return format!("the request could not be written: {e}");
+    }
+    let mut line = String::new();
+    match client.reader.read_line(&mut line) {
+        Ok(0) => "the connection was closed".into(),
+        Ok(_) => line.trim_end().to_string(),
+        Err(e) => format!("no reply: {e}"),
+    }
+}
+
+/// Makes this many calls on a client's connection fail while a request on it is handled, and checks that this request and the
+/// next one on the same connection are answered and delivered.
+fn check_requests_while_failing(call: TransientCall, count: u64) {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    let mut client = process.client();
+    client.message("payment", 7, 8_000, "before");
+    let ids = [new_id(), new_id()];
+    faults.fail_next(call, count, ACCEPTED_SOCKETS);
+    for id in &ids {
+        assert_eq!(reply_to_put(&mut client, id), "+OK");
+    }
+    assert!(faults.have_failed(call), "the fault was not injected");
+    wait_for("both messages", || ids.iter().all(|id| e.received(id) == 1));
+}
+
+/// Issue 50, `lost`: a request whose bytes could not be received for a moment got no reply.
+#[test]
+fn a_request_is_answered_though_receiving_it_fails_for_a_moment() {
+    check_requests_while_failing(RECEIVE, 1);
+}
+
+/// Issue 50, `lost`: a client taken from the accept queue was closed unread because a call that sets up its connection
+/// failed.
+#[test]
+fn a_new_client_is_served_though_setting_up_its_connection_fails_for_a_moment() {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    for call in [SET_NONBLOCKING, POLL_ADD] {
+        faults.fail_next(call, 1, ACCEPTED_SOCKETS);
+        assert_eq!(
+            reply_to_put(&mut process.client(), &new_id()),
+            "+OK",
+            "{}",
+            call.documented_errno
+        );
+        faults.stop_failing(call);
+    }
+}
+
+/// Issue 50, `lost`: a reply was reset together with the connection, because shutting down one side failed.
+#[test]
+fn a_client_reads_its_reply_though_shutting_down_the_connection_fails_for_a_moment() {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    let mut client = process.client();
+    faults.fail_next(SHUT_DOWN, 1, ACCEPTED_SOCKETS);
+    // What follows QUIT is never read, so closing the socket would reset the connection and take the replies along.
+    let mut input = put(&new_id(), "c=payment,d=8000,k=a,dest=7", "x");
+    input.extend(b"QUIT\r\n");
+    input.extend(vec![b'x'; 200_000]);
+    let mut to = client.writer.try_clone().unwrap();
+    let writer = std::thread::spawn(move || to.write_all(&input).ok());
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!([client.line(), client.line()], ["+OK", "+OK"]);
+    assert!(faults.have_failed(SHUT_DOWN), "the fault was not injected");
+    drop(client);
+    writer.join().unwrap();
+}
+
+/// Issue 50, `lost`: an end that comes too late, because attempts cannot be recorded while the disk fails.
+#[test]
+fn a_message_ends_in_time_though_the_journal_cannot_be_written() {
+    const LIFETIME_MS: u64 = 1_200;
+    let e = Endpoint::start(Behavior::Responds("429 Full\r\nRetry-After: 0.1"));
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.config["settings"]["family-info"]["workers"] = json!(8);
+    let faults = Faults::new(&process.dir, 1);
+    process.start_with_faults(&faults);
+    let mut client = process.client();
+    let submitted_at = Instant::now();
+    let ids: Vec<String> = (0..10)
+        .map(|n| {
+            let class = if n % 2 == 0 { "payment" } else { "notice" };
+            client.message(class, 7, LIFETIME_MS, "x")
+        })
+        .collect();
+    faults.fail_writes(bellsill_test_support::faults::ENOSPC, false);
+    wait_for("the notifications", || {
+        ids.iter()
+            .all(|id| process.platform.notification(id).is_some())
+    });
+    // The stated limit: 300 ms after the lifetime, and 50 ms on sockets.
+    let limit = Duration::from_millis(LIFETIME_MS + 350);
+    assert!(
+        submitted_at.elapsed() < limit,
+        "the last end came after {:?}",
+        submitted_at.elapsed()
+    );
+    faults.restore_state_directory();
+}
--- a/crates/test-support/src/faults.rs
+++ b/crates/test-support/src/faults.rs
@@ -5,6 +5,7 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use words::TransientCall;
 
 #[path = "../../daemon/tests/preload/words.rs"]
 pub mod words;
@@ -72,6 +73,23 @@
         u64::from_ne_bytes(bytes)
     }
 
+    /// Makes the next `count` calls of this kind fail with the error that the system documents, on sockets of this origin.
+    pub fn fail_next(&self, call: TransientCall, count: u64, origin: u64) {
+        self.set(call.errno_word(), call.documented_errno as u64);
+        self.set(call.origin_word(), origin);
+        self.set(call.remaining_word(), count);
+    }
+
+    /// Makes calls of this kind succeed again.
+    pub fn stop_failing(&self, call: TransientCall) {
+        self.set(call.remaining_word(), 0);
+    }
+
+    /// Whether all calls that were to fail by [`Faults::fail_next`] have failed.
+    pub fn have_failed(&self, call: TransientCall) -> bool {
+        self.get(call.remaining_word()) == 0
+    }
+
     /// Offsets the wall clock of the process from the machine's.
     pub fn step_wall_clock(&self, seconds: i64) {
         self.set(words::WALL_STEP_SECONDS, seconds as u64);
