Repeat receiving and sending that fail for a moment instead of closing the connection

Cause: any error of recv or send was taken for the end of the connection: execute_or_close, flush_or_close and endpoint_ready closed it, with complete commands unanswered, replies unsent and responses unread. ENOMEM and ENOBUFS say nothing about the peer. While a call waits for its repeat, the connection is not evicted, closed as idle or overdue, or reused. Commands that arrived before a break get their replies. A connect that fails for want of a local resource is not held against the endpoint. Why it works: no path closes a connection for an error that may pass, and no request can be taken for absent unread.

--- a/crates/daemon/src/client/accept.rs
+++ b/crates/daemon/src/client/accept.rs
@@ -119,7 +119,11 @@
         let id = candidate.ok_or(AtLimit)?;
         // A lingering client has had enough time to read its last reply.
         let lingering = runtime.connections.get(id).is_some_and(|c| c.lingering);
-        if !lingering && matches!(read(runtime, id), Ok(Input::Received)) {
+        let input = read(runtime, id);
+        if !lingering && runtime.connections.has_call_to_repeat(id) {
+            return Err(AtLimit);
+        }
+        if !lingering && matches!(input, Ok(Input::Received)) {
             runtime.timers.set(Timer::ReadClient(id), now);
         } else {
             close(runtime, id, CloseReason::Evicted);
--- a/crates/daemon/src/client/closing.rs
+++ b/crates/daemon/src/client/closing.rs
@@ -72,7 +72,11 @@
 /// Closes a client that is between requests, if the policy demands it.
 pub(crate) fn close_if_idle(runtime: &mut Runtime, id: ConnectionId, policy: ClientPolicy) {
     let idle = |c: &Connection| c.is_idle() && !c.lingering;
-    if policy.close_idle && runtime.connections.get(id).is_some_and(idle) {
+    // Without having been read, a connection is not known to be between requests.
+    if policy.close_idle
+        && !runtime.connections.has_call_to_repeat(id)
+        && runtime.connections.get(id).is_some_and(idle)
+    {
         close_gracefully(runtime, id, CloseReason::Draining);
     }
 }
--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -6,8 +6,13 @@
 use super::policy::ClientPolicy;
 use crate::connection::ConnectionId;
 use crate::delivery::{Delivery, Runtime};
+use crate::timer::Timer;
+use bellsill_core::interface::Nanos;
 use std::io;
 
+/// How long a timeout is put off while the connection cannot be read.
+const UNREADABLE_RETRY_INTERVAL: Nanos = 50_000_000;
+
 /// Whether a read returned any data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Input {
@@ -72,11 +77,13 @@
     policy: ClientPolicy,
     read: &io::Result<Input>,
 ) {
-    let executed = match read {
-        Ok(_) => execute_commands(delivery, id, policy),
-        Err(_) => Err(CloseReason::CallFailed),
-    };
-    if let Err(reason) = executed {
+    // Commands that arrived before the connection broke still get their replies, as far as these can be sent.
+    if read.is_err()
+        && let Some(conn) = delivery.runtime.connections.get_mut(id)
+    {
+        conn.peer_closed = true;
+    }
+    if let Err(reason) = execute_commands(delivery, id, policy) {
         close(&mut delivery.runtime, id, reason);
     }
 }
@@ -90,7 +97,13 @@
         return close(runtime, id, CloseReason::LingerTimeout);
     }
     // A request whose first bytes are read here gets a timeout of its own.
-    match read(runtime, id) {
+    let input = read(runtime, id);
+    if runtime.connections.has_call_to_repeat(id) {
+        // A request may have arrived; it is read once the call succeeds.
+        let at = runtime.now + UNREADABLE_RETRY_INTERVAL;
+        return runtime.timers.set(Timer::Connection(id), at);
+    }
+    match input {
         Ok(Input::Nothing) => close_overdue(runtime, id),
         read => execute_or_close(delivery, id, policy, &read),
     }
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -1,8 +1,10 @@
 //! The connection table, which owns the poller and all sockets registered with it.
 
+use super::call_errors::{call_twice, is_transient};
 use super::failed_calls::{FailedCalls, SocketCall};
 use super::id::ConnectionId;
 use super::limits::ConnectionLimits;
+use super::repeats::{PendingRepeats, REPEAT_DELAY};
 use super::role::Role;
 use super::socket::{BufferBounds, Connection, Interest};
 use crate::ring_buffer::RingBuffer;
@@ -53,6 +55,7 @@
     pub(super) client_count: usize,
     pub(super) admin_count: usize,
     pub(super) failed_calls: FailedCalls,
+    pub(super) repeats: PendingRepeats,
 }
 
 /// Adds a source to the poller. All sources are added here, which confines the unsafe code.
@@ -88,12 +91,17 @@
             client_count: 0,
             admin_count: 0,
             failed_calls: FailedCalls::default(),
+            repeats: PendingRepeats::default(),
         })
     }
 
-    /// Waits for events, at most for `timeout`.
+    /// Waits for events, at most for `timeout`. Connections with a call to repeat are reported as ready.
     pub(crate) fn wait(&mut self, timeout: Option<Duration>) -> io::Result<Vec<PollEvent>> {
         self.events.clear();
+        let timeout = match self.repeats.is_empty() {
+            true => timeout,
+            false => Some(timeout.map_or(REPEAT_DELAY, |timeout| timeout.min(REPEAT_DELAY))),
+        };
         match self.poller.wait(&mut self.events, timeout) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => {
                 self.failed_calls.record(SocketCall::Wait, &e);
@@ -114,13 +122,42 @@
                         Some(conn) => conn.armed = None,
                         None => continue,
                     }
+                    self.repeats.remove_connection(id);
                     PollEvent::Connection(id)
                 }
             });
         }
+        for id in self.repeats.take_connections() {
+            if let Some(conn) = self.connections.get_mut(id) {
+                conn.armed = None;
+                seen.push(PollEvent::Connection(id));
+            }
+        }
         Ok(seen)
     }
 
+    /// Whether a call on this connection failed for a moment and will be repeated. Until then it is not known whether
+    /// input has arrived.
+    pub(crate) fn has_call_to_repeat(&self, id: ConnectionId) -> bool {
+        self.repeats.contains(id)
+    }
+
+    /// Counts a failed call on a connection. One that failed for a moment is repeated later and is no error.
+    fn handle_failure(
+        &mut self,
+        call: SocketCall,
+        id: ConnectionId,
+        role: Role,
+        error: io::Error,
+    ) -> io::Result<()> {
+        self.failed_calls.record_on(call, id, role, &error);
+        if !is_transient(&error) {
+            return Err(error);
+        }
+        self.repeats.add_connection(id);
+        Ok(())
+    }
+
     /// How many system calls on sockets have failed.
     pub(crate) fn failed_calls(&self) -> &FailedCalls {
         &self.failed_calls
@@ -195,6 +232,7 @@
         if let Some(conn) = self.connections.remove(id) {
             self.client_count -= usize::from(conn.role == Role::Client);
             self.admin_count -= usize::from(conn.role == Role::Admin);
+            self.repeats.remove_connection(id);
             // Ignored: the kernel removes the descriptor from the poller when it is closed.
             self.poller.delete(&conn.stream).ok();
         }
@@ -250,29 +288,32 @@
         })
     }
 
-    /// Reads the available input into the input buffer.
+    /// Reads the available input into the input buffer. An error means that the connection is broken; a call that
+    /// failed for a moment is repeated after a short delay.
     pub(crate) fn read(&mut self, id: ConnectionId) -> io::Result<()> {
         let Some(conn) = self.connections.get_mut(id) else {
             return Ok(());
         };
         let role = conn.role;
-        let ended = conn
-            .input
-            .read_from(&mut conn.stream)
-            .inspect_err(|e| self.failed_calls.record_on(SocketCall::Read, id, role, e))?;
-        conn.peer_closed |= ended;
-        Ok(())
+        match call_twice(|| conn.input.read_from(&mut conn.stream)) {
+            Ok(ended) => {
+                conn.peer_closed |= ended;
+                Ok(())
+            }
+            Err(e) => self.handle_failure(SocketCall::Read, id, role, e),
+        }
     }
 
-    /// Sends as much of the output buffer as the kernel accepts, and re-arms the connection.
+    /// Sends as much of the output buffer as the kernel accepts, and re-arms the connection. An error means that the
+    /// connection is broken; a call that failed for a moment is repeated after a short delay.
     pub(crate) fn flush(&mut self, id: ConnectionId) -> io::Result<()> {
         let Some(conn) = self.connections.get_mut(id).filter(|c| !c.connecting) else {
             return Ok(());
         };
         let role = conn.role;
-        conn.output
-            .write_to(&mut conn.stream)
-            .inspect_err(|e| self.failed_calls.record_on(SocketCall::Write, id, role, e))?;
+        if let Err(e) = call_twice(|| conn.output.write_to(&mut conn.stream)) {
+            self.handle_failure(SocketCall::Write, id, role, e)?;
+        }
         self.arm(id)
     }
 
--- a/crates/daemon/src/delivery/attempts.rs
+++ b/crates/daemon/src/delivery/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::message::{DeliveryState, MAX_BODY_BYTES};
 use super::runtime::Runtime;
-use crate::connection::{BufferBounds, ConnectionId, Role};
+use crate::connection::{BufferBounds, ConnectionId, Role, is_transient};
 use crate::endpoint::{
     ConnectionReuse, Evaluation, RESPONSE_TIMEOUT, ResponseReader, UnassignedState,
 };
@@ -29,14 +29,6 @@
     Ended,
 }
 
-/// Whether opening a connection failed because this host is out of descriptors, buffers, memory or local ports.
-fn is_local_resource_error(e: &io::Error) -> bool {
-    matches!(
-        e.raw_os_error(),
-        Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM | libc::EADDRNOTAVAIL)
-    )
-}
-
 impl Runtime {
     /// Uses an idle connection for an attempt, or opens a new one.
     pub(super) fn connect_attempt(&mut self, slot: MessageSlot, endpoint: EndpointId) {
@@ -69,7 +61,7 @@
                 self.transition(slot, DeliveryState::Connecting);
             }
             // A local failure is not `ConnectFailed`, which the decision logic would count against the endpoint.
-            Err(e) if self.connections.is_full() || is_local_resource_error(&e) => {
+            Err(e) if self.connections.is_full() || is_transient(&e) => {
                 self.end_attempt(slot, Outcome::NotStarted, false);
             }
             Err(_) => self.end_attempt(slot, Outcome::ConnectFailed, false),
--- a/crates/daemon/src/delivery/endpoint_events.rs
+++ b/crates/daemon/src/delivery/endpoint_events.rs
@@ -2,7 +2,7 @@
 
 use super::attempts::AttemptProgress;
 use super::coordinator::Delivery;
-use crate::connection::ConnectionId;
+use crate::connection::{ConnectionId, is_transient};
 use crate::message_slot::MessageSlot;
 use crate::timer::Timer;
 use bellsill_core::interface::Outcome;
@@ -49,8 +49,13 @@
     /// connection goes to the pool.
     fn connection_established(&mut self, id: ConnectionId, slot: MessageSlot) {
         let runtime = &mut self.runtime;
-        if runtime.connections.finish_connect(id).is_err() {
-            return runtime.abort_attempt(slot, Outcome::ConnectFailed);
+        if let Err(e) = runtime.connections.finish_connect(id) {
+            // A local failure says nothing about the endpoint.
+            let outcome = match is_transient(&e) {
+                true => Outcome::NotStarted,
+                false => Outcome::ConnectFailed,
+            };
+            return runtime.abort_attempt(slot, outcome);
         }
         runtime.timers.cancel(Timer::Connection(id));
         let attempt = runtime
--- a/crates/daemon/src/endpoint/pool.rs
+++ b/crates/daemon/src/endpoint/pool.rs
@@ -32,6 +32,7 @@
             // lost.
             let usable = within_keep_alive
                 && io.connections.read(conn).is_ok()
+                && !io.connections.has_call_to_repeat(conn)
                 && io
                     .connections
                     .get(conn)
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,7 +6,8 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPTED_SOCKETS, POLL_ADD, RECEIVE, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
+    ACCEPTED_SOCKETS, CREATED_SOCKETS, POLL_ADD, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN,
+    TransientCall,
 };
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
@@ -62,6 +63,12 @@
     check_requests_while_failing(RECEIVE, 1);
 }
 
+/// Issue 50, `lost`: an accepted message whose reply could not be sent for a moment got none.
+#[test]
+fn a_request_is_answered_though_sending_the_reply_fails_for_a_moment() {
+    check_requests_while_failing(SEND, 3);
+}
+
 /// Issue 50, `lost`: a client taken from the accept queue was closed unread because a call that sets up its connection
 /// failed.
 #[test]
@@ -100,6 +107,30 @@
     writer.join().unwrap();
 }
 
+/// Issue 50, `lost`: a message whose endpoint answered was ended as failed, because its response could not be received
+/// for a moment.
+#[test]
+fn a_response_counts_though_receiving_it_fails_for_a_moment() {
+    for call in [RECEIVE, SEND] {
+        let e = Endpoint::start(OK);
+        let (process, faults) = start(&e);
+        let mut client = process.client();
+        // Discovery keeps sending empty lines on a created socket as well, so several calls fail.
+        faults.fail_next(call, 3, CREATED_SOCKETS);
+        let ids: Vec<String> = (0..6)
+            .map(|_| client.message("payment", 7, 8_000, "once"))
+            .collect();
+        wait_for("the messages", || ids.iter().all(|id| e.received(id) == 1));
+        std::thread::sleep(Duration::from_millis(300));
+        for id in &ids {
+            assert_eq!(
+                (e.received(id), process.platform.notification(id)),
+                (1, None)
+            );
+        }
+    }
+}
+
 /// Issue 50, `lost`: an end that comes too late, because attempts cannot be recorded while the disk fails.
 #[test]
 fn a_message_ends_in_time_though_the_journal_cannot_be_written() {
