Repeat registrations with the poller that fail, and accept clients as non-blocking sockets

Cause: arm() stored the new interest before epoll_ctl had succeeded, and send_reply ignored the error, so a connection whose re-arming failed was never read again; in other paths the same error closed it. After accept4 a failed ioctl(FIONBIO) or epoll_ctl(ADD) dropped the accepted socket. A failed re-arming of the operators' listener stopped it for good. Change: the interest is stored once epoll_ctl has succeeded; a registration that fails for a moment, of a connection, a listener or the signal pipe, is repeated after 5 ms; clients are accepted with SOCK_NONBLOCK, which needs no second call. The code that registers with the poller is a module of its own. Why it works: no call stands between taking a client from the queue and owning it, and no failed registration is forgotten.

--- a/crates/daemon/src/admin/connections.rs
+++ b/crates/daemon/src/admin/connections.rs
@@ -56,7 +56,11 @@
                     .set(Timer::Connection(id), now + REQUEST_TIMEOUT);
             }
             Ok(None) => return,
-            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
+                ) => {}
             Err(e) => return log::warn!("cannot accept an admin connection: {e}"),
         }
     }
--- a/crates/daemon/src/client/accept.rs
+++ b/crates/daemon/src/client/accept.rs
@@ -61,18 +61,23 @@
                     start_session(runtime, id);
                 }
                 Ok(None) => {
-                    arm_listener(runtime, Ok(()));
+                    runtime.connections.arm_listener();
                     return AcceptStatus::Done;
                 }
-                // The client closed the connection while it was queued.
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                // The client closed the connection while it was queued, or a signal came.
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
+                    ) => {}
                 Err(e) => {
-                    arm_listener(runtime, Err(e));
+                    log::warn!("cannot accept client connections, will retry: {e}");
+                    back_off(runtime);
                     return AcceptStatus::Done;
                 }
             }
         }
-        arm_listener(runtime, Ok(()));
+        runtime.connections.arm_listener();
         AcceptStatus::MoreMayWait
     }
 }
@@ -94,14 +99,6 @@
         .set(Timer::AcceptClients, runtime.now + ACCEPT_BACKOFF);
 }
 
-/// Re-arms the listener in the poller; if that or the last `accept` failed, accepting resumes after [`ACCEPT_BACKOFF`].
-fn arm_listener(runtime: &mut Runtime, accepted: io::Result<()>) {
-    if let Err(e) = accepted.and_then(|()| runtime.connections.arm_listener()) {
-        log::warn!("cannot accept client connections, will retry: {e}");
-        back_off(runtime);
-    }
-}
-
 /// Frees a connection for a new client. At the client limit a client is evicted: otherwise hundreds of clients that
 /// send nothing, or that stay connected after one request, would lock out all others. At the limit on all connections
 /// an idle connection to an endpoint is closed.
--- a/crates/daemon/src/connection/listeners.rs
+++ b/crates/daemon/src/connection/listeners.rs
@@ -2,13 +2,16 @@
 
 use super::failed_calls::SocketCall;
 use super::id::ConnectionId;
+use super::registration::{ADMIN_LISTENER, add};
+use super::repeats::Source;
 use super::role::Role;
 use super::socket::BufferBounds;
-use super::table::{ADMIN_LISTENER, CLIENT_LISTENER, ConnectionTable, Handshake, SIGNALS, add};
+use super::table::{ConnectionTable, Handshake};
 use crate::ring_buffer::RingBuffer;
+use nix::sys::socket::{SockFlag, accept4};
 use polling::Event;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 
 /// Size of the buffer for reads from the signal pipe.
 const SIGNAL_BUFFER_BYTES: usize = 64;
@@ -19,20 +22,18 @@
         let Some(listener) = &self.listener else {
             return Ok(None);
         };
-        self.insert_accepted(listener.accept(), Role::Client, bound)
+        let accepted = accept(listener);
+        self.insert_accepted(accepted, Role::Client, bound)
     }
 
     fn insert_accepted(
         &mut self,
-        accepted: io::Result<(TcpStream, SocketAddr)>,
+        accepted: io::Result<TcpStream>,
         role: Role,
         bound: usize,
     ) -> io::Result<Option<ConnectionId>> {
         match accepted {
-            Ok((stream, _)) => {
-                stream
-                    .set_nonblocking(true)
-                    .inspect_err(|e| self.failed_calls.record(SocketCall::Configure, e))?;
+            Ok(stream) => {
                 let bounds = BufferBounds {
                     input: bound,
                     output: bound,
@@ -63,17 +64,14 @@
         let Some(listener) = &self.admin_listener else {
             return Ok(None);
         };
-        let accepted = listener.accept();
-        self.poller
-            .modify(listener, Event::readable(ADMIN_LISTENER))?;
+        let accepted = accept(listener);
+        self.arm_source(Source::AdminListener);
         self.insert_accepted(accepted, Role::Admin, bound)
     }
 
     /// Re-arms the client listener in the poller.
-    pub(crate) fn arm_listener(&self) -> io::Result<()> {
-        self.listener.as_ref().map_or(Ok(()), |l| {
-            self.poller.modify(l, Event::readable(CLIENT_LISTENER))
-        })
+    pub(crate) fn arm_listener(&mut self) {
+        self.arm_source(Source::ClientListener);
     }
 
     /// Closes the client listener.
@@ -88,6 +86,14 @@
     pub(crate) fn drain_signals(&mut self) -> io::Result<()> {
         let mut ring = RingBuffer::new(SIGNAL_BUFFER_BYTES);
         ring.read_from(&mut self.signals)?;
-        self.poller.modify(&self.signals, Event::readable(SIGNALS))
+        self.arm_source(Source::Signals);
+        Ok(())
     }
 }
+
+/// Takes a connection from the queue. It is non-blocking from the start: a further call could fail, and the client would be
+/// closed with its request unread.
+fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+    let socket = accept4(listener, SockFlag::SOCK_CLOEXEC | SockFlag::SOCK_NONBLOCK)?;
+    Ok(TcpStream::from(socket))
+}
--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -6,6 +6,7 @@
 mod id;
 mod limits;
 mod listeners;
+mod registration;
 mod repeats;
 mod role;
 mod socket;
--- a/crates/daemon/src/connection/repeats.rs
+++ b/crates/daemon/src/connection/repeats.rs
@@ -10,21 +10,34 @@
 /// The delay before a failed call is repeated.
 pub(super) const REPEAT_DELAY: Duration = Duration::from_millis(5);
 
-/// The connections that have a call to repeat.
+/// A source of events other than a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Source {
+    ClientListener,
+    AdminListener,
+    Signals,
+}
+
+/// The connections and other sources that have a call to repeat.
 #[derive(Default)]
 pub(super) struct PendingRepeats {
     connections: BTreeSet<ConnectionId>,
+    sources: BTreeSet<Source>,
 }
 
 impl PendingRepeats {
     pub(super) fn is_empty(&self) -> bool {
-        self.connections.is_empty()
+        self.connections.is_empty() && self.sources.is_empty()
     }
 
     pub(super) fn add_connection(&mut self, id: ConnectionId) {
         self.connections.insert(id);
     }
 
+    pub(super) fn add_source(&mut self, source: Source) {
+        self.sources.insert(source);
+    }
+
     /// Forgets a connection that is closed.
     pub(super) fn remove_connection(&mut self, id: ConnectionId) {
         self.connections.remove(&id);
@@ -37,4 +50,8 @@
     pub(super) fn take_connections(&mut self) -> BTreeSet<ConnectionId> {
         std::mem::take(&mut self.connections)
     }
+
+    pub(super) fn take_sources(&mut self) -> BTreeSet<Source> {
+        std::mem::take(&mut self.sources)
+    }
 }
--- a/crates/daemon/src/connection/socket.rs
+++ b/crates/daemon/src/connection/socket.rs
@@ -47,8 +47,10 @@
     pub(crate) replied: bool,
     /// Number of error replies to a client, without `-BUSY`.
     pub(crate) error_replies: u32,
+    /// Whether the poller knows the connection.
+    pub(super) is_registered: bool,
     /// The readiness that the poller is armed to report for the connection; `None` after an event, since the poller is
-    /// in one-shot mode.
+    /// in one-shot mode, and after a registration that failed.
     pub(super) armed: Option<Interest>,
 }
 
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -4,24 +4,16 @@
 use super::failed_calls::{FailedCalls, SocketCall};
 use super::id::ConnectionId;
 use super::limits::ConnectionLimits;
-use super::repeats::{PendingRepeats, REPEAT_DELAY};
+use super::registration::{CLIENT_LISTENER, SIGNALS, add};
+use super::repeats::PendingRepeats;
 use super::role::Role;
-use super::socket::{BufferBounds, Connection, Interest};
+use super::socket::{BufferBounds, Connection};
 use crate::ring_buffer::RingBuffer;
-use crate::slot_table::{SlotId, SlotTable};
+use crate::slot_table::SlotTable;
 use polling::{Event, Events, Poller};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::os::unix::net::UnixStream;
-use std::time::Duration;
-
-/// Poller keys of sources that are not connections; connection ids stay far below them.
-pub(super) const CLIENT_LISTENER: usize = usize::MAX - 1;
-pub(super) const SIGNALS: usize = usize::MAX - 2;
-pub(super) const ADMIN_LISTENER: usize = usize::MAX - 3;
-/// A connection id must fit into a poller key.
-const _: () = assert!(usize::BITS == 64);
 
 /// An event reported by the poller.
 #[derive(Clone, Copy, Debug)]
@@ -46,8 +38,8 @@
 /// All connections, the listeners and the signal pipe.
 pub(crate) struct ConnectionTable {
     pub(super) poller: Poller,
-    events: Events,
-    connections: SlotTable<ConnectionId, Connection>,
+    pub(super) events: Events,
+    pub(super) connections: SlotTable<ConnectionId, Connection>,
     pub(super) listener: Option<TcpListener>,
     pub(super) admin_listener: Option<TcpListener>,
     pub(super) signals: UnixStream,
@@ -58,16 +50,6 @@
     pub(super) repeats: PendingRepeats,
 }
 
-/// Adds a source to the poller. All sources are added here, which confines the unsafe code.
-#[expect(
-    unsafe_code,
-    reason = "the poller borrows descriptors without a lifetime"
-)]
-pub(super) fn add(poller: &Poller, source: &impl AsRawFd, event: Event) -> io::Result<()> {
-    // SAFETY: every source is owned by `ConnectionTable`, which deletes it from the poller before closing it.
-    unsafe { poller.add(source, event) }
-}
-
 impl ConnectionTable {
     /// Creates a table with the client listener and the signal pipe.
     pub(crate) fn new(
@@ -95,55 +77,8 @@
         })
     }
 
-    /// Waits for events, at most for `timeout`. Connections with a call to repeat are reported as ready.
-    pub(crate) fn wait(&mut self, timeout: Option<Duration>) -> io::Result<Vec<PollEvent>> {
-        self.events.clear();
-        let timeout = match self.repeats.is_empty() {
-            true => timeout,
-            false => Some(timeout.map_or(REPEAT_DELAY, |timeout| timeout.min(REPEAT_DELAY))),
-        };
-        match self.poller.wait(&mut self.events, timeout) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => {
-                self.failed_calls.record(SocketCall::Wait, &e);
-                return Err(e);
-            }
-            _ => {}
-        }
-        let mut seen = Vec::new();
-        for event in self.events.iter() {
-            seen.push(match event.key {
-                CLIENT_LISTENER => PollEvent::ClientListener,
-                ADMIN_LISTENER => PollEvent::AdminListener,
-                SIGNALS => PollEvent::Signals,
-                key => {
-                    let id = ConnectionId::from_raw(key as u64);
-                    match self.connections.get_mut(id) {
-                        // The poller is in one-shot mode: the connection must be re-armed.
-                        Some(conn) => conn.armed = None,
-                        None => continue,
-                    }
-                    self.repeats.remove_connection(id);
-                    PollEvent::Connection(id)
-                }
-            });
-        }
-        for id in self.repeats.take_connections() {
-            if let Some(conn) = self.connections.get_mut(id) {
-                conn.armed = None;
-                seen.push(PollEvent::Connection(id));
-            }
-        }
-        Ok(seen)
-    }
-
-    /// Whether a call on this connection failed for a moment and will be repeated. Until then it is not known whether
-    /// input has arrived.
-    pub(crate) fn has_call_to_repeat(&self, id: ConnectionId) -> bool {
-        self.repeats.contains(id)
-    }
-
     /// Counts a failed call on a connection. One that failed for a moment is repeated later and is no error.
-    fn handle_failure(
+    pub(super) fn handle_failure(
         &mut self,
         call: SocketCall,
         id: ConnectionId,
@@ -191,13 +126,11 @@
         bounds: BufferBounds,
         handshake: Handshake,
     ) -> io::Result<ConnectionId> {
-        // Small writes should not wait for acknowledgements. A failure is ignored: the connection works without the option.
-        stream.set_nodelay(true).ok();
+        // Small writes should not wait for acknowledgements. The connection works without the option too.
+        if let Err(e) = stream.set_nodelay(true) {
+            self.failed_calls.record(SocketCall::Configure, &e);
+        }
         let connecting = handshake == Handshake::InProgress;
-        let interest = Interest {
-            read: !connecting,
-            write: connecting,
-        };
         let id = self.connections.insert(|_| Connection {
             stream,
             role,
@@ -212,15 +145,12 @@
             last_received: 0,
             replied: false,
             error_replies: 0,
-            armed: Some(interest),
+            is_registered: false,
+            armed: None,
         });
-        let conn = self.connections.get(id).expect("just inserted");
-        let added = add(&self.poller, &conn.stream, event(id, interest));
         self.client_count += usize::from(role == Role::Client);
         self.admin_count += usize::from(role == Role::Admin);
-        if let Err(e) = added {
-            self.failed_calls
-                .record_on(SocketCall::Register, id, role, &e);
+        if let Err(e) = self.arm(id) {
             self.close(id);
             return Err(e);
         }
@@ -316,33 +246,6 @@
         }
         self.arm(id)
     }
-
-    /// Re-arms the connection in the poller. While the input buffer is full, or the output buffer is more than half full
-    /// because the peer does not read, the connection is not watched for input.
-    pub(crate) fn arm(&mut self, id: ConnectionId) -> io::Result<()> {
-        let Some(conn) = self.connections.get_mut(id) else {
-            return Ok(());
-        };
-        let peer_reads_slowly = conn.output.len() > conn.output.remaining_capacity();
-        let interest = Interest {
-            read: !conn.connecting
-                && !conn.peer_closed
-                && conn.input.remaining_capacity() > 0
-                && !peer_reads_slowly,
-            write: conn.connecting || !conn.output.is_empty(),
-        };
-        if conn.armed != Some(interest) {
-            conn.armed = Some(interest);
-            let role = conn.role;
-            self.poller
-                .modify(&conn.stream, event(id, interest))
-                .inspect_err(|e| {
-                    self.failed_calls
-                        .record_on(SocketCall::Register, id, role, e);
-                })?;
-        }
-        Ok(())
-    }
 }
 
 impl Drop for ConnectionTable {
@@ -362,10 +265,9 @@
 fn start_connect(to: SocketAddr) -> io::Result<TcpStream> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(to),
-        socket2::Type::STREAM,
+        socket2::Type::STREAM.nonblocking(),
         None,
     )?;
-    socket.set_nonblocking(true)?;
     match socket.connect(&to.into()) {
         Err(e) if !connect_in_progress(&e) => Err(e),
         _ => Ok(socket.into()),
@@ -380,7 +282,3 @@
             io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
         )
 }
-
-fn event(id: ConnectionId, interest: Interest) -> Event {
-    Event::new(id.raw() as usize, interest.read, interest.write)
-}
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,8 +6,8 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPTED_SOCKETS, CREATED_SOCKETS, POLL_ADD, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN,
-    TransientCall,
+    ACCEPTED_SOCKETS, CREATED_SOCKETS, POLL_ADD, POLL_MODIFY, RECEIVE, SEND, SET_NONBLOCKING,
+    SHUT_DOWN, TransientCall,
 };
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
@@ -69,6 +69,24 @@
     check_requests_while_failing(SEND, 3);
 }
 
+/// Issue 50, `lost`: a connection that the poller could not re-arm for a moment was closed, or never read again.
+#[test]
+fn requests_are_answered_though_the_poller_fails_for_a_moment() {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    let mut client = process.client();
+    client.message("payment", 7, 8_000, "before");
+    faults.fail_next(POLL_MODIFY, 1, ACCEPTED_SOCKETS);
+    for _ in 0..3 {
+        assert_eq!(reply_to_put(&mut client, &new_id()), "+OK");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(
+        faults.have_failed(POLL_MODIFY),
+        "the fault was not injected"
+    );
+}
+
 /// Issue 50, `lost`: a client taken from the accept queue was closed unread because a call that sets up its connection
 /// failed.
 #[test]
@@ -111,7 +129,7 @@
 /// for a moment.
 #[test]
 fn a_response_counts_though_receiving_it_fails_for_a_moment() {
-    for call in [RECEIVE, SEND] {
+    for call in [RECEIVE, SEND, POLL_MODIFY, POLL_ADD] {
         let e = Endpoint::start(OK);
         let (process, faults) = start(&e);
         let mut client = process.client();
