Keep running when a call of the event loop fails for a moment

Cause: run_once returned any error of Poller::wait, which also sets a timer and re-arms the poller's own descriptors, and any error of reading or re-arming the signal pipe, and with it the process ended. Change: an error of waiting that may pass ends the wait early; what the poller had collected is handled; without events the loop sleeps 5 ms. What cannot be read of the signal pipe is reported again, and the flags are checked in every iteration, so no signal depends on the pipe. Why it works: nothing but an error that cannot pass (a bad descriptor) ends the loop.

--- a/crates/daemon/src/connection/listeners.rs
+++ b/crates/daemon/src/connection/listeners.rs
@@ -82,12 +82,13 @@
         }
     }
 
-    /// Drains the signal pipe and re-arms it.
-    pub(crate) fn drain_signals(&mut self) -> io::Result<()> {
+    /// Drains the signal pipe and re-arms it. What cannot be read stays in the pipe and is reported again.
+    pub(crate) fn drain_signals(&mut self) {
         let mut ring = RingBuffer::new(SIGNAL_BUFFER_BYTES);
-        ring.read_from(&mut self.signals)?;
+        if let Err(e) = ring.read_from(&mut self.signals) {
+            self.failed_calls.record(SocketCall::Read, &e);
+        }
         self.arm_source(Source::Signals);
-        Ok(())
     }
 }
 
--- a/crates/daemon/src/connection/registration.rs
+++ b/crates/daemon/src/connection/registration.rs
@@ -3,6 +3,7 @@
 //! The poller is in one-shot mode, so every source has to be armed again after each of its events. A registration that
 //! fails for a moment is repeated.
 
+use super::call_errors::is_transient;
 use super::failed_calls::SocketCall;
 use super::id::ConnectionId;
 use super::repeats::{REPEAT_DELAY, Source};
@@ -32,19 +33,23 @@
 }
 
 impl ConnectionTable {
-    /// Waits for events, at most for `timeout`. Connections with a call to repeat are reported as ready.
+    /// Waits for events, at most for `timeout`. Connections with a call to repeat are reported as ready. If waiting fails for
+    /// a moment, it ends early.
     pub(crate) fn wait(&mut self, timeout: Option<Duration>) -> io::Result<Vec<PollEvent>> {
         self.events.clear();
         let timeout = match self.repeats.is_empty() {
             true => timeout,
             false => Some(timeout.map_or(REPEAT_DELAY, |timeout| timeout.min(REPEAT_DELAY))),
         };
-        match self.poller.wait(&mut self.events, timeout) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => {
-                self.failed_calls.record(SocketCall::Wait, &e);
+        if let Err(e) = self.poller.wait(&mut self.events, timeout) {
+            self.failed_calls.record(SocketCall::Wait, &e);
+            if !is_transient(&e) {
                 return Err(e);
             }
-            _ => {}
+            // The poller may have collected events before its call failed; they are reported below.
+            if self.events.is_empty() {
+                std::thread::sleep(REPEAT_DELAY);
+            }
         }
         let mut seen = Vec::new();
         for event in self.events.iter() {
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -80,11 +80,13 @@
             match event {
                 PollEvent::ClientListener => self.accept_clients(),
                 PollEvent::AdminListener => admin::accept(&mut self.delivery.runtime),
-                PollEvent::Signals => self.handle_signals()?,
+                PollEvent::Signals => self.delivery.runtime.connections.drain_signals(),
                 PollEvent::Connection(id) => self.connection_ready(id),
             }
             self.delivery.report_attempt_ends();
         }
+        self.delivery.runtime.now = clock::now();
+        self.handle_signals();
         self.expire_timers();
         self.delivery.runtime.update_journal_retry();
         self.delivery.runtime.send_notifications();
@@ -96,7 +98,6 @@
     /// expire together: a core woken first would count timed-out attempts as in flight, and fail messages that never
     /// ran.
     fn expire_timers(&mut self) {
-        self.delivery.runtime.now = clock::now();
         let now = self.delivery.runtime.now;
         let mut wakeup = false;
         while let Some(timer) = self.delivery.runtime.timers.pop_expired(now) {
@@ -191,15 +192,14 @@
         }
     }
 
-    fn handle_signals(&mut self) -> io::Result<()> {
-        self.delivery.runtime.connections.drain_signals()?;
+    /// Checks the flags in every iteration: they do not depend on the pipe that wakes the loop.
+    fn handle_signals(&mut self) {
         if self.flags.take_reload() {
             self.reload();
         }
         if self.flags.shutdown_requested() {
             self.shutdown.request(&mut self.delivery);
         }
-        Ok(())
     }
 
     fn reload(&mut self) {
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,11 +6,12 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPTED_SOCKETS, CREATED_SOCKETS, POLL_ADD, POLL_MODIFY, RECEIVE, SEND, SET_NONBLOCKING,
-    SHUT_DOWN, TransientCall,
+    ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, POLL_ADD, POLL_MODIFY, POLL_WAIT, READ_PIPE,
+    RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
 };
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
+use rustix::process::Signal;
 use serde_json::json;
 use std::io::{BufRead, Write};
 use std::time::{Duration, Instant};
@@ -105,6 +106,30 @@
     }
 }
 
+/// Issue 50, `lost`: a failed call of the event loop ended the process with all its clients' requests.
+#[test]
+fn the_process_goes_on_though_calls_of_the_event_loop_fail_for_a_moment() {
+    let e = Endpoint::start(OK);
+    let (mut process, faults) = start(&e);
+    let mut client = process.client();
+    for (call, count) in [
+        (POLL_WAIT, 3),
+        (POLL_MODIFY, 3),
+        (READ_PIPE, 3),
+        (RECEIVE, 3),
+    ] {
+        faults.fail_next(call, count, ANY_SOCKET);
+        // The signal is read from a pipe.
+        process.signal(Signal::HUP);
+        for _ in 0..3 {
+            assert_eq!(reply_to_put(&mut client, &new_id()), "+OK");
+        }
+        faults.stop_failing(call);
+        let status = process.child.as_mut().unwrap().try_wait().unwrap();
+        assert_eq!(status, None, "the process has exited");
+    }
+}
+
 /// Issue 50, `lost`: a reply was reset together with the connection, because shutting down one side failed.
 #[test]
 fn a_client_reads_its_reply_though_shutting_down_the_connection_fails_for_a_moment() {
