Keep the listener open in a shutdown until the clients in its queue are accepted

Cause: at 0.5 s the shutdown took 'no client can be accepted now' (descriptors short, or at the limit) for 'the queue is empty' and closed the listener, which resets the connections in its queue. Change: accepting says which of the two it was; while clients cannot be accepted the listener stays open, is tried every 50 ms, and is closed when the queue is empty, at 2.9 s at the latest.

--- a/crates/daemon/src/client/accept.rs
+++ b/crates/daemon/src/client/accept.rs
@@ -25,8 +25,10 @@
 pub(crate) enum AcceptStatus {
     /// [`MAX_ACCEPTS_PER_EVENT`] was reached first.
     MoreMayWait,
-    /// The queue is empty, or no client can be accepted now.
-    Done,
+    /// The queue is empty.
+    QueueEmpty,
+    /// No client can be accepted now, so some may be waiting. Accepting resumes after [`ACCEPT_BACKOFF`].
+    BackingOff,
 }
 
 /// The connection limit is reached and no connection may be evicted.
@@ -53,7 +55,7 @@
                     );
                 }
                 back_off(runtime);
-                return AcceptStatus::Done;
+                return AcceptStatus::BackingOff;
             }
             match runtime.connections.accept_client(MAX_COMMAND_BYTES) {
                 Ok(Some(id)) => {
@@ -62,7 +64,7 @@
                 }
                 Ok(None) => {
                     runtime.connections.arm_listener();
-                    return AcceptStatus::Done;
+                    return AcceptStatus::QueueEmpty;
                 }
                 // The client closed the connection while it was queued, or a signal came.
                 Err(e)
@@ -73,7 +75,7 @@
                 Err(e) => {
                     log::warn!("cannot accept client connections, will retry: {e}");
                     back_off(runtime);
-                    return AcceptStatus::Done;
+                    return AcceptStatus::BackingOff;
                 }
             }
         }
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -180,8 +180,14 @@
         runtime.timers.set(timer, runtime.now + after);
     }
 
-    /// Accepts waiting clients. If more are waiting, the poller reports the listener again.
+    /// Accepts waiting clients. If more are waiting, the poller reports the listener again. During a shutdown, the listener
+    /// is open only because clients in its queue could not be accepted before.
     fn accept_clients(&mut self) {
+        if self.shutdown.phase() >= ShutdownPhase::ServingClients {
+            return self
+                .shutdown
+                .close_listener(&mut self.delivery, &mut self.clients);
+        }
         let _more = self.clients.accept(&mut self.delivery.runtime);
     }
 
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -104,23 +104,36 @@
             .timers
             .set(Timer::ShutdownPhase, self.requested_at + until);
         match next {
-            ShutdownPhase::ServingClients => {
-                // Accept the clients in the queue: closing the listener would reset their connections.
-                while clients.accept(&mut delivery.runtime) == AcceptStatus::MoreMayWait {}
-                delivery.runtime.timers.cancel(Timer::AcceptClients);
-                delivery.runtime.connections.close_listener();
-            }
+            ShutdownPhase::ServingClients => self.close_listener(delivery, clients),
             ShutdownPhase::ClosingClients => {
                 let policy = self.client_policy();
                 for id in delivery.runtime.connections.clients() {
                     client::handle_ready_and_close_idle(delivery, id, policy);
                 }
             }
-            ShutdownPhase::FinishingAttempts => delivery.stop(),
+            ShutdownPhase::FinishingAttempts => {
+                self.close_listener(delivery, clients);
+                delivery.stop();
+            }
             _ => {}
         }
     }
 
+    /// Accepts the clients in the queue, since closing the listener would reset their connections, then closes it. While
+    /// they cannot be accepted, it stays open, until [`ShutdownPhase::FinishingAttempts`] at the latest.
+    pub(crate) fn close_listener(&self, delivery: &mut Delivery, clients: &mut Clients) {
+        let runtime = &mut delivery.runtime;
+        let mut status = AcceptStatus::MoreMayWait;
+        while status == AcceptStatus::MoreMayWait {
+            status = clients.accept(runtime);
+        }
+        if status == AcceptStatus::BackingOff && self.phase < ShutdownPhase::FinishingAttempts {
+            return;
+        }
+        runtime.timers.cancel(Timer::AcceptClients);
+        runtime.connections.close_listener();
+    }
+
     /// Finishes the shutdown early if there is nothing left to wait for.
     pub(crate) fn finish_if_idle(&mut self, delivery: &Delivery) {
         if self.is_idle(delivery) {
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,8 +6,8 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, POLL_ADD, POLL_MODIFY, POLL_WAIT, READ_PIPE,
-    RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
+    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, POLL_ADD, POLL_MODIFY, POLL_WAIT,
+    READ_PIPE, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
 };
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
@@ -106,6 +106,35 @@
     }
 }
 
+/// Issue 50, `lost`: clients in the accept queue were reset, because accepting failed when the shutdown closed the
+/// listener.
+#[test]
+fn clients_in_the_accept_queue_are_served_though_accepting_fails_when_the_listener_closes() {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    process.signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(250));
+    faults.fail_next(ACCEPT, u64::MAX, ANY_SOCKET);
+    let mut clients: Vec<Client> = (0..4).map(|_| process.client()).collect();
+    let ids: Vec<String> = clients.iter().map(|_| new_id()).collect();
+    for (client, id) in clients.iter_mut().zip(&ids) {
+        let request = put(id, &format!("c=payment,d=8000,k=k{id},dest=7"), "x");
+        client.writer.write_all(&request).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(450));
+    faults.stop_failing(ACCEPT);
+    for client in &mut clients {
+        client
+            .writer
+            .set_read_timeout(Some(Duration::from_secs(2)))
+            .unwrap();
+        let mut line = String::new();
+        client.reader.read_line(&mut line).unwrap_or(0);
+        assert_eq!(line.trim_end(), "+OK");
+    }
+    wait_for("the messages", || ids.iter().all(|id| e.received(id) == 1));
+}
+
 /// Issue 50, `lost`: a failed call of the event loop ended the process with all its clients' requests.
 #[test]
 fn the_process_goes_on_though_calls_of_the_event_loop_fail_for_a_moment() {
