Repeat a reload whose file cannot be read for a moment

Cause: a reload that could not open the file (EMFILE, EIO) was dropped like one with an invalid file, and no signal follows. Evidence: transient_failures, a_reload_is_repeated_..., on the code before: the file was tried once only ('timed out waiting for the failed reads'). Change: an error of reading that may pass is told from an invalid file, and the reload is repeated every 50 ms. Measured: the test passes, with the notification at the new address 4 s after the signal; discovery_watch passes.

--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -12,7 +12,7 @@
 use crate::start::StartConfig;
 use crate::startup::{self, Components};
 use crate::status::log_status;
-use crate::timer::{SHARED_STATE_CHECK_INTERVAL, STATUS_INTERVAL, Timer};
+use crate::timer::{RELOAD_RETRY_INTERVAL, SHARED_STATE_CHECK_INTERVAL, STATUS_INTERVAL, Timer};
 use bellsill_core::interface::Outcome;
 use std::io;
 use std::time::Duration;
@@ -153,6 +153,7 @@
             Timer::LookupRetry => delivery.retry_lookups(),
             Timer::NotificationRetry => delivery.runtime.end_notification_backoff(),
             Timer::JournalRetry => delivery.runtime.retry_journal(),
+            Timer::Reload => self.reload(),
             Timer::AcceptClients => self.accept_clients(),
             Timer::ShutdownPhase => self.shutdown.advance(delivery, &mut self.clients),
             Timer::SaveScope => {
@@ -211,6 +212,7 @@
     fn reload(&mut self) {
         match self.configuration.reload() {
             ReloadOutcome::NoFile => {}
+            ReloadOutcome::Unreadable => self.set_timer(Timer::Reload, RELOAD_RETRY_INTERVAL),
             ReloadOutcome::Rejected => self.delivery.runtime.metrics.reload_errors += 1,
             ReloadOutcome::Applied { discovery } => {
                 self.delivery.runtime.metrics.reloads += 1;
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -1,6 +1,7 @@
 //! Reloads the configuration file.
 
-use crate::start::{self, Source};
+use crate::connection::is_transient;
+use crate::start::{self, ConfigError, Source};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -21,6 +22,8 @@
     /// The file is invalid. The previous configuration stays in effect, so that a half-written file does not stop a
     /// running dispatcher.
     Rejected,
+    /// The file cannot be read at present; the reload has to be repeated.
+    Unreadable,
     /// The new configuration is applied.
     Applied {
         /// The address of discovery.
@@ -47,6 +50,10 @@
         };
         let new = match start::read(&file, state) {
             Ok(new) => new,
+            Err(e) if is_transient_read(&e) => {
+                log::warn!("configuration reload failed for the moment, will retry: {e}");
+                return ReloadOutcome::Unreadable;
+            }
             Err(e) => {
                 log::error!("configuration reload failed, keeping the previous configuration: {e}");
                 return ReloadOutcome::Rejected;
@@ -65,3 +72,8 @@
         }
     }
 }
+
+/// Whether reading the file failed with an error that may pass.
+fn is_transient_read(error: &ConfigError) -> bool {
+    matches!(error, ConfigError::Unreadable { source, .. } if is_transient(source))
+}
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -6,6 +6,8 @@
 
 /// Interval of the checks for files that another process sharing the state directory has left or changed there.
 pub(crate) const SHARED_STATE_CHECK_INTERVAL: Nanos = 100_000_000;
+/// Delay before a reload is repeated whose file could not be read.
+pub(crate) const RELOAD_RETRY_INTERVAL: Nanos = 50_000_000;
 /// Interval of the status lines in the log.
 pub(crate) const STATUS_INTERVAL: Nanos = 10_000_000_000;
 
@@ -22,6 +24,8 @@
     WatchReconnect,
     /// Failed notifications are due to be sent again.
     NotificationRetry,
+    /// A reload whose file could not be read is due to be repeated.
+    Reload,
     /// The pause in accepting clients is over.
     AcceptClients,
     /// A client's connection may have unhandled input.
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,9 +6,10 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, POLL_ADD, POLL_MODIFY, POLL_WAIT,
-    READ_PIPE, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
+    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, OPEN_ELSEWHERE, POLL_ADD, POLL_MODIFY,
+    POLL_WAIT, READ_PIPE, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
 };
+use bellsill_test_support::platform::Platform;
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
 use rustix::process::Signal;
@@ -159,6 +160,32 @@
     }
 }
 
+/// Issue 50, `lost`: after a reload that could not read the file for a moment, notifications went on to an address that
+/// no longer exists.
+#[test]
+fn a_reload_is_repeated_though_the_file_cannot_be_read_for_a_moment() {
+    let e = Endpoint::start(Behavior::Responds("500 Oops"));
+    let (mut process, faults) = start(&e);
+    let next = Platform::start();
+    process.config["discovery"] = next.addr.clone().into();
+    // Building the command writes the configuration file.
+    drop(process.command("serve"));
+    faults.fail_next(OPEN_ELSEWHERE, 3, ANY_SOCKET);
+    process.signal(Signal::HUP);
+    let signalled_at = Instant::now();
+    wait_for("the failed reads", || faults.have_failed(OPEN_ELSEWHERE));
+    // A new configuration is in force 4 s after the signal.
+    std::thread::sleep(Duration::from_secs(4).saturating_sub(signalled_at.elapsed()));
+    let id = process.client().message("payment", 7, 8_000, "fails");
+    wait_for("a notification", || {
+        next.notification(&id).is_some() || process.platform.notification(&id).is_some()
+    });
+    assert!(
+        next.notification(&id).is_some(),
+        "the notification went to the old address"
+    );
+}
+
 /// Issue 50, `lost`: a reply was reset together with the connection, because shutting down one side failed.
 #[test]
 fn a_client_reads_its_reply_though_shutting_down_the_connection_fails_for_a_moment() {
