Repeat every step of a start that fails for a moment

Callers saw: nothing of messages accepted before a restart, because the next process ended at once with status 1 or 2. Evidence: transient_failures, a_start_outlasts_..., on the code before: 'socketpair: the process has exited', status 1.

--- a/crates/daemon/src/command_line.rs
+++ b/crates/daemon/src/command_line.rs
@@ -3,7 +3,8 @@
 use crate::event_loop::Daemon;
 use crate::logger;
 use crate::signals::Signals;
-use crate::start;
+use crate::start::{self, ConfigError};
+use crate::start_retry;
 use bellsill_control_plane as control_plane;
 use lexopt::Arg::{Long, Short, Value};
 use lexopt::ValueExt;
@@ -12,6 +13,7 @@
 use std::fmt::Display;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
 
 /// The exit status of a process that could not start or stopped because of an error.
 const FAILURE: u8 = 1;
@@ -156,8 +158,12 @@
     logger::start(arguments.log_level);
     // Signal handlers are installed before anything is read, so that an early signal does not kill the process but is
     // handled once the dispatcher runs.
-    let signals = Signals::install()
-        .map_err(|e| CommandError::failure(format!("cannot install the signal handlers: {e}")))?;
+    let signals = start_retry::retry_transient(
+        &AtomicBool::new(false),
+        "install the signal handlers",
+        Signals::install,
+    )
+    .map_err(|e| CommandError::failure(format!("cannot install the signal handlers: {e}")))?;
     let config = arguments
         .config
         .or_else(|| environment_path("RELAY_CONFIG"))
@@ -168,8 +174,13 @@
     let installation = arguments
         .installation
         .or_else(|| environment_path("BELLSILL_INSTALLATION"));
-    let start = start::read_with_installation(&config, state, installation.as_deref())
-        .map_err(CommandError::usage_error)?;
+    let start = start_retry::retry_while(
+        &signals.shutdown,
+        "read the configuration",
+        ConfigError::may_pass,
+        || start::read_with_installation(&config, state.clone(), installation.as_deref()),
+    )
+    .map_err(CommandError::usage_error)?;
     if arguments.command == Command::Check {
         println!(
             "{}: valid configuration of dispatcher {}, listen address {}",
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -1,7 +1,6 @@
 //! Reloads the configuration file.
 
-use crate::connection::is_transient;
-use crate::start::{self, ConfigError, Source};
+use crate::start::{self, Source};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -50,7 +49,7 @@
         };
         let new = match start::read(&file, state) {
             Ok(new) => new,
-            Err(e) if is_transient_read(&e) => {
+            Err(e) if e.may_pass() => {
                 log::warn!("configuration reload failed for the moment, will retry: {e}");
                 return ReloadOutcome::Unreadable;
             }
@@ -72,8 +71,3 @@
         }
     }
 }
-
-/// Whether reading the file failed with an error that may pass.
-fn is_transient_read(error: &ConfigError) -> bool {
-    matches!(error, ConfigError::Unreadable { source, .. } if is_transient(source))
-}
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -2,6 +2,7 @@
 //! installation file.
 
 use crate::installation::{Installation, InstallationError};
+use crate::start_retry;
 use bellsill_settings::{FieldReader, InvalidField, PlatformSettings};
 use serde_json::Value;
 use std::ffi::OsStr;
@@ -98,6 +99,19 @@
     Installation(#[from] InstallationError),
 }
 
+impl ConfigError {
+    /// Whether reading the file failed with an error that may pass.
+    pub(crate) fn may_pass(&self) -> bool {
+        match self {
+            ConfigError::Unreadable { source, .. }
+            | ConfigError::Installation(InstallationError::Unreadable { source, .. }) => {
+                start_retry::is_transient(source)
+            }
+            _ => false,
+        }
+    }
+}
+
 impl From<InvalidField> for ConfigError {
     fn from(invalid: InvalidField) -> Self {
         ConfigError::Field(invalid)
--- a/crates/daemon/src/start_retry.rs
+++ b/crates/daemon/src/start_retry.rs
@@ -1,6 +1,7 @@
 //! Retries startup steps that fail temporarily, such as reading the state directory or opening a listener, before
 //! clients are served.
 
+use std::fmt::Display;
 use std::io::{self, ErrorKind};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
@@ -26,7 +27,7 @@
 ];
 
 /// Whether a retry may succeed: the disk is full or failing, or a system resource is exhausted.
-fn is_transient(e: &io::Error) -> bool {
+pub(crate) fn is_transient(e: &io::Error) -> bool {
     let is_system_error = e.raw_os_error().is_some() || e.kind() == ErrorKind::StorageFull;
     is_system_error && !PERMANENT_ERRORS.contains(&e.kind())
 }
@@ -36,14 +37,24 @@
 pub fn retry_transient<T>(
     shutdown_requested: &AtomicBool,
     operation: &str,
-    mut attempt: impl FnMut() -> io::Result<T>,
+    attempt: impl FnMut() -> io::Result<T>,
 ) -> io::Result<T> {
+    retry_while(shutdown_requested, operation, is_transient, attempt)
+}
+
+/// Like [`retry_transient`], for errors of any type, of which `may_pass` tells the transient ones.
+pub(crate) fn retry_while<T, E: Display>(
+    shutdown_requested: &AtomicBool,
+    operation: &str,
+    may_pass: impl Fn(&E) -> bool,
+    mut attempt: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
     let deadline = Instant::now() + RETRY_FOR;
     let mut has_logged = false;
     loop {
         match attempt() {
             Err(e)
-                if is_transient(&e)
+                if may_pass(&e)
                     && Instant::now() < deadline
                     && !shutdown_requested.load(Ordering::SeqCst) =>
             {
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -57,7 +57,7 @@
     let disabled_file = DisabledFile::new(&config.state);
     let mut runtime = Runtime::new(
         now,
-        listen(&config, &flags, wake)?,
+        listen(&config, &flags, &wake)?,
         stored.journal,
         Notifications::new(config.discovery),
         AttemptSettings {
@@ -196,20 +196,19 @@
 fn listen(
     config: &StartConfig,
     flags: &SignalFlags,
-    wake: UnixStream,
+    wake: &UnixStream,
 ) -> io::Result<ConnectionTable> {
     let operation = format!("listen for clients on {}", config.listen);
-    let listener = start_retry::retry_transient(flags.shutdown(), &operation, || {
-        shared_listener(config.listen)
-    })
-    .map_err(|e| add_operation(&operation, &e))?;
     let client_bytes = config.memory_bytes as usize / 2;
     let limits = ConnectionLimits::new(
         config.sockets,
         config.platform.settings.max_in_flight + RESERVED_DISCOVERY_SOCKETS,
         client_bytes / CLIENT_BUFFER_BYTES,
     );
-    ConnectionTable::new(listener, wake, limits)
+    start_retry::retry_transient(flags.shutdown(), &operation, || {
+        ConnectionTable::new(shared_listener(config.listen)?, wake.try_clone()?, limits)
+    })
+    .map_err(|e| add_operation(&operation, &e))
 }
 
 /// Opens a listener with `SO_REUSEPORT`, so that a new version of the dispatcher can listen on the same address while
@@ -231,14 +230,13 @@
 /// another process that shares the state directory.
 fn listen_admin(runtime: &mut Runtime, addr: SocketAddr, flags: &SignalFlags) -> io::Result<()> {
     let operation = format!("listen for admin requests on {addr}");
-    let bound =
-        start_retry::retry_transient(flags.shutdown(), &operation, || TcpListener::bind(addr));
-    bound
-        .and_then(|listener| runtime.connections.listen_admin(listener))
-        .map_err(|e| {
-            let reason = format!("mgmt: {addr}: cannot listen for admin requests: {e}");
-            io::Error::new(e.kind(), reason)
-        })?;
+    start_retry::retry_transient(flags.shutdown(), &operation, || {
+        runtime.connections.listen_admin(TcpListener::bind(addr)?)
+    })
+    .map_err(|e| {
+        let reason = format!("mgmt: {addr}: cannot listen for admin requests: {e}");
+        io::Error::new(e.kind(), reason)
+    })?;
     log::info!("listening for admin requests on {addr}");
     runtime.timers.set(
         Timer::DisabledEndpoints,
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,8 +6,9 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, OPEN_ELSEWHERE, POLL_ADD, POLL_MODIFY,
-    POLL_WAIT, READ_PIPE, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, TransientCall,
+    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, OPEN_ELSEWHERE, POLL_ADD, POLL_CREATE,
+    POLL_MODIFY, POLL_WAIT, READ_PIPE, RECEIVE, SEND, SET_NONBLOCKING, SHUT_DOWN, SOCKET_PAIR,
+    STATUS, TransientCall,
 };
 use bellsill_test_support::platform::Platform;
 use bellsill_test_support::program;
@@ -230,6 +231,44 @@
     }
 }
 
+/// Issue 50, `lost`: a start ended on calls that fail for a moment, and left the messages of the last process without
+/// their end.
+#[test]
+fn a_start_outlasts_calls_that_fail_for_a_moment() {
+    const FULL: Behavior = Behavior::Responds("429 Full\r\nRetry-After: 1");
+    let e = Endpoint::start(FULL);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.config["mgmt"] = process.admin_addr(0).into();
+    let faults = Faults::new(&process.dir, 1);
+    process.start_with_faults(&faults);
+    for (call, name) in [
+        (SOCKET_PAIR, "socketpair"),
+        (OPEN_ELSEWHERE, "open"),
+        (POLL_CREATE, "epoll_create1"),
+        (POLL_ADD, "epoll_ctl"),
+        (SET_NONBLOCKING, "ioctl"),
+        (STATUS, "statx"),
+    ] {
+        e.set_behavior(FULL);
+        let pending = process.client().message("payment", 7, 20_000, "pending");
+        wait_for("the rejection", || process.attempt_never_ran(&pending));
+        process.kill();
+        e.set_behavior(OK);
+        faults.fail_next(call, 2, ANY_SOCKET);
+        process.spawn_with_faults(&faults);
+        wait_for("the message", || {
+            let status = process.child.as_mut().unwrap().try_wait().unwrap();
+            assert_eq!(status, None, "{name}: the process has exited");
+            e.received(&pending) == 2
+        });
+        assert!(
+            faults.have_failed(call),
+            "{name}: the fault was not injected"
+        );
+        assert_eq!(process.platform.notification(&pending), None);
+    }
+}
+
 /// Issue 50, `lost`: an end that comes too late, because attempts cannot be recorded while the disk fails.
 #[test]
 fn a_message_ends_in_time_though_the_journal_cannot_be_written() {
