One module decides what may be sent, closed or ended now, and counts violations

Change: action_rules decides from typed facts whether bytes of a request or a notification may be sent, a client closed, the process ended. Callers ask before they act; the functions that act ask again and count and log what the rule forbids (show-diagnostics: violations.*). A soak run fails on such a line.

--- a/crates/daemon/src/admin/diagnostics.rs
+++ b/crates/daemon/src/admin/diagnostics.rs
@@ -1,5 +1,6 @@
 //! The reply to `show-diagnostics`: why connections were closed, messages not accepted and calls repeated.
 
+use crate::action_rules::RestrictedAction;
 use crate::client::CloseReason;
 use crate::connection::SocketCall;
 use crate::delivery::{Rejection, Runtime};
@@ -33,6 +34,12 @@
             runtime.connections.failed_calls().count(call),
         );
     }
+    for action in RestrictedAction::ALL {
+        add(
+            format!("violations.{}", action.name()),
+            metrics.violations.count(action),
+        );
+    }
     add("failed_calls.journal".into(), runtime.journal_failures());
     add("attempts_not_started".into(), metrics.attempts_not_started);
     add(
--- a/crates/daemon/src/client/accept.rs
+++ b/crates/daemon/src/client/accept.rs
@@ -1,7 +1,7 @@
 //! Accepts client connections and evicts existing ones at the connection limit.
 
 use super::close_reason::CloseReason;
-use super::closing::{REQUEST_TIMEOUT, close};
+use super::closing::{REQUEST_TIMEOUT, close, may_close};
 use super::resp::MAX_COMMAND_BYTES;
 use super::session::{Input, read};
 use crate::connection::ConnectionId;
@@ -119,11 +119,10 @@
         // A lingering client has had enough time to read its last reply.
         let lingering = runtime.connections.get(id).is_some_and(|c| c.lingering);
         let input = read(runtime, id);
-        if !lingering && runtime.connections.has_call_to_repeat(id) {
-            return Err(AtLimit);
-        }
         if !lingering && matches!(input, Ok(Input::Received)) {
             runtime.timers.set(Timer::ReadClient(id), now);
+        } else if may_close(runtime, id, CloseReason::Evicted).is_err() {
+            return Err(AtLimit);
         } else {
             close(runtime, id, CloseReason::Evicted);
         }
--- a/crates/daemon/src/client/closing.rs
+++ b/crates/daemon/src/client/closing.rs
@@ -2,6 +2,8 @@
 
 use super::close_reason::CloseReason;
 use super::policy::ClientPolicy;
+use super::resp;
+use crate::action_rules::{ClientFacts, Prohibition, RestrictedAction, may_close_client};
 use crate::connection::{Connection, ConnectionId};
 use crate::delivery::Runtime;
 use crate::timer::Timer;
@@ -15,8 +17,47 @@
 /// How long a client may take to close its side after its last reply.
 pub(super) const LINGER_TIMEOUT: Nanos = 2_000_000_000;
 
+/// The facts that decide whether a client's connection may be closed for this reason.
+fn facts(runtime: &mut Runtime, id: ConnectionId, reason: CloseReason) -> Option<ClientFacts> {
+    let is_unread = runtime.connections.has_call_to_repeat(id);
+    let conn = runtime.connections.get_mut(id)?;
+    let has_complete_command =
+        !matches!(resp::parse_command(conn.input.make_contiguous()), Ok(None));
+    Some(ClientFacts {
+        client_gone: conn.peer_closed
+            || matches!(reason, CloseReason::PeerClosed | CloseReason::CallFailed),
+        session_ended: conn.lingering
+            || (conn.close_after_output && conn.output.is_empty())
+            || reason == CloseReason::LingerTimeout,
+        is_unread,
+        has_complete_command,
+        has_unsent_reply: !conn.output.is_empty(),
+        overdue: reason == CloseReason::Overdue,
+    })
+}
+
+/// Whether a client's connection may be closed now for this reason.
+pub(super) fn may_close(
+    runtime: &mut Runtime,
+    id: ConnectionId,
+    reason: CloseReason,
+) -> Result<(), Prohibition> {
+    facts(runtime, id, reason).map_or(Ok(()), may_close_client)
+}
+
+/// Counts and logs a violation if a client's connection may not be closed, or its sending side shut down, now.
+fn check_close(runtime: &mut Runtime, id: ConnectionId, reason: CloseReason) {
+    let permission = may_close(runtime, id, reason);
+    runtime.metrics.violations.check(
+        RestrictedAction::CloseClient,
+        permission,
+        format_args!("connection {id}: {}", reason.name()),
+    );
+}
+
 /// Closes a client's connection at once.
 pub(super) fn close(runtime: &mut Runtime, id: ConnectionId, reason: CloseReason) {
+    check_close(runtime, id, reason);
     if let Some(conn) = runtime.connections.get(id) {
         log::debug!(
             "connection {id} (Client): closed: {}; {} bytes of input unhandled, {} bytes of replies unsent",
@@ -57,6 +98,7 @@
     id: ConnectionId,
     reason: CloseReason,
 ) -> io::Result<()> {
+    check_close(runtime, id, reason);
     log::debug!(
         "connection {id} (Client): shutting down the sending side: {}",
         reason.name()
@@ -72,10 +114,9 @@
 /// Closes a client that is between requests, if the policy demands it.
 pub(crate) fn close_if_idle(runtime: &mut Runtime, id: ConnectionId, policy: ClientPolicy) {
     let idle = |c: &Connection| c.is_idle() && !c.lingering;
-    // Without having been read, a connection is not known to be between requests.
     if policy.close_idle
-        && !runtime.connections.has_call_to_repeat(id)
         && runtime.connections.get(id).is_some_and(idle)
+        && may_close(runtime, id, CloseReason::Draining).is_ok()
     {
         close_gracefully(runtime, id, CloseReason::Draining);
     }
--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -1,9 +1,10 @@
 //! Events of a client's connection: input and timeouts.
 
 use super::close_reason::CloseReason;
-use super::closing::{close, close_gracefully, close_if_idle};
+use super::closing::{close, close_gracefully, close_if_idle, may_close};
 use super::commands::execute_commands;
 use super::policy::ClientPolicy;
+use crate::action_rules::Prohibition;
 use crate::connection::ConnectionId;
 use crate::delivery::{Delivery, Runtime};
 use crate::timer::Timer;
@@ -98,7 +99,9 @@
     }
     // A request whose first bytes are read here gets a timeout of its own.
     let input = read(runtime, id);
-    if runtime.connections.has_call_to_repeat(id) {
+    if input.is_ok()
+        && may_close(runtime, id, CloseReason::Overdue) == Err(Prohibition::InputUnread)
+    {
         // A request may have arrived; it is read once the call succeeds.
         let at = runtime.now + UNREADABLE_RETRY_INTERVAL;
         return runtime.timers.set(Timer::Connection(id), at);
--- a/crates/daemon/src/delivery/attempts.rs
+++ b/crates/daemon/src/delivery/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::message::{DeliveryState, MAX_BODY_BYTES};
 use super::runtime::Runtime;
+use crate::action_rules::{RequestFacts, RestrictedAction, may_send_request};
 use crate::connection::{BufferBounds, ConnectionId, Role, is_transient};
 use crate::endpoint::{
     ConnectionReuse, Evaluation, RESPONSE_TIMEOUT, ResponseReader, UnassignedState,
@@ -68,8 +69,20 @@
         }
     }
 
-    /// Records an attempt in the journal, then sends its request on an established connection.
+    /// The facts that decide whether the request of a message's attempt may be sent. `allowed` is the answer of the
+    /// decision logic.
+    pub(super) fn request_facts(&self, slot: MessageSlot, allowed: bool) -> RequestFacts {
+        RequestFacts {
+            message_ended: self.messages.get(slot).is_none_or(|m| m.state.is_final()),
+            before_deadline: self.before_deadline(slot),
+            allowed,
+        }
+    }
+
+    /// Records an attempt in the journal, then sends its request on an established connection. The decision logic has
+    /// allowed the attempt for this moment.
     pub(super) fn write_request(&mut self, slot: MessageSlot, conn: ConnectionId) {
+        let permission = may_send_request(self.request_facts(slot, true));
         let (now, Some(message)) = (self.now, self.messages.get_mut(slot)) else {
             return;
         };
@@ -95,6 +108,11 @@
             return;
         }
         attempt.request_started = true;
+        self.metrics.violations.check(
+            RestrictedAction::SendRequest,
+            permission,
+            format_args!("message {:016x}", message.id.0),
+        );
         log::debug!(
             "message {:016x}: attempt {} to {}: request started {} ms after the decision",
             message.id.0,
--- a/crates/daemon/src/delivery/endpoint_events.rs
+++ b/crates/daemon/src/delivery/endpoint_events.rs
@@ -2,6 +2,7 @@
 
 use super::attempts::AttemptProgress;
 use super::coordinator::Delivery;
+use crate::action_rules::may_send_request;
 use crate::connection::{ConnectionId, is_transient};
 use crate::message_slot::MessageSlot;
 use crate::timer::Timer;
@@ -66,7 +67,8 @@
             self.dispatcher
                 .may_start_attempt(runtime.now, message, endpoint)
         });
-        if allowed && runtime.before_deadline(slot) {
+        let permission = may_send_request(runtime.request_facts(slot, allowed));
+        if permission.is_ok() {
             runtime.write_request(slot, id);
         } else {
             runtime.attempts.remove(&id);
@@ -76,7 +78,7 @@
         }
     }
 
-    /// Whether a request is partially sent and its attempt would not be allowed to start now.
+    /// Whether a request is partially sent and may not be sent any further.
     fn must_abort_partial_request(&self, slot: MessageSlot) -> bool {
         let Some((id, attempt)) = self
             .runtime
@@ -90,9 +92,9 @@
             .connection
             .and_then(|c| self.runtime.connections.get(c))
             .is_some_and(|c| !c.output.is_empty());
-        partial
-            && !self
-                .dispatcher
-                .may_start_attempt(self.runtime.now, id, attempt.endpoint)
+        let allowed = self
+            .dispatcher
+            .may_start_attempt(self.runtime.now, id, attempt.endpoint);
+        partial && may_send_request(self.runtime.request_facts(slot, allowed)).is_err()
     }
 }
--- a/crates/daemon/src/delivery/runtime.rs
+++ b/crates/daemon/src/delivery/runtime.rs
@@ -3,6 +3,7 @@
 
 use super::message::DeliveryState;
 use super::pending::PendingMessages;
+use crate::action_rules::{NotificationFacts, RestrictedAction, may_send_notification};
 use crate::connection::{ConnectionId, ConnectionTable};
 use crate::endpoint::{EndpointRegistry, NoIdleConnection, ResponseReader};
 use crate::io::Io;
@@ -124,8 +125,32 @@
 
     /// Sends pending notifications, unless a request is in flight or backing off.
     pub(crate) fn send_notifications(&mut self) {
+        let was_in_flight = !self.notifications.in_flight().is_empty();
         let (notifications, mut io) = self.notifications_and_io();
         notifications.send(&mut io);
+        if !was_in_flight {
+            self.check_sent_notifications();
+        }
+    }
+
+    /// Counts and logs the notifications of the request just sent that may not be sent.
+    fn check_sent_notifications(&mut self) {
+        for &id in self.notifications.in_flight() {
+            let pending = self
+                .messages
+                .slot_of(id)
+                .and_then(|slot| self.messages.get(slot))
+                .is_some_and(|message| !message.state.is_final());
+            let facts = NotificationFacts {
+                message_ended: !pending,
+                ..self.notifications.facts(id, self.now)
+            };
+            self.metrics.violations.check(
+                RestrictedAction::SendNotification,
+                may_send_notification(facts),
+                format_args!("message {:016x}", id.0),
+            );
+        }
     }
 
     /// Handles the timeout of a notification request or of the idle notification connection.
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -54,6 +54,7 @@
         while self.shutdown.phase() != ShutdownPhase::Finished {
             self.run_once()?;
         }
+        self.shutdown.check_end(&mut self.delivery);
         self.save_scope();
         log::info!(
             "shutdown complete, {} pending messages left in the journal for the next process",
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,12 +11,14 @@
 //! | `delivery` | the decision logic, pending messages, attempts in flight, admission, recovery |
 //! | [`endpoint`], `notification`, [`discovery`] | communication with endpoints, with the platform and with discovery |
 //! | [`journal`], [`scope`] | persistent state |
+//! | `action_rules` | what may be sent, closed or ended now, and the count of violations |
 //! | `connection`, `timer` | sockets, the poller, and scheduled timers |
 #![deny(unsafe_code)]
 
 pub use bellsill_discovery_client::backoff;
 pub use bellsill_net::{http, ring_buffer, slot_table, timer_queue};
 
+pub mod action_rules;
 pub mod admin;
 pub mod client;
 pub mod clock;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The counters of the process, incremented where the events occur.
 
+use crate::action_rules::Violations;
 use crate::client::CloseReason;
 use crate::delivery::Rejection;
 
@@ -39,6 +40,8 @@
     pub attempts_not_started: u64,
     /// Notifications that the platform has acknowledged.
     pub notifications_acknowledged: u64,
+    /// Actions that were carried out although their rule forbade them.
+    pub violations: Violations,
     client_closes: [u64; CloseReason::ALL.len()],
     refusals: [u64; Rejection::ALL.len()],
 }
--- a/crates/daemon/src/notification/sender.rs
+++ b/crates/daemon/src/notification/sender.rs
@@ -1,6 +1,7 @@
 //! Sends notifications, one request at a time, with an exponential backoff after a failure.
 
 use super::queue::{MIN_BACKOFF, Notifications};
+use crate::action_rules::{NotificationFacts, may_send_notification};
 use crate::connection::{BufferBounds, ConnectionId, Role};
 use crate::http::{self, Body, MalformedResponse};
 use crate::io::Io;
@@ -34,8 +35,8 @@
         if self.pending.is_empty() || !self.in_flight.is_empty() || self.backing_off {
             return;
         }
-        let unrecorded = &self.unrecorded_until;
-        let is_sendable = |id: &MessageId| unrecorded.get(id).is_none_or(|&until| io.now >= until);
+        let facts = |id: &MessageId| self.facts(*id, io.now);
+        let is_sendable = |id: &MessageId| may_send_notification(facts(id)).is_ok();
         let batch = self.pending.keys().copied().filter(is_sendable);
         self.in_flight = batch.take(MAX_BATCH).collect();
         if self.in_flight.is_empty() {
@@ -67,6 +68,21 @@
         }
     }
 
+    /// The messages of the request in flight.
+    pub(crate) fn in_flight(&self) -> &[MessageId] {
+        &self.in_flight
+    }
+
+    /// The facts that decide whether a pending notification may be sent. Only ended messages have one.
+    pub(crate) fn facts(&self, id: MessageId, now: Nanos) -> NotificationFacts {
+        let unrecorded_until = self.unrecorded_until.get(&id);
+        NotificationFacts {
+            message_ended: true,
+            is_recorded: unrecorded_until.is_none(),
+            lifetime_over: unrecorded_until.is_some_and(|&deadline| now >= deadline),
+        }
+    }
+
     /// Closes the connection and, if a request was in flight, starts the backoff. The notifications of that request
     /// stay pending: the platform accepts duplicates.
     pub(crate) fn close_and_back_off(&mut self, io: &mut Io) {
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown and draining: which clients are still accepted and served, and what the process waits for.
 
+use crate::action_rules::{ProcessFacts, RestrictedAction, may_end_process};
 use crate::client::{self, AcceptStatus, ClientPolicy, Clients};
 use crate::delivery::Delivery;
 use crate::timer::Timer;
@@ -40,6 +41,7 @@
     phase: ShutdownPhase,
     requested_at: Nanos,
     draining: bool,
+    time_limit_reached: bool,
 }
 
 impl Shutdown {
@@ -49,6 +51,7 @@
             phase: ShutdownPhase::Running,
             requested_at: 0,
             draining: false,
+            time_limit_reached: false,
         }
     }
 
@@ -94,6 +97,7 @@
             ShutdownPhase::ServingClients => (ShutdownPhase::ClosingClients, CLOSE_CLIENTS_UNTIL),
             ShutdownPhase::ClosingClients => (ShutdownPhase::FinishingAttempts, FINISH_BY),
             _ => {
+                self.time_limit_reached = true;
                 self.phase = ShutdownPhase::Finished;
                 return;
             }
@@ -147,19 +151,34 @@
         if self.phase < ShutdownPhase::ClosingClients {
             return false;
         }
+        may_end_process(self.process_facts(delivery)).is_ok()
+    }
+
+    /// Counts and logs a violation if the process ends though it may not.
+    pub(crate) fn check_end(&self, delivery: &mut Delivery) {
+        let permission = may_end_process(self.process_facts(delivery));
+        delivery.runtime.metrics.violations.check(
+            RestrictedAction::EndProcess,
+            permission,
+            "shutdown",
+        );
+    }
+
+    /// The facts that decide whether the process may end. In [`ShutdownPhase::FinishingAttempts`] pending messages are left
+    /// to the next process.
+    fn process_facts(&self, delivery: &Delivery) -> ProcessFacts {
         let runtime = &delivery.runtime;
-        // A client that is still connected is in the middle of a request, has not read its reply, or has not closed
-        // its side.
-        let has_clients = runtime.connections.has_clients();
-        match self.phase {
-            ShutdownPhase::ClosingClients => {
-                !has_clients
-                    && runtime.messages().len() == 0
-                    && runtime.pending_notifications() == 0
-                    && !runtime.has_pending_writes()
-            }
-            ShutdownPhase::FinishingAttempts => !has_clients && !runtime.messages().any_in_flight(),
-            _ => false,
+        let may_start_attempts = self.phase < ShutdownPhase::FinishingAttempts;
+        ProcessFacts {
+            time_limit_reached: self.time_limit_reached,
+            // A client that is still connected is in the middle of a request, has not read its reply, or has not closed its
+            // side.
+            has_clients: runtime.connections.has_clients(),
+            has_attempts: runtime.messages().any_in_flight(),
+            has_pending_work: may_start_attempts
+                && (runtime.messages().len() > 0
+                    || runtime.pending_notifications() > 0
+                    || runtime.has_pending_writes()),
         }
     }
 
--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -152,6 +152,16 @@
         matching.map(|line| format!("  log: {line}")).collect()
     }
 
+    /// Returns the log lines in which the dispatcher reports that it violated one of its own rules.
+    fn reported_violations(&self) -> Vec<String> {
+        let log = std::fs::read(self.log_path()).unwrap_or_default();
+        String::from_utf8_lossy(&log)
+            .lines()
+            .filter(|line| line.contains("rule violated"))
+            .map(str::to_string)
+            .collect()
+    }
+
     /// The switches for faults of the endpoints, the platform and the clients.
     pub fn switches(&self) -> &FaultSwitches {
         &self.shared.faults
@@ -355,7 +365,8 @@
         self.run_for(Duration::from_millis(700));
         self.process.kill();
         std::thread::sleep(Duration::from_millis(100));
-        let verdict = self.shared.ledger().verdict();
+        let mut verdict = self.shared.ledger().verdict();
+        verdict.violations.extend(self.reported_violations());
         self.trace(&verdict.violations)
             .iter()
             .for_each(|line| println!("{line}"));
