Add a soak of a fleet: ten to forty dispatchers with overlapping faults, restarts and crowds

Cause: the soak played one dispatcher with two faults; failing calls were limited to socket, connect, accept4 and writes, and a connection closed without a reply between SIGTERM and the next start counted as allowed, though clients use open connections until the kill. Change: fleet_soak runs ten to forty processes that share their endpoints, each with two to four of fifteen faults (new: a few of all calls fail, the state directory fails), crashes and SIGTERM with signals in series, some with a crowd. The ledger counts an unanswered connection up to the kill, and new ones up to 0.4 s after SIGTERM; a process that exits by itself, a call of an unknown message and a line 'rule violated' count too.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -6,30 +6,15 @@
 //! and sockets, so a run is not fully reproducible.
 
 use bellsill_test_support::program;
-use bellsill_test_support::soak::{Fault, Scenario, SoakRun};
+use bellsill_test_support::soak::{Fault, Scenario, SoakRun, draw_signals};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use rustix::process::Signal;
 use std::sync::Mutex;
 use std::time::Duration;
 
 const CI_SEEDS: (u64, u64) = (1, 9);
 const DEFAULT_PARALLEL_RUNS: usize = 3;
 
-/// Draws the signals that follow the first SIGTERM of a planned restart, each with its delay after the previous one.
-fn draw_signals(random: &mut Pcg64) -> Vec<(Signal, Duration)> {
-    let count = random.random_range(0..4);
-    let mut draw = || {
-        let signal = if random.random_range(0..2) == 0 {
-            Signal::TERM
-        } else {
-            Signal::HUP
-        };
-        (signal, Duration::from_millis(random.random_range(0..900)))
-    };
-    (0..count).map(|_| draw()).collect()
-}
-
 fn draw_faults(random: &mut Pcg64) -> [Fault; 2] {
     let count = Fault::ALL.len();
     let first = random.random_range(0..count);
--- a/crates/test-support/src/faults.rs
+++ b/crates/test-support/src/faults.rs
@@ -57,6 +57,14 @@
         faults
     }
 
+    /// Returns another handle of the same page.
+    pub fn clone_handle(&self) -> Faults {
+        Faults {
+            path: self.path.clone(),
+            page: self.page.try_clone().unwrap(),
+        }
+    }
+
     /// Sets the word of the page at this index, one of [`words`].
     pub fn set(&self, word: usize, value: u64) {
         self.page
--- a/crates/test-support/src/ledger.rs
+++ b/crates/test-support/src/ledger.rs
@@ -12,6 +12,8 @@
 const READY_SLACK: Duration = Duration::from_millis(1_500);
 /// The maximum time from the start of a new process until it is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long after SIGTERM clients open new connections.
+const ACCEPT_TIME: Duration = Duration::from_millis(400);
 /// The time after a Retry-After response during which requests do not yet violate it.
 const RETRY_AFTER_SLACK: Duration = Duration::from_millis(250);
 /// The tolerance for events that are recorded late, because the recording threads share the machine with all others.
@@ -48,9 +50,42 @@
     reply: Reply,
     calls: Vec<Call>,
     notified_at: Vec<Instant>,
-    /// When the connection was closed without a reply although the complete request had been sent to a running
-    /// dispatcher.
-    closed_at: Option<Instant>,
+    /// The connection that was closed without a reply although the complete request had been sent to it.
+    unanswered: Option<UnansweredConnection>,
+}
+
+/// A new connection that was closed without a reply to the request on it.
+#[derive(Clone, Copy, Debug)]
+struct UnansweredConnection {
+    opened_at: Instant,
+    closed_at: Instant,
+}
+
+/// A restart of the dispatcher.
+#[derive(Clone, Copy, Debug)]
+struct Restart {
+    /// When the first signal was sent.
+    started_at: Instant,
+    /// When the process was killed; `None` while it still runs.
+    killed_at: Option<Instant>,
+    /// When the next process became ready; `None` until then.
+    ready_at: Option<Instant>,
+}
+
+impl Restart {
+    /// Whether a connection may be closed unanswered at this time, because no process serves it.
+    fn is_down_at(&self, at: Instant) -> bool {
+        self.killed_at.is_some_and(|killed| at >= killed) && !self.is_over_at(at)
+    }
+
+    /// Whether a connection opened at this time may be refused or reset, because the process no longer accepts any.
+    fn may_refuse_at(&self, at: Instant) -> bool {
+        at >= self.started_at + ACCEPT_TIME && !self.is_over_at(at)
+    }
+
+    fn is_over_at(&self, at: Instant) -> bool {
+        self.ready_at.is_some_and(|ready| at > ready)
+    }
 }
 
 /// A queue class, with how often its messages may take effect.
@@ -64,8 +99,7 @@
 #[derive(Default)]
 pub(crate) struct Ledger {
     messages: BTreeMap<String, Message>,
-    /// For each restart, when the first signal was sent and when the next process became ready; `None` until then.
-    restarts: Vec<(Instant, Option<Instant>)>,
+    restarts: Vec<Restart>,
     /// The Retry-After periods of each limiter: when the response was sent and when the period ends.
     retry_after_periods: BTreeMap<usize, Vec<(Instant, Instant)>>,
     /// The longest delay of a thread that only sleeps, added to the tolerances: the same stall of the machine delays
@@ -130,7 +164,7 @@
             reply: Reply::None,
             calls: vec![],
             notified_at: vec![],
-            closed_at: None,
+            unanswered: None,
         };
         self.messages.insert(id.to_string(), message);
     }
@@ -140,8 +174,11 @@
     }
 
     /// Records that a client's new connection was closed without a reply after the request was written.
-    pub(crate) fn closed_without_reply(&mut self, id: &str) {
-        self.messages.get_mut(id).unwrap().closed_at = Some(Instant::now());
+    pub(crate) fn closed_without_reply(&mut self, id: &str, opened_at: Instant) {
+        self.messages.get_mut(id).unwrap().unanswered = Some(UnansweredConnection {
+            opened_at,
+            closed_at: Instant::now(),
+        });
     }
 
     /// Records a call whose request arrived completely this long ago, and returns the call's index among those of the
@@ -149,7 +186,7 @@
     pub(crate) fn call_started(&mut self, id: &str, limiter: usize, ago: Duration) -> usize {
         let now = Instant::now() - ago;
         self.machine_stalled(ago);
-        let last_restart = self.restarts.last().map(|restart| restart.0);
+        let last_restart = self.restarts.last().map(|restart| restart.started_at);
         let is_in_force = |&&(received, until): &&(Instant, Instant)| {
             last_restart.is_none_or(|at| received > at)
                 && received + RETRY_AFTER_SLACK < now
@@ -215,7 +252,7 @@
             && !self
                 .restarts
                 .iter()
-                .any(|(_, ready)| ready.is_none_or(|r| r >= started_at))
+                .any(|restart| restart.ready_at.is_none_or(|ready| ready >= started_at))
         {
             self.violations.push(format!(
                 "a connection with a partial request stayed open for {} ms",
@@ -226,7 +263,23 @@
 
     /// Records the first signal that ends the process.
     pub(crate) fn restart_started(&mut self) {
-        self.restarts.push((Instant::now(), None));
+        self.restarts.push(Restart {
+            started_at: Instant::now(),
+            killed_at: None,
+            ready_at: None,
+        });
+    }
+
+    /// Records that the process is about to be killed.
+    pub(crate) fn process_killed(&mut self) {
+        if let Some(restart) = self.restarts.last_mut() {
+            restart.killed_at.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Records something else that the dispatcher must not do.
+    pub(crate) fn violated(&mut self, description: String) {
+        self.violations.push(description);
     }
 
     /// Records the start of the next process.
@@ -246,15 +299,15 @@
                 took.as_millis()
             ));
         }
-        self.restarts.last_mut().unwrap().1 = Some(Instant::now());
+        self.restarts.last_mut().unwrap().ready_at = Some(Instant::now());
     }
 
     /// Returns when a message with this deadline is overdue. No notification is overdue during a restart.
     fn overdue_at(&self, deadline: Instant) -> Instant {
         let mut at = deadline + END_SLACK + self.longest_stall;
-        for (from, ready) in &self.restarts {
-            let until = ready.map(|ready| ready + READY_SLACK);
-            if *from <= at && until.is_none_or(|until| at <= until) {
+        for restart in &self.restarts {
+            let until = restart.ready_at.map(|ready| ready + READY_SLACK);
+            if restart.started_at <= at && until.is_none_or(|until| at <= until) {
                 at = until.unwrap_or(at + Duration::from_secs(3600));
             }
         }
@@ -288,8 +341,9 @@
             verdict.refused += usize::from(message.reply == Reply::Refused);
             verdict.delivered += usize::from(message.delivered_at().is_some());
             verdict.notified += usize::from(!message.notified_at.is_empty());
-            if let Some(at) = message.closed_at
-                && !self.is_restarting(at)
+            if message
+                .unanswered
+                .is_some_and(|connection| self.owes_reply_on(connection))
             {
                 verdict.violations.push(format!(
                     "{id}: request read, but the connection was closed without a reply"
@@ -299,10 +353,12 @@
         verdict
     }
 
-    fn is_restarting(&self, at: Instant) -> bool {
-        self.restarts
-            .iter()
-            .any(|(from, ready)| at >= *from && ready.is_none_or(|ready| at <= ready))
+    /// Whether the dispatcher owed a reply on a connection that it closed. After SIGTERM it accepts connections and
+    /// serves open ones up to the kill.
+    fn owes_reply_on(&self, connection: UnansweredConnection) -> bool {
+        !self.restarts.iter().any(|restart| {
+            restart.is_down_at(connection.closed_at) || restart.may_refuse_at(connection.opened_at)
+        })
     }
 }
 
--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -1,10 +1,15 @@
 //! A soak run of a dispatcher process with clients, endpoints that respond at random, the platform, and injected
 //! faults. A [`Ledger`](crate::ledger) checks the guarantees.
 
+mod endpoints;
+mod fleet;
+mod members;
 mod scenario;
 mod sender;
 mod servers;
 
+pub use endpoints::SharedEndpoints;
+pub use fleet::{FleetVerdict, MemberVerdict, draw_signals, run_fleet};
 pub use scenario::{Fault, FaultSwitches, Scenario};
 
 use crate::dispatcher_process::{DispatcherProcess, Program};
@@ -16,14 +21,13 @@
 use rustix::process::Signal;
 use sender::Sender;
 use serde_json::json;
-use servers::{Shared, measure_machine_stalls, serve_calls, serve_platform};
+use servers::{Shared, measure_machine_stalls, serve_platform};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-const CLIENTS: u64 = 16;
 /// The time between the exit of a process and the next start.
 const DOWNTIME: Duration = Duration::from_millis(600);
 /// The shortest time from SIGTERM to SIGKILL in a planned restart.
@@ -44,6 +48,9 @@
     clients: Vec<JoinHandle<()>>,
     idle_connections: Vec<TcpStream>,
     enabled_faults: Vec<Fault>,
+    member: u32,
+    /// Whether the process was asked to end.
+    is_stopping: bool,
     /// The random choices of the test itself, seeded by the scenario.
     pub random: Pcg64,
 }
@@ -54,6 +61,15 @@
 impl SoakRun {
     /// Starts the dispatcher, the endpoints, the platform and the clients.
     pub fn start(program: Program, scenario: Scenario) -> SoakRun {
+        SoakRun::start_with(program, scenario, &SharedEndpoints::start())
+    }
+
+    /// Starts the dispatcher, its platform and its clients, with endpoints that it shares with other dispatchers.
+    pub fn start_with(
+        program: Program,
+        scenario: Scenario,
+        endpoints: &SharedEndpoints,
+    ) -> SoakRun {
         let shared = Arc::new(Shared {
             ledger: Mutex::default(),
             faults: FaultSwitches::default(),
@@ -62,20 +78,7 @@
             random: Mutex::new(Pcg64::seed_from_u64(scenario.seed ^ 1)),
         });
         let mut process = DispatcherProcess::new(program, &[]);
-        let start_endpoint = |limiter: usize| {
-            let shared = Arc::clone(&shared);
-            stand_in(move |stream| serve_calls(stream, limiter, &shared))
-        };
-        let endpoints = [
-            ("e0", 7, 0, "shops"),
-            ("e1", 7, 0, "shops"),
-            ("e2", 8, 1, "banks"),
-        ];
-        let servers = endpoints.map(|(id, cell, limiter, kind)| {
-            json!({"id": id, "addr": start_endpoint(limiter), "zone": "north", "kind": kind, "cell": cell,
-                "state": "up"})
-        });
-        process.config["known"]["servers"] = json!(servers);
+        process.config["known"]["servers"] = json!(endpoints.entries);
         let platform = Arc::clone(&shared);
         process.config["discovery"] =
             stand_in(move |stream| serve_platform(stream, &platform)).into();
@@ -90,10 +93,12 @@
             process,
             faults,
             scenario,
-            shared,
+            shared: Arc::clone(&shared),
             clients: vec![],
             idle_connections: vec![],
             enabled_faults: vec![],
+            member: endpoints.members.add(Arc::clone(&shared)),
+            is_stopping: false,
             random,
         };
         run.start_process();
@@ -105,13 +110,14 @@
         let shared = Arc::clone(&self.shared);
         self.clients
             .push(std::thread::spawn(move || measure_machine_stalls(&shared)));
-        for n in 0..CLIENTS {
+        for n in 0..self.scenario.clients {
             let sender = Sender {
                 listen: self.process.listen.clone(),
                 scenario: self.scenario.clone(),
                 shared: Arc::clone(&self.shared),
                 random: Pcg64::seed_from_u64(self.scenario.seed * 1_000 + n),
                 connection: None,
+                member: self.member,
             };
             self.clients.push(std::thread::spawn(move || sender.run()));
         }
@@ -187,6 +193,7 @@
     /// Restarts the process by SIGKILL, and calls `between` while it is down.
     pub fn kill_and_restart(&mut self, between: impl FnOnce(&SoakRun)) {
         self.shared.ledger().restart_started();
+        self.shared.ledger().process_killed();
         self.process.kill();
         self.restart_after_exit(between);
     }
@@ -195,6 +202,8 @@
     pub fn restart_after_exit(&mut self, between: impl FnOnce(&SoakRun)) {
         std::thread::sleep(DOWNTIME);
         between(self);
+        self.is_stopping = false;
+        self.restore_directory_soon();
         self.shared.ledger().process_started();
         self.start_process();
         self.shared.ledger().restart_ended();
@@ -211,6 +220,7 @@
     /// allowed.
     pub fn stop_and_restart(&mut self, signals: &[(Signal, Duration)]) {
         self.shared.ledger().restart_started();
+        self.is_stopping = true;
         self.process.signal(Signal::TERM);
         let started_at = Instant::now();
         for (signal, delay) in signals {
@@ -228,6 +238,7 @@
             }
         }
         self.run_under_faults(KILL_AFTER_TERM.saturating_sub(started_at.elapsed()));
+        self.shared.ledger().process_killed();
         self.process.kill();
         self.restart_after_exit(|_| {});
     }
@@ -246,10 +257,39 @@
             if remaining.is_zero() {
                 return;
             }
+            self.check_running();
             self.switch_intermittent_faults();
         }
     }
 
+    /// Records a violation if the process has exited without having been asked to.
+    fn check_running(&mut self) {
+        let status = self
+            .process
+            .child
+            .as_mut()
+            .map(|child| child.try_wait().unwrap());
+        if let Some(Some(status)) = status
+            && !self.is_stopping
+        {
+            let description = format!("the dispatcher exited by itself: {status}");
+            self.shared.ledger().violated(description);
+            self.is_stopping = true;
+        }
+    }
+
+    /// Ends the faults of the state directory a moment after the next process has started.
+    fn restore_directory_soon(&mut self) {
+        if self.is_enabled(Fault::FailingDirectory) {
+            let faults = self.faults.clone_handle();
+            let delay = self.random_duration_ms(0..800);
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                faults.restore_state_directory();
+            });
+        }
+    }
+
     fn switch_intermittent_faults(&mut self) {
         let is_running = self
             .process
@@ -271,6 +311,15 @@
                     self.faults.restore_state_directory();
                 }
                 Fault::ProcessPause if draw == 0 && is_running => self.pause_process(PAUSE_TIME),
+                Fault::TransientCalls => {
+                    let permille = [40, 15, 0, 0, 0, 0][draw as usize];
+                    self.faults.set(words::TRANSIENT_PERMILLE, permille);
+                }
+                Fault::FailingDirectory => match draw {
+                    0 => self.faults.fail_state_directory(EIO),
+                    1 => self.faults.fail_state_directory(ENOSPC),
+                    _ => self.faults.restore_state_directory(),
+                },
                 Fault::Hang => self.switches().hang.store(draw < 2, Ordering::SeqCst),
                 Fault::DiscoverySilent => {
                     self.switches()
@@ -321,6 +370,7 @@
         self.faults.restore_state_directory();
         self.faults.set(words::SOCKET_PERMILLE, 0);
         self.faults.set(words::SHORT_PERMILLE, 0);
+        self.faults.set(words::TRANSIENT_PERMILLE, 0);
     }
 
     /// Restarts the process by SIGKILL, in the middle of a write if that fault is enabled.
@@ -328,6 +378,7 @@
         if self.is_enabled(Fault::KillDuringWrite) {
             let nth = self.random.random_range(1..40);
             self.shared.ledger().restart_started();
+            self.shared.ledger().process_killed();
             self.faults.set(words::KILL_AT_WRITE, nth);
             return self.await_kill_and_restart();
         }
--- a/crates/test-support/src/soak/scenario.rs
+++ b/crates/test-support/src/soak/scenario.rs
@@ -18,6 +18,8 @@
     pub response_shares: [u32; 4],
     /// The mean time between two messages of a client.
     pub pause: Duration,
+    /// The number of clients that submit messages.
+    pub clients: u64,
     /// The number of connections that are opened and never used.
     pub idle_clients: usize,
 }
@@ -45,6 +47,7 @@
             window: IDEMPOTENCY_WINDOW,
             response_shares: [72, 8, 8, 12],
             pause: Duration::from_millis(100),
+            clients: 16,
             idle_clients: 0,
         }
     }
@@ -79,10 +82,33 @@
     ShortWindow,
     /// More connections are open than the dispatcher admits.
     ConnectionLimit,
+    /// For some time, a few of all system calls fail with an error that the system documents for them.
+    TransientCalls,
+    /// For some time, every call fails that opens, removes, renames or truncates a file of the state directory.
+    FailingDirectory,
 }
 
 impl Fault {
-    /// All faults, for runs that draw theirs at random.
+    /// All faults, for runs of a fleet.
+    pub const FLEET: [Fault; 15] = [
+        Fault::WallClockSteps,
+        Fault::FailingWrites,
+        Fault::KillDuringWrite,
+        Fault::SocketErrors,
+        Fault::DiscoverySilent,
+        Fault::Hang,
+        Fault::TruncatedResponses,
+        Fault::CloseIdle,
+        Fault::ProcessPause,
+        Fault::PartialRequests,
+        Fault::ShortLifetimes,
+        Fault::ShortWindow,
+        Fault::ConnectionLimit,
+        Fault::TransientCalls,
+        Fault::FailingDirectory,
+    ];
+
+    /// The faults of runs of one dispatcher, which draw two of them by their seed.
     pub const ALL: [Fault; 13] = [
         Fault::WallClockSteps,
         Fault::FailingWrites,
--- a/crates/test-support/src/soak/sender.rs
+++ b/crates/test-support/src/soak/sender.rs
@@ -1,8 +1,9 @@
 //! Clients that submit messages until they are stopped.
 
+use super::members::member_id;
 use super::scenario::Scenario;
 use super::servers::Shared;
-use crate::client::{Client, connect, new_id, put};
+use crate::client::{Client, connect, put};
 use crate::ledger::{Class, Reply};
 use rand::RngExt;
 use rand_pcg::Pcg64;
@@ -52,7 +53,10 @@
     pub(super) scenario: Scenario,
     pub(super) shared: Arc<Shared>,
     pub(super) random: Pcg64,
-    pub(super) connection: Option<Client>,
+    /// The open connection, and when it was opened.
+    pub(super) connection: Option<(Client, Instant)>,
+    /// The first half of the ids of this dispatcher's messages.
+    pub(super) member: u32,
 }
 
 impl Sender {
@@ -99,7 +103,7 @@
     }
 
     fn submit(&mut self) {
-        let id = new_id();
+        let id = member_id(self.member);
         let is_idempotent = self.random.random_range(0..2) == 0;
         let lifetime = self.random.random_range(self.scenario.lifetimes_ms.clone());
         let class = match is_idempotent {
@@ -119,14 +123,14 @@
             .ledger()
             .submitted(&id, class, Duration::from_millis(lifetime));
         let reused = self.connection.is_some();
-        let mut result = self.send_request(&bytes);
+        let (mut result, mut opened_at) = self.send_request(&bytes);
         if reused && matches!(result, RequestResult::Closed) {
             // The dispatcher may have closed the idle connection before it read the request: tries a new connection.
-            result = self.send_request(&bytes);
+            (result, opened_at) = self.send_request(&bytes);
         }
         // Above the connection limit, new connections may be closed before the request is read.
         if matches!(result, RequestResult::Closed) && self.scenario.idle_clients == 0 {
-            self.shared.ledger().closed_without_reply(&id);
+            self.shared.ledger().closed_without_reply(&id, opened_at);
         }
         match result {
             RequestResult::Replied(reply) if reply == "+OK" => {
@@ -140,18 +144,17 @@
         }
     }
 
-    fn send_request(&mut self, bytes: &[u8]) -> RequestResult {
-        let Ok(mut client) = self
-            .connection
-            .take()
-            .map_or_else(|| connect(&self.listen), Ok)
-        else {
-            return RequestResult::NoReply;
+    /// Sends a request on the open connection or on a new one, and returns the result and when the connection was opened.
+    fn send_request(&mut self, bytes: &[u8]) -> (RequestResult, Instant) {
+        let now = Instant::now();
+        let open = || connect(&self.listen).map(|client| (client, now));
+        let Ok((mut client, opened_at)) = self.connection.take().map_or_else(open, Ok) else {
+            return (RequestResult::NoReply, now);
         };
         let result = send_request(&mut client, bytes);
         if matches!(result, RequestResult::Replied(_)) {
-            self.connection = Some(client);
+            self.connection = Some((client, opened_at));
         }
-        result
+        (result, opened_at)
     }
 }
--- a/crates/test-support/src/soak/servers.rs
+++ b/crates/test-support/src/soak/servers.rs
@@ -1,5 +1,6 @@
 //! The endpoints, which respond at random, and the platform. Both record in the ledger what they receive.
 
+use super::members::Members;
 use super::scenario::FaultSwitches;
 use crate::ledger::{Effect, Ledger};
 use crate::stand_in::request;
@@ -10,7 +11,7 @@
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// The sleep by which stalls of the machine are measured.
@@ -77,69 +78,98 @@
     Duration::from_millis(elapsed_ms.into())
 }
 
-/// Serves one connection to an endpoint. Endpoints with the same `limiter` share their Retry-After periods.
-pub(super) fn serve_calls(stream: TcpStream, limiter: usize, shared: &Shared) {
+/// Serves one connection to an endpoint. Endpoints with the same `limiter` share their Retry-After periods. The run of the
+/// dispatcher that calls decides how it is answered.
+pub(super) fn serve_calls(stream: TcpStream, limiter: usize, members: &Members) {
     let Ok(mut to) = stream.try_clone() else {
         return;
     };
     let mut from = BufReader::new(stream);
-    let mut served = 0;
+    let mut last_caller: Option<Arc<Shared>> = None;
     loop {
-        if served > 0 && shared.faults.close_idle.load(Ordering::SeqCst) && shared.draw(0..3) == 0 {
+        if last_caller
+            .is_some_and(|run| run.faults.close_idle.load(Ordering::SeqCst) && run.draw(0..3) == 0)
+        {
             return;
         }
         let Some((head, _body)) = request(&mut from) else {
             return;
         };
-        served += 1;
         let id = message_id(&head);
-        let call =
-            shared
-                .ledger()
-                .call_started(&id, limiter, time_since_last_receive(from.get_ref()));
-        std::thread::sleep(Duration::from_millis(shared.draw(1..12)));
-        let end_call = |effect| shared.ledger().call_ended(&id, call, effect);
-        if shared.faults.hang.load(Ordering::SeqCst) {
-            wait_for_close(&mut from);
-            return end_call(Effect::MayHaveRun);
-        }
-        let [delivered, retry_after, error, _closed] = shared.response_shares;
-        let written = match shared.draw(0..100) as u32 {
-            n if n < delivered => {
-                let truncate = shared.faults.truncate_responses.load(Ordering::SeqCst)
-                    && shared.draw(0..4) == 0;
-                if truncate {
-                    // The status line is incomplete, so the dispatcher cannot tell whether the message was delivered.
-                    to.write_all(b"HTTP/1.1 20").ok();
-                    return end_call(Effect::MayHaveRun);
-                }
-                end_call(Effect::Delivered);
-                to.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-            }
-            n if n < delivered + retry_after => {
-                let retry_after_ms = shared.draw(50..400);
-                shared
-                    .ledger()
-                    .retry_after_sent(limiter, Duration::from_millis(retry_after_ms));
-                end_call(Effect::NeverRan);
-                let seconds = retry_after_ms as f64 / 1000.0;
-                write!(
-                    to,
-                    "HTTP/1.1 429 Full\r\nRetry-After: {seconds:.3}\r\nContent-Length: 0\r\n\r\n"
-                )
-            }
-            n if n < delivered + retry_after + error => {
-                end_call(Effect::MayHaveRun);
-                to.write_all(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
-            }
-            _ => return end_call(Effect::MayHaveRun),
+        let Some(shared) = members.run_of(&id) else {
+            members.stray_call(&id);
+            return;
         };
-        if written.is_err() {
+        last_caller = Some(Arc::clone(&shared));
+        if !serve_call(&mut from, &mut to, &Call { id: &id, limiter }, &shared) {
             return;
         }
     }
 }
 
+/// A call that an endpoint has read.
+struct Call<'a> {
+    id: &'a str,
+    limiter: usize,
+}
+
+/// Answers a call as the run decides, and returns whether the connection stays open.
+fn serve_call(
+    from: &mut BufReader<TcpStream>,
+    to: &mut TcpStream,
+    call: &Call<'_>,
+    shared: &Shared,
+) -> bool {
+    let index = shared.ledger().call_started(
+        call.id,
+        call.limiter,
+        time_since_last_receive(from.get_ref()),
+    );
+    std::thread::sleep(Duration::from_millis(shared.draw(1..12)));
+    let end_call = |effect| shared.ledger().call_ended(call.id, index, effect);
+    if shared.faults.hang.load(Ordering::SeqCst) {
+        wait_for_close(from);
+        end_call(Effect::MayHaveRun);
+        return false;
+    }
+    let [delivered, retry_after, error, _closed] = shared.response_shares;
+    let written = match shared.draw(0..100) as u32 {
+        n if n < delivered => {
+            let truncate =
+                shared.faults.truncate_responses.load(Ordering::SeqCst) && shared.draw(0..4) == 0;
+            if truncate {
+                // The status line is incomplete, so the dispatcher cannot tell whether the message was delivered.
+                to.write_all(b"HTTP/1.1 20").ok();
+                end_call(Effect::MayHaveRun);
+                return false;
+            }
+            end_call(Effect::Delivered);
+            to.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        }
+        n if n < delivered + retry_after => {
+            let retry_after_ms = shared.draw(50..400);
+            shared
+                .ledger()
+                .retry_after_sent(call.limiter, Duration::from_millis(retry_after_ms));
+            end_call(Effect::NeverRan);
+            let seconds = retry_after_ms as f64 / 1000.0;
+            write!(
+                to,
+                "HTTP/1.1 429 Full\r\nRetry-After: {seconds:.3}\r\nContent-Length: 0\r\n\r\n"
+            )
+        }
+        n if n < delivered + retry_after + error => {
+            end_call(Effect::MayHaveRun);
+            to.write_all(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+        }
+        _ => {
+            end_call(Effect::MayHaveRun);
+            return false;
+        }
+    };
+    written.is_ok()
+}
+
 /// Serves one connection to the platform: a watch of discovery, or notifications.
 pub(super) fn serve_platform(stream: TcpStream, shared: &Shared) {
     let Ok(mut to) = stream.try_clone() else {
