A boot id that cannot be read for a moment is not that of another boot

Callers saw: a message rejected at once after a restart with most of its lifetime left, if the wall clock had been stepped ahead as well (back: an end up to the step too late, rule lost).

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,8 +1,10 @@
 //! The dispatcher's monotonic clock, which steps of the wall clock do not affect, and the conversion of its times for
 //! another process.
 
+use crate::start_retry;
 use bellsill_core::interface::Nanos;
 use nix::time::{ClockId, clock_gettime};
+use std::io;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 const NANOS_PER_SECOND: Nanos = 1_000_000_000;
@@ -41,14 +43,18 @@
 }
 
 impl ClockReading {
-    /// Reads both clocks.
-    pub fn read() -> ClockReading {
-        let boot_id = std::fs::read_to_string(BOOT_ID_FILE).unwrap_or_default();
-        ClockReading {
+    /// Reads both clocks and the boot id. An error means that the boot id exists but cannot be read at present; taken for
+    /// none, it would be that of another boot.
+    pub fn read() -> io::Result<ClockReading> {
+        let boot_id = match std::fs::read_to_string(BOOT_ID_FILE) {
+            Err(e) if start_retry::is_transient(&e) => return Err(e),
+            result => result.unwrap_or_default(),
+        };
+        Ok(ClockReading {
             boot_id: Some(boot_id.trim().to_string()).filter(|id| !id.is_empty()),
             monotonic: now(),
             wall: wall_now(),
-        }
+        })
     }
 
     /// The conversion of times on the clock of an earlier reading to the clock of this one.
--- a/crates/daemon/src/journal/load.rs
+++ b/crates/daemon/src/journal/load.rs
@@ -31,7 +31,7 @@
     file.read_to_end(&mut bytes)?;
     let adopted_bytes = bytes_adopted_by_others(directory, index, &bytes)?;
     let mut replayed = replay(&bytes[adopted_bytes..]);
-    let clock = ClockReading::read();
+    let clock = ClockReading::read()?;
     let translation = replayed.translate(&clock);
     log_translation(translation, &replayed);
     Ok(LoadedJournal {
--- a/crates/daemon/tests/preload/lib.rs
+++ b/crates/daemon/tests/preload/lib.rs
@@ -162,6 +162,13 @@
     if !is_in_fault_directory(path) && transient::is_failing_anywhere(words::OPEN_ELSEWHERE) {
         return -1;
     }
+    // SAFETY: the caller guarantees a string that ends in a null byte.
+    let is_boot_id = unsafe { CStr::from_ptr(path) }
+        .to_bytes()
+        .ends_with(b"/boot_id");
+    if is_boot_id && transient::is_failing_anywhere(words::OPEN_BOOT_ID) {
+        return -1;
+    }
     let next = next!(c"open64", fn(*const c_char, c_int, libc::mode_t) -> c_int);
     // SAFETY: the caller guarantees valid arguments.
     unsafe { next(path, flags, mode) }
--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -413,7 +413,8 @@
             std::thread::sleep(Duration::from_millis(20));
         }
         // Leaves time for wrong calls after the end of a message to be recorded.
-        self.run_for(Duration::from_millis(700));
+        std::thread::sleep(Duration::from_millis(700));
+        self.check_running();
         self.process.kill();
         std::thread::sleep(Duration::from_millis(100));
         let mut verdict = self.shared.ledger().verdict();
