A state directory that cannot be listed for a moment does not count as empty

Callers saw: nothing; the state directory could grow over its quota (420,324 bytes of 400,000). Cause: OtherFiles took an error of listing the directory for 'no other files'. Evidence: transient_failures, a_directory_that_cannot_be_listed_..., on the code before: 420324 bytes of 400000 after +OK. Change: while the directory cannot be listed, its last known usage counts; it is listed again at the next write.

--- a/crates/daemon/src/journal/directory.rs
+++ b/crates/daemon/src/journal/directory.rs
@@ -144,24 +144,26 @@
 
     /// The disk usage of all files except one journal and its replacement. The scope file is left out: it has its own
     /// share of the quota.
-    fn scan(&self, own: usize) -> OtherUsage {
+    fn scan(&self, own: usize) -> io::Result<OtherUsage> {
         let own_paths = [self.journal_path(own), self.replacement_path(own)];
         let mut usage = OtherUsage::default();
-        let Ok(files) = std::fs::read_dir(&self.path) else {
-            return usage;
-        };
-        for file in files
-            .flatten()
-            .filter(|file| !own_paths.contains(&file.path()))
-        {
+        for file in std::fs::read_dir(&self.path)? {
+            let file = file?;
+            if own_paths.contains(&file.path()) {
+                continue;
+            }
             let name = file.file_name().to_string_lossy().into_owned();
             if !name.starts_with(SCOPE_FILE) {
-                let length = file.metadata().map_or(0, |metadata| metadata.len());
+                let length = match file.metadata() {
+                    // Removed since it was listed.
+                    Err(e) if e.kind() == io::ErrorKind::NotFound => 0,
+                    metadata => metadata?.len(),
+                };
                 usage.bytes += disk_bytes(length);
                 usage.has_journals |= name.starts_with(BASE_NAME) && length > 0;
             }
         }
-        usage
+        Ok(usage)
     }
 }
 
@@ -189,8 +191,11 @@
             .scanned_at
             .is_none_or(|time| now >= time + SCAN_INTERVAL);
         if self.usage.has_journals || is_stale {
-            self.usage = directory.scan(own);
-            self.scanned_at = Some(now);
+            // While the directory cannot be listed, its last known usage counts.
+            if let Ok(usage) = directory.scan(own) {
+                self.usage = usage;
+                self.scanned_at = Some(now);
+            }
         }
         self.usage
     }
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -6,9 +6,9 @@
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
-    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, LOCK, OPEN_BOOT_ID, OPEN_ELSEWHERE,
-    POLL_ADD, POLL_CREATE, POLL_MODIFY, POLL_WAIT, READ_PIPE, RECEIVE, SEND, SET_NONBLOCKING,
-    SHUT_DOWN, SOCKET_PAIR, STATUS, TransientCall,
+    ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, LIST_DIRECTORY, LOCK, OPEN_BOOT_ID,
+    OPEN_ELSEWHERE, POLL_ADD, POLL_CREATE, POLL_MODIFY, POLL_WAIT, READ_PIPE, RECEIVE, SEND,
+    SET_NONBLOCKING, SHUT_DOWN, SOCKET_PAIR, STATUS, TransientCall,
 };
 use bellsill_test_support::platform::Platform;
 use bellsill_test_support::program;
@@ -351,3 +351,33 @@
     });
     assert_eq!(process.platform.notification(&pending), None);
 }
+
+/// Issue 50, class of the cause: a directory that could not be listed for a moment counted as empty, and the journal grew over
+/// the disk quota.
+#[test]
+fn a_directory_that_cannot_be_listed_for_a_moment_does_not_count_as_empty() {
+    const LIMIT: u64 = 400_000;
+    let hung = Endpoint::start(Behavior::Hangs);
+    let mut process = DispatcherProcess::new(program!(), &[(&hung, 7)]);
+    process.config["limits"]["disk_mb"] = json!(LIMIT as f64 / 1e6);
+    let faults = Faults::new(&process.dir, 1);
+    process.start_with_faults(&faults);
+    // Another process's journal takes most of the quota.
+    std::fs::write(process.dir.join("state/mails.7.old"), vec![0; 330_000]).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    // The directory is listed when a message is written.
+    let mut client = process.client();
+    client.send(&put(&new_id(), "c=payment,d=20000,k=y,dest=7", "small"));
+    faults.fail_next(LIST_DIRECTORY, u64::MAX, ANY_SOCKET);
+    let body = "x".repeat(30_000);
+    for _ in 0..12 {
+        let reply = client.send(&put(&new_id(), "c=payment,d=20000,k=x,dest=7", &body));
+        let files = std::fs::read_dir(process.dir.join("state")).unwrap();
+        let used: u64 = files
+            .flatten()
+            .map(|file| file.metadata().unwrap().len())
+            .sum();
+        assert!(used <= LIMIT, "{used} bytes of {LIMIT} after {reply}");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
