--- a/crates/test-support/src/soak/fleet.rs
+++ b/crates/test-support/src/soak/fleet.rs
@@ -31,6 +31,8 @@
     pub members: Vec<MemberVerdict>,
     /// The ids of calls that carried no message of any dispatcher.
     pub strays: Vec<String>,
+    /// The number of dispatchers whose run was aborted, such as by a process that did not become ready.
+    pub aborted_runs: usize,
 }
 
 impl FleetVerdict {
@@ -41,8 +43,10 @@
             member.verdict.violations.iter().map(describe)
         });
         let strays = self.strays.iter();
+        let aborted = (0..self.aborted_runs).map(|_| "a run was aborted, see above".to_string());
         of_members
             .chain(strays.map(|id| format!("{id}: called, but never submitted")))
+            .chain(aborted)
             .collect()
     }
 }
@@ -71,7 +75,7 @@
 /// threads and sockets.
 pub fn run_fleet(program: Program, seed: u64, dispatchers: u64) -> FleetVerdict {
     let endpoints = SharedEndpoints::start();
-    let members = std::thread::scope(|scope| {
+    let results: Vec<_> = std::thread::scope(|scope| {
         let threads: Vec<_> = (0..dispatchers)
             .map(|n| {
                 let endpoints = &endpoints;
@@ -79,12 +83,11 @@
                 scope.spawn(move || run_member(program, seed, endpoints))
             })
             .collect();
-        threads
-            .into_iter()
-            .map(|thread| thread.join().expect("a run does not panic"))
-            .collect()
+        threads.into_iter().map(|thread| thread.join()).collect()
     });
+    let members: Vec<MemberVerdict> = results.into_iter().flatten().collect();
     FleetVerdict {
+        aborted_runs: dispatchers as usize - members.len(),
         members,
         strays: endpoints.members.strays(),
     }
