Keep the directory of a dispatcher whose test fails

Cause: the log and the state of a failed soak run were removed before they could be read. Change: the directory stays when the thread panics, and its path is printed.

--- a/crates/test-support/src/dispatcher_process.rs
+++ b/crates/test-support/src/dispatcher_process.rs
@@ -37,7 +37,7 @@
 }
 
 /// A dispatcher process with its configuration, its directory and its [`Platform`]. Dropping it kills the process and
-/// removes the directory.
+/// removes the directory, unless the test fails.
 pub struct DispatcherProcess {
     program: Program,
     /// The directory of the configuration file and of the state directory, `state`.
@@ -223,7 +223,12 @@
         if self.child.is_some() {
             self.kill();
         }
-        std::fs::remove_dir_all(&self.dir).ok();
+        if std::thread::panicking() {
+            // The log and the state explain the failure.
+            println!("kept {}", self.dir.display());
+        } else {
+            std::fs::remove_dir_all(&self.dir).ok();
+        }
     }
 }
 
