Soak: the state directory works again before a kill in the middle of a write

Change: the directory's fault ends before that kill is armed. The other kills still come while it fails.

--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -376,6 +376,8 @@
     /// Restarts the process by SIGKILL, in the middle of a write if that fault is enabled.
     pub fn kill_and_restart_under_faults(&mut self) {
         if self.is_enabled(Fault::KillDuringWrite) {
+            // While a torn tail cannot be removed, nothing is written and no write kills the process.
+            self.faults.restore_state_directory();
             let nth = self.random.random_range(1..40);
             self.shared.ledger().restart_started();
             self.shared.ledger().process_killed();
