Retry reading the scope file at a start that fails for a moment

Callers saw (scoped configuration only): messages for known destinations that wait or end without an attempt after a restart, while no control process can be reached. Cause: any error of reading the scope file counted as no saved configuration. Evidence: scoped_configuration, a_scope_file_that_cannot_be_read_..., on the code before: one file refused instead of none.

--- a/crates/daemon/src/scope.rs
+++ b/crates/daemon/src/scope.rs
@@ -55,11 +55,24 @@
         }
     }
 
-    /// Loads the last saved list; `None` if there is no usable file. An unusable file is logged and counted.
-    pub fn load(&mut self, installation: &Installation) -> Option<ScopedList> {
-        let bytes = match std::fs::read(&self.path) {
-            Ok(bytes) => bytes,
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+    /// Reads the file with the last saved list; `None` if there is none.
+    pub fn read(&self) -> io::Result<Option<Vec<u8>>> {
+        match std::fs::read(&self.path) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Returns the list in the bytes that [`ScopeFile::read`] has read; `None` if there is no usable file. An unusable file is
+    /// logged and counted.
+    pub fn load(
+        &mut self,
+        read: io::Result<Option<Vec<u8>>>,
+        installation: &Installation,
+    ) -> Option<ScopedList> {
+        let bytes = match read {
+            Ok(bytes) => bytes?,
             Err(e) => {
                 self.reject(&e);
                 return None;
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -52,7 +52,7 @@
 pub(crate) fn build(config: StartConfig, signals: Signals) -> io::Result<Components> {
     let now = clock::now();
     let (wake, flags) = signals.split();
-    let (watch, scope_file) = build_watch(&config);
+    let (watch, scope_file) = build_watch(&config, &flags);
     let stored = read_state(&config, &flags, scope_file.is_some())?;
     let disabled_file = DisabledFile::new(&config.state);
     let mut runtime = Runtime::new(
@@ -123,14 +123,16 @@
 }
 
 /// Creates the watch on the configuration, and the scope file if the dispatcher holds only a part of the configuration.
-fn build_watch(config: &StartConfig) -> (Watch, Option<ScopeFile>) {
+fn build_watch(config: &StartConfig, flags: &SignalFlags) -> (Watch, Option<ScopeFile>) {
     let settings = &config.platform.settings;
     let Some(installation) = &config.installation else {
         let backoff = Backoff::new(settings.seed, settings.dispatchers);
         return (Watch::plain(config.discovery, backoff), None);
     };
     let mut file = ScopeFile::new(&config.state, &installation.dispatcher, config.disk_bytes);
-    let list = file.load(installation).unwrap_or_else(|| {
+    let read =
+        start_retry::retry_transient(flags.shutdown(), "read the scope file", || file.read());
+    let list = file.load(read, installation).unwrap_or_else(|| {
         let mut list =
             ScopedList::new(installation.layout.clone(), installation.cache_destinations);
         if let Some(known) = endpoint_list::read(&config.known, &config.platform.names) {
--- a/crates/daemon/tests/scoped_configuration.rs
+++ b/crates/daemon/tests/scoped_configuration.rs
@@ -1,9 +1,10 @@
 //! Tests of a dispatcher with a scoped configuration, which it gets from a stand-in for a control process.
 
-use bellsill_test_support::client::{new_id, put};
+use bellsill_test_support::client::{connect, new_id, put};
 use bellsill_test_support::control_stand_in::{BUCKETS, Control};
 use bellsill_test_support::dispatcher_process::DispatcherProcess;
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
+use bellsill_test_support::faults::{EIO, Faults, words};
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
 use std::path::PathBuf;
@@ -247,6 +248,33 @@
     );
 }
 
+/// Issue 50, class of the cause: a scope file that could not be read for a moment counted as none, and without control
+/// processes no destination was known.
+#[test]
+fn a_scope_file_that_cannot_be_read_for_a_moment_is_read_again() {
+    let (e, control) = (Endpoint::start(OK), Control::start());
+    control.write("e0", &e.addr, "north", 7, true);
+    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    dispatcher.start();
+    submit_until_delivered(&dispatcher, &e, 7, "before");
+    dispatcher.stop();
+    // No process listens on port 1.
+    let unreachable = ScopedDispatcher::new(&["127.0.0.1:1"], 8);
+    std::fs::copy(&unreachable.installation, &dispatcher.installation).unwrap();
+    let faults = Faults::new(&dispatcher.process.dir, 1);
+    let mut command = dispatcher.command();
+    faults.preload(&mut command, &dispatcher.process.dir.join("state"));
+    faults.set(words::OPEN_ERRNO, EIO);
+    dispatcher.process.child = Some(command.spawn().unwrap());
+    wait_for("failing reads", || faults.get(words::FILE_CALL_FAULTS) >= 3);
+    faults.restore_state_directory();
+    wait_for("the listener", || {
+        connect(&dispatcher.process.listen).is_ok()
+    });
+    submit_until_delivered(&dispatcher, &e, 7, "after");
+    assert_eq!(dispatcher.scope("refused_files"), 0);
+}
+
 #[test]
 fn a_damaged_scope_file_is_rejected_and_fetched_again() {
     let (endpoint, control) = (Endpoint::start(OK), Control::start());
