Send the error for a partial request though sending fails for a moment

Callers saw: a connection that ended without the error owed to a request that did not come whole. Cause: close_overdue queued the error, and close_gracefully closed the connection at once since its output was not empty, although the send had failed with an error that may pass.

--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -99,12 +99,9 @@
     }
     // A request whose first bytes are read here gets a timeout of its own.
     let input = read(runtime, id);
-    if input.is_ok()
-        && may_close(runtime, id, CloseReason::Overdue) == Err(Prohibition::InputUnread)
-    {
+    if input.is_ok() && has_call_to_repeat(runtime, id) {
         // A request may have arrived; it is read once the call succeeds.
-        let at = runtime.now + UNREADABLE_RETRY_INTERVAL;
-        return runtime.timers.set(Timer::Connection(id), at);
+        return put_off_timeout(runtime, id);
     }
     match input {
         Ok(Input::Nothing) => close_overdue(runtime, id),
@@ -112,6 +109,17 @@
     }
 }
 
+/// Whether a client's connection may not be closed because a call on it failed and is repeated.
+fn has_call_to_repeat(runtime: &mut Runtime, id: ConnectionId) -> bool {
+    may_close(runtime, id, CloseReason::Overdue) == Err(Prohibition::InputUnread)
+}
+
+/// Handles the timeout of a client again after a short time.
+fn put_off_timeout(runtime: &mut Runtime, id: ConnectionId) {
+    let at = runtime.now + UNREADABLE_RETRY_INTERVAL;
+    runtime.timers.set(Timer::Connection(id), at);
+}
+
 /// Closes a client that has reached a timeout. In the middle of a request it gets an error reply, since the rest of the
 /// request may still arrive and is then discarded without a reply.
 fn close_overdue(runtime: &mut Runtime, id: ConnectionId) {
@@ -125,6 +133,10 @@
         if runtime.connections.flush(id).is_err() {
             return close(runtime, id, CloseReason::CallFailed);
         }
+        if has_call_to_repeat(runtime, id) {
+            // The error reply is sent once the call succeeds.
+            return put_off_timeout(runtime, id);
+        }
     }
     close_gracefully(runtime, id, CloseReason::Overdue);
 }
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -381,3 +381,17 @@
         std::thread::sleep(Duration::from_millis(30));
     }
 }
+
+/// Issue 50, `lost`: the error for a request that did not come whole was dropped, because sending it failed for a moment.
+/// Found by the fleet soak, seed 60.
+#[test]
+fn a_partial_request_gets_its_error_though_sending_it_fails_for_a_moment() {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    let mut client = process.client();
+    client.writer.write_all(b"*5\r\n$7\r\nMSG.PUT\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    faults.fail_next(SEND, 3, ACCEPTED_SOCKETS);
+    assert!(client.line().starts_with("-ERR"), "no error reply");
+    assert!(faults.have_failed(SEND), "the fault was not injected");
+}
