--- a/crates/test-support/src/soak/fleet.rs
+++ b/crates/test-support/src/soak/fleet.rs
@@ -122,13 +122,14 @@
 
 /// Draws two to four faults; half of the dispatchers have system calls that fail.
 fn draw_faults(random: &mut Pcg64) -> Vec<Fault> {
+    let all = Fault::for_fleet();
     let mut faults = Vec::new();
     if random.random_range(0..2) == 0 {
         faults.push(Fault::TransientCalls);
     }
     let count = random.random_range(2..5);
     while faults.len() < count {
-        let fault = Fault::FLEET[random.random_range(0..Fault::FLEET.len())];
+        let fault = all[random.random_range(0..all.len())];
         if !faults.contains(&fault) {
             faults.push(fault);
         }
--- a/crates/test-support/src/soak/scenario.rs
+++ b/crates/test-support/src/soak/scenario.rs
@@ -89,25 +89,6 @@
 }
 
 impl Fault {
-    /// All faults, for runs of a fleet.
-    pub const FLEET: [Fault; 15] = [
-        Fault::WallClockSteps,
-        Fault::FailingWrites,
-        Fault::KillDuringWrite,
-        Fault::SocketErrors,
-        Fault::DiscoverySilent,
-        Fault::Hang,
-        Fault::TruncatedResponses,
-        Fault::CloseIdle,
-        Fault::ProcessPause,
-        Fault::PartialRequests,
-        Fault::ShortLifetimes,
-        Fault::ShortWindow,
-        Fault::ConnectionLimit,
-        Fault::TransientCalls,
-        Fault::FailingDirectory,
-    ];
-
     /// The faults of runs of one dispatcher, which draw two of them by their seed.
     pub const ALL: [Fault; 13] = [
         Fault::WallClockSteps,
@@ -124,6 +105,12 @@
         Fault::ShortWindow,
         Fault::ConnectionLimit,
     ];
+
+    /// All faults, for runs of a fleet.
+    pub fn for_fleet() -> Vec<Fault> {
+        let added = [Fault::TransientCalls, Fault::FailingDirectory];
+        Fault::ALL.into_iter().chain(added).collect()
+    }
 }
 
 /// Switches for the faults of endpoints, platform and clients.
