Control processes go on when a call of their event loop fails for a moment

Callers saw: nothing; a control process ended with an error, or its listener was never armed again, and its dispatchers went to another. Evidence: control_command, a_control_process_goes_on_..., on the code before: no response within 60 s. Change: as in the dispatcher; the classification of errors moves to bellsill-net, which both use.

--- a/crates/control-plane/src/clients.rs
+++ b/crates/control-plane/src/clients.rs
@@ -55,9 +55,7 @@
                 }
             }
         }
-        if let Err(error) = context.connections.arm_listener() {
-            log::error!("cannot rearm the listener in the poller: {error}");
-        }
+        context.connections.arm_listener();
     }
 
     /// Reads available input from a client; closes the connection on an error.
--- a/crates/control-plane/src/connections.rs
+++ b/crates/control-plane/src/connections.rs
@@ -2,6 +2,7 @@
 
 use bellsill_directory::watchers::WatcherId;
 use bellsill_net::Nanos;
+use bellsill_net::call_errors::is_transient;
 use bellsill_net::ring_buffer::RingBuffer;
 use bellsill_net::slot_table::{SlotId, SlotTable};
 use polling::{Event, Events, Poller};
@@ -23,6 +24,8 @@
 /// The `errno` of a non-blocking connect in progress (Linux).
 const EINPROGRESS: i32 = 115;
 
+/// The delay before a call that failed for a moment is repeated.
+const REPEAT_DELAY: Duration = Duration::from_millis(5);
 /// The poller keys of the listener and the stop socket. Connection ids never reach these values.
 const LISTENER_KEY: usize = usize::MAX - 1;
 const STOP_KEY: usize = usize::MAX - 2;
@@ -122,6 +125,15 @@
     stop: UnixStream,
     /// Connections to write and rearm at the end of the iteration.
     unflushed: BTreeSet<ConnectionId>,
+    /// Sources whose rearming failed for a moment; it is repeated by the next wait.
+    unarmed: BTreeSet<Source>,
+}
+
+/// A source of events other than a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Source {
+    Listener,
+    Stop,
 }
 
 /// Registers a source with the poller. No other function does.
@@ -155,15 +167,29 @@
             listener,
             stop,
             unflushed: BTreeSet::new(),
+            unarmed: BTreeSet::new(),
         })
     }
 
-    /// Waits for readiness events, for at most the timeout.
+    /// Waits for readiness events, for at most the timeout. If waiting fails for a moment, it ends early.
     pub(crate) fn wait(&mut self, timeout: Duration) -> io::Result<Vec<PollEvent>> {
         self.events.clear();
-        match self.poller.wait(&mut self.events, Some(timeout)) {
-            Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
-            _ => {}
+        for source in std::mem::take(&mut self.unarmed) {
+            self.arm_source(source);
+        }
+        let has_repeats = !self.unarmed.is_empty() || !self.unflushed.is_empty();
+        let timeout = match has_repeats {
+            true => timeout.min(REPEAT_DELAY),
+            false => timeout,
+        };
+        if let Err(error) = self.poller.wait(&mut self.events, Some(timeout)) {
+            if !is_transient(&error) {
+                return Err(error);
+            }
+            // The poller may have collected events before its call failed; they are returned below.
+            if self.events.is_empty() {
+                std::thread::sleep(REPEAT_DELAY);
+            }
         }
         let mut events = Vec::new();
         for event in self.events.iter() {
@@ -205,11 +231,26 @@
         self.slots.iter()
     }
 
-    /// Discards the bytes that woke the poller, and rearms the stop socket.
-    pub(crate) fn drain_stop_socket(&mut self) -> io::Result<()> {
+    /// Discards the bytes that woke the poller, and rearms the stop socket. What cannot be read is reported again.
+    pub(crate) fn drain_stop_socket(&mut self) {
         let mut bytes = RingBuffer::new(64);
-        bytes.read_from(&mut self.stop)?;
-        self.poller.modify(&self.stop, Event::readable(STOP_KEY))
+        if let Err(error) = bytes.read_from(&mut self.stop) {
+            log::warn!("cannot read the stop socket, will retry: {error}");
+        }
+        self.arm_source(Source::Stop);
+    }
+
+    fn arm_source(&mut self, source: Source) {
+        let armed = match source {
+            Source::Listener => self
+                .poller
+                .modify(&self.listener, Event::readable(LISTENER_KEY)),
+            Source::Stop => self.poller.modify(&self.stop, Event::readable(STOP_KEY)),
+        };
+        if let Err(error) = armed {
+            log::warn!("cannot rearm the {source:?} socket in the poller, will retry: {error}");
+            self.unarmed.insert(source);
+        }
     }
 
     /// Accepts the next pending connection, if there is one.
@@ -240,9 +281,8 @@
     }
 
     /// Rearms the listener in the poller.
-    pub(crate) fn arm_listener(&mut self) -> io::Result<()> {
-        self.poller
-            .modify(&self.listener, Event::readable(LISTENER_KEY))
+    pub(crate) fn arm_listener(&mut self) {
+        self.arm_source(Source::Listener);
     }
 
     /// Starts a non-blocking connect to another control process.
@@ -324,9 +364,16 @@
                 && connection.input.remaining_capacity() > 0,
             writable: connection.connecting || !connection.output.is_empty(),
         };
-        if connection.armed != Some(interest) {
-            connection.armed = Some(interest);
-            self.poller.modify(&connection.stream, interest.event(id))?;
+        if connection.armed == Some(interest) {
+            return Ok(());
+        }
+        match self.poller.modify(&connection.stream, interest.event(id)) {
+            Ok(()) => connection.armed = Some(interest),
+            Err(error) if is_transient(&error) => {
+                connection.armed = None;
+                self.unflushed.insert(id);
+            }
+            Err(error) => return Err(error),
         }
         Ok(())
     }
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -247,7 +247,7 @@
         match event {
             PollEvent::Listener => self.clients.accept(&mut self.context),
             PollEvent::Stop => {
-                self.context.connections.drain_stop_socket()?;
+                self.context.connections.drain_stop_socket();
                 self.stopped = self.stop_requested.load(Ordering::SeqCst);
             }
             PollEvent::Connection(id) => self.connection_ready(id)?,
--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -12,7 +12,7 @@
 mod socket;
 mod table;
 
-pub(crate) use call_errors::is_transient;
+pub(crate) use bellsill_net::call_errors::is_transient;
 pub(crate) use failed_calls::SocketCall;
 pub(crate) use id::ConnectionId;
 pub(crate) use limits::{ConnectionLimits, MAX_ADMIN_CONNECTIONS};
--- a/crates/daemon/src/connection/registration.rs
+++ b/crates/daemon/src/connection/registration.rs
@@ -3,13 +3,13 @@
 //! The poller is in one-shot mode, so every source has to be armed again after each of its events. A registration that
 //! fails for a moment is repeated.
 
-use super::call_errors::is_transient;
 use super::failed_calls::SocketCall;
 use super::id::ConnectionId;
 use super::repeats::{REPEAT_DELAY, Source};
 use super::socket::Interest;
 use super::table::{ConnectionTable, PollEvent};
 use crate::slot_table::SlotId;
+use bellsill_net::call_errors::is_transient;
 use polling::{Event, Poller};
 use std::io;
 use std::os::fd::AsRawFd;
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -1,6 +1,6 @@
 //! The connection table, which owns the poller and all sockets registered with it.
 
-use super::call_errors::{call_twice, is_transient};
+use super::call_errors::call_twice;
 use super::failed_calls::{FailedCalls, SocketCall};
 use super::id::ConnectionId;
 use super::limits::ConnectionLimits;
@@ -10,6 +10,7 @@
 use super::socket::{BufferBounds, Connection};
 use crate::ring_buffer::RingBuffer;
 use crate::slot_table::SlotTable;
+use bellsill_net::call_errors::is_transient;
 use polling::{Event, Events, Poller};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/crates/daemon/tests/control_command.rs
+++ b/crates/daemon/tests/control_command.rs
@@ -1,5 +1,9 @@
 //! Tests of the `control` subcommand, which runs a control process.
 
+use bellsill_test_support::dispatcher_process::KillOnDrop;
+use bellsill_test_support::faults::Faults;
+use bellsill_test_support::faults::words::{ANY_SOCKET, POLL_MODIFY, POLL_WAIT};
+use bellsill_test_support::wait::wait_for;
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -63,3 +67,38 @@
     kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
+
+/// Issue 50, class of the cause: a failed call of its event loop ended a control process.
+#[test]
+fn a_control_process_goes_on_though_calls_of_its_event_loop_fail_for_a_moment() {
+    let directory =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("control-f-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let file = directory.join("control.toml");
+    let pid = std::process::id();
+    let address = format!("127.{}.{}.249:7400", 16 + pid % 200, pid / 200 % 250)
+        .parse()
+        .unwrap();
+    let state = directory.join("state");
+    let text = format!(
+        "name = \"control-1\"\nlisten = \"{address}\"\nstate = \"{}\"\nrole = \"writer\"\n\
+         [[zones]]\nname = \"north-1\"\nregion = \"north\"\n",
+        state.display()
+    );
+    std::fs::write(&file, text).unwrap();
+    let faults = Faults::new(&directory, 1);
+    let mut command = control_command(&file);
+    faults.preload(&mut command, &state);
+    let mut child = KillOnDrop(command.spawn().unwrap());
+    wait_for("the control process", || fetch_figures(address).is_ok());
+    for (call, count) in [(POLL_WAIT, 3), (POLL_MODIFY, 1), (POLL_MODIFY, 5)] {
+        faults.fail_next(call, count, ANY_SOCKET);
+        wait_for("the failed calls and a response", || {
+            let status = child.0.try_wait().unwrap();
+            assert_eq!(status, None, "the process has exited");
+            faults.have_failed(call) && fetch_figures(address).is_ok()
+        });
+    }
+    child.kill();
+    std::fs::remove_dir_all(&directory).unwrap();
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Building blocks for the network programs of an installation: ring buffers, slot tables with generational ids, a
-//! timer queue and an HTTP/1.1 client codec. Nothing in this crate opens sockets, reads the clock or makes decisions.
+//! timer queue, an HTTP/1.1 client codec and a classification of system call errors. Nothing in this crate opens sockets, reads the clock or makes decisions.
 
+pub mod call_errors;
 pub mod http;
 pub mod ring_buffer;
 pub mod slot_table;
