Retry a start whose journals cannot be locked for a moment

Callers saw: nothing of their pending messages after a restart, because the next process ended with status 1. The new test on the code before: 'the process has exited', status 1. Change: an error of locking is returned as an error, so a start retries it and an adoption or a compaction is repeated.

--- a/crates/daemon/src/journal/adoption.rs
+++ b/crates/daemon/src/journal/adoption.rs
@@ -49,7 +49,7 @@
     let Some(mut file) = writer.directory().open_other(other)? else {
         return Ok(());
     };
-    if writer.directory().lock_journal(other, &file) == Lock::HeldElsewhere {
+    if writer.directory().lock_journal(other, &file)? == Lock::HeldElsewhere {
         result.is_incomplete = true;
         return Ok(());
     }
--- a/crates/daemon/src/journal/directory.rs
+++ b/crates/daemon/src/journal/directory.rs
@@ -36,13 +36,13 @@
 }
 
 /// Locks a file against other processes: two processes that write the same journal would each recover the other's
-/// messages. On a file system without locks nothing prevents that. After any other error another process may hold the
-/// lock.
-pub(super) fn try_lock(file: &File) -> Lock {
+/// messages. On a file system without locks nothing prevents that. After an error it is not known who holds the lock.
+pub(super) fn try_lock(file: &File) -> io::Result<Lock> {
     match file.try_lock() {
-        Ok(()) => Lock::Acquired,
-        Err(TryLockError::Error(e)) if has_no_locks(&e) => Lock::Acquired,
-        Err(_) => Lock::HeldElsewhere,
+        Ok(()) => Ok(Lock::Acquired),
+        Err(TryLockError::WouldBlock) => Ok(Lock::HeldElsewhere),
+        Err(TryLockError::Error(e)) if has_no_locks(&e) => Ok(Lock::Acquired),
+        Err(TryLockError::Error(e)) => Err(e),
     }
 }
 
@@ -96,10 +96,10 @@
     }
 
     /// Locks a journal's open file, and checks that it is still the one at its path.
-    pub(super) fn lock_journal(&self, index: usize, file: &File) -> Lock {
-        match try_lock(file) {
-            Lock::Acquired if is_file_at(file, &self.journal_path(index)) => Lock::Acquired,
-            _ => Lock::HeldElsewhere,
+    pub(super) fn lock_journal(&self, index: usize, file: &File) -> io::Result<Lock> {
+        match try_lock(file)? {
+            Lock::Acquired if is_file_at(file, &self.journal_path(index)) => Ok(Lock::Acquired),
+            _ => Ok(Lock::HeldElsewhere),
         }
     }
 
@@ -111,7 +111,7 @@
                 .append(true)
                 .create(true)
                 .open(self.journal_path(index))?;
-            if self.lock_journal(index, &file) == Lock::Acquired {
+            if self.lock_journal(index, &file)? == Lock::Acquired {
                 return Ok((index, file));
             }
         }
--- a/crates/daemon/src/journal/file.rs
+++ b/crates/daemon/src/journal/file.rs
@@ -77,7 +77,7 @@
             .open(&replacement);
         let written = opened.and_then(|mut file| {
             file.set_len(0)?;
-            if try_lock(&file) == Lock::HeldElsewhere {
+            if try_lock(&file)? == Lock::HeldElsewhere {
                 return Err(io::Error::other(
                     "another process holds the lock of the replacement file",
                 ));
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -395,3 +395,21 @@
     assert!(client.line().starts_with("-ERR"), "no error reply");
     assert!(faults.have_failed(SEND), "the fault was not injected");
 }
+
+/// Issue 50, class of the cause: a start ended because no journal could be locked for a moment.
+#[test]
+fn a_start_outlasts_locks_that_cannot_be_taken_for_a_moment() {
+    let e = Endpoint::start(OK);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    let faults = Faults::new(&process.dir, 1);
+    // One more than there are journals in a state directory.
+    faults.fail_next(LOCK, 9, ANY_SOCKET);
+    process.spawn_with_faults(&faults);
+    wait_for("the listener", || {
+        let status = process.child.as_mut().unwrap().try_wait().unwrap();
+        assert_eq!(status, None, "the process has exited");
+        connect(&process.listen).is_ok()
+    });
+    assert!(faults.have_failed(LOCK), "the fault was not injected");
+    assert!(process.dir.join("state/mails").exists());
+}
