A shutdown waits for records that cannot be written for a moment

Callers saw: 'dead' for an at-most-once message that an endpoint had taken with 200 just before a restart. Cause: from 2.9 s after SIGTERM the process ended as soon as no attempt was in flight, with the queue of unwritten records unwritten; the next process found an attempt without an outcome. Evidence: transient_failures, a_shutdown_waits_for_records_..., on the code before: a notification 'dead' instead of none. Change: unwritten records keep the process up to its time limit of 3.5 s in this phase too.

--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -175,10 +175,10 @@
             // side.
             has_clients: runtime.connections.has_clients(),
             has_attempts: runtime.messages().any_in_flight(),
-            has_pending_work: may_start_attempts
-                && (runtime.messages().len() > 0
-                    || runtime.pending_notifications() > 0
-                    || runtime.has_pending_writes()),
+            // Records that are not written are lost with the process.
+            has_pending_work: runtime.has_pending_writes()
+                || (may_start_attempts
+                    && (runtime.messages().len() > 0 || runtime.pending_notifications() > 0)),
         }
     }
 
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -4,18 +4,20 @@
 use bellsill_test_support::client::{Client, connect, new_id, put};
 use bellsill_test_support::dispatcher_process::{DispatcherProcess, KillOnDrop};
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
-use bellsill_test_support::faults::Faults;
 use bellsill_test_support::faults::words::{
     ACCEPT, ACCEPTED_SOCKETS, ANY_SOCKET, CREATED_SOCKETS, LIST_DIRECTORY, LOCK, OPEN_BOOT_ID,
     OPEN_ELSEWHERE, POLL_ADD, POLL_CREATE, POLL_MODIFY, POLL_WAIT, READ_PIPE, RECEIVE, SEND,
     SET_NONBLOCKING, SHUT_DOWN, SOCKET_PAIR, STATUS, TransientCall,
 };
+use bellsill_test_support::faults::{ENOSPC, Faults, words};
 use bellsill_test_support::platform::Platform;
 use bellsill_test_support::program;
+use bellsill_test_support::stand_in::{accept, request};
 use bellsill_test_support::wait::wait_for;
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::{BufRead, Write};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// How long a client waits for a reply.
@@ -314,7 +316,7 @@
             client.message(class, 7, LIFETIME_MS, "x")
         })
         .collect();
-    faults.fail_writes(bellsill_test_support::faults::ENOSPC, false);
+    faults.fail_writes(ENOSPC, false);
     wait_for("the notifications", || {
         ids.iter()
             .all(|id| process.platform.notification(id).is_some())
@@ -413,3 +415,32 @@
     assert!(faults.have_failed(LOCK), "the fault was not injected");
     assert!(process.dir.join("state/mails").exists());
 }
+
+/// Issue 50, class of the cause: a process that shut down while its journal could not be written ended before the record of a
+/// delivery was written, and the next process reported the message as failed.
+#[test]
+fn a_shutdown_waits_for_records_that_cannot_be_written_for_a_moment() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let mut process = DispatcherProcess::new(program!(), &[]);
+    process.config["known"]["servers"] = json!([
+        {"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"}
+    ]);
+    let faults = Faults::new(&process.dir, 1);
+    process.start_with_faults(&faults);
+    let id = process.client().message("payment", 7, 20_000, "once");
+    let mut endpoint = accept(&listener);
+    request(&mut endpoint).unwrap();
+    faults.fail_writes(ENOSPC, false);
+    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    endpoint.get_mut().write_all(response).unwrap();
+    wait_for("the failed write", || faults.get(words::WRITE_FAULTS) > 0);
+    process.signal(Signal::TERM);
+    // After this time the process starts no attempts any more.
+    std::thread::sleep(Duration::from_millis(3_100));
+    faults.restore_state_directory();
+    process.child.take().unwrap().wait().unwrap();
+    process.start_with_faults(&faults);
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(process.platform.notification(&id), None);
+}
