--- a/crates/test-support/src/dispatcher_process.rs
+++ b/crates/test-support/src/dispatcher_process.rs
@@ -52,6 +52,9 @@
     pub child: Option<Child>,
 }
 
+/// The number of addresses used that differ only in their last number.
+const ADDRESSES_PER_NETWORK: u64 = 250;
+
 static NEXT_PROCESS: AtomicU64 = AtomicU64::new(0);
 static NEXT_COPY: AtomicU64 = AtomicU64::new(0);
 
@@ -63,7 +66,12 @@
             std::process::id(),
         );
         // Each dispatcher has its own loopback address, so that its port cannot be assigned to another socket.
-        let listen = format!("127.{}.{}.{}:6379", 16 + pid % 200, pid / 200 % 250, n + 1);
+        let (second, third) = (
+            16 + pid % 200,
+            (u64::from(pid) / 200 + n / ADDRESSES_PER_NETWORK) % ADDRESSES_PER_NETWORK,
+        );
+        let last = n % ADDRESSES_PER_NETWORK + 1;
+        let listen = format!("127.{second}.{third}.{last}:6379");
         let dir = PathBuf::from(program.temp_dir).join(format!("dispatcher-{pid}-{n}"));
         std::fs::create_dir_all(dir.join("state")).unwrap();
         let mut config: Value =
