A call that is interrupted again and again does not stop the event loop

Callers saw: no reply within 400 ms on any connection while calls on one were interrupted. Cause: the ring buffer repeated an interrupted recv or send at once and without a limit.

--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -9,7 +9,7 @@
     OPEN_ELSEWHERE, POLL_ADD, POLL_CREATE, POLL_MODIFY, POLL_WAIT, READ_PIPE, RECEIVE, SEND,
     SET_NONBLOCKING, SHUT_DOWN, SOCKET_PAIR, STATUS, TransientCall,
 };
-use bellsill_test_support::faults::{ENOSPC, Faults, words};
+use bellsill_test_support::faults::{EINTR, ENOSPC, Faults, words};
 use bellsill_test_support::platform::Platform;
 use bellsill_test_support::program;
 use bellsill_test_support::stand_in::{accept, request};
@@ -444,3 +444,19 @@
     std::thread::sleep(Duration::from_millis(500));
     assert_eq!(process.platform.notification(&id), None);
 }
+
+/// Issue 50, class of the cause: a call that was interrupted again and again kept the event loop from all other connections.
+#[test]
+fn clients_are_served_though_other_calls_are_interrupted_again_and_again() {
+    let e = Endpoint::start(OK);
+    let (process, faults) = start(&e);
+    faults.fail_next(RECEIVE, u64::MAX, CREATED_SOCKETS);
+    faults.set(RECEIVE.errno_word(), EINTR);
+    let mut client = process.client();
+    for _ in 0..10 {
+        // The first messages reach the endpoint, whose responses cannot be received.
+        assert_eq!(reply_to_put(&mut client, &new_id()), "+OK");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(!e.requests().is_empty(), "no request was sent");
+}
--- a/crates/net/src/ring_buffer.rs
+++ b/crates/net/src/ring_buffer.rs
@@ -6,6 +6,10 @@
 /// Memory that an empty buffer may keep allocated, in bytes.
 const MAX_EMPTY_ALLOCATION: usize = 1024;
 
+/// How often in a row a call may be interrupted before the interruption is returned as an error, so that the caller can
+/// serve others first.
+const MAX_INTERRUPTIONS: usize = 16;
+
 /// A byte buffer that grows on demand up to a fixed capacity.
 pub struct RingBuffer {
     bytes: VecDeque<u8>,
@@ -46,9 +50,10 @@
     }
 
     /// Reads until the source would block, reaches end of file, or the buffer is full. Returns whether it reached end
-    /// of file.
+    /// of file. Calls that are interrupted are repeated a few times.
     pub fn read_from(&mut self, source: &mut impl Read) -> io::Result<bool> {
         let mut chunk = [0; 16 * 1024];
+        let mut interruptions = 0;
         while self.remaining_capacity() > 0 {
             let limit = self.remaining_capacity().min(chunk.len());
             match source.read(&mut chunk[..limit]) {
@@ -59,21 +64,22 @@
                     self.bytes.extend(&chunk[..n]);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if is_repeated(&e, &mut interruptions) => {}
                 Err(e) => return Err(e),
             }
         }
         Ok(false)
     }
 
-    /// Writes until the buffer is empty or the sink would block.
+    /// Writes until the buffer is empty or the sink would block. Calls that are interrupted are repeated a few times.
     pub fn write_to(&mut self, sink: &mut impl Write) -> io::Result<()> {
+        let mut interruptions = 0;
         while !self.is_empty() {
             match sink.write(self.bytes.as_slices().0) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(n) => self.consume(n),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if is_repeated(&e, &mut interruptions) => {}
                 Err(e) => return Err(e),
             }
         }
@@ -93,3 +99,9 @@
         }
     }
 }
+
+/// Whether a call that failed with this error is repeated at once; counts the interruptions.
+fn is_repeated(error: &io::Error, interruptions: &mut usize) -> bool {
+    *interruptions += 1;
+    error.kind() == io::ErrorKind::Interrupted && *interruptions < MAX_INTERRUPTIONS
+}
