A stream that ends after an error was broken, and a response without a length is not complete then

A reset shows as an error and then as the end of the stream; the second answer hid the first, and a body that lasts until the close counted as complete. Evidence: transient_failures, a_response_that_ends_with_a_reset_..., on the code before: another call instead of 'dead'. Change: if the repeated read finds the end of the stream, the error of the first one stands.

--- a/crates/daemon/src/connection/call_errors.rs
+++ b/crates/daemon/src/connection/call_errors.rs
@@ -11,3 +11,15 @@
         result => result,
     }
 }
+
+/// Like [`call_twice`], for a read that returns whether the stream has ended. A stream that ends after an error was broken,
+/// and what came before may be incomplete.
+pub(super) fn read_twice(mut read: impl FnMut() -> io::Result<bool>) -> io::Result<bool> {
+    match read() {
+        Err(e) if !is_transient(&e) => match read() {
+            Ok(true) => Err(e),
+            result => result,
+        },
+        result => result,
+    }
+}
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -1,6 +1,6 @@
 //! The connection table, which owns the poller and all sockets registered with it.
 
-use super::call_errors::call_twice;
+use super::call_errors::{call_twice, read_twice};
 use super::failed_calls::{FailedCalls, SocketCall};
 use super::id::ConnectionId;
 use super::limits::ConnectionLimits;
@@ -226,7 +226,7 @@
             return Ok(());
         };
         let role = conn.role;
-        match call_twice(|| conn.input.read_from(&mut conn.stream)) {
+        match read_twice(|| conn.input.read_from(&mut conn.stream)) {
             Ok(ended) => {
                 conn.peer_closed |= ended;
                 Ok(())
--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -460,3 +460,33 @@
     }
     assert!(!e.requests().is_empty(), "no request was sent");
 }
+
+/// Issue 50, a fault of its first fix: a response without a length counted as complete though its connection was reset, and
+/// a message that may have run was sent again.
+#[test]
+fn a_response_that_ends_with_a_reset_is_not_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let mut process = DispatcherProcess::new(program!(), &[]);
+    process.config["known"]["servers"] = json!([
+        {"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"}
+    ]);
+    process.start();
+    let id = process.client().message("payment", 7, 8_000, "once");
+    let mut endpoint = accept(&listener);
+    request(&mut endpoint).unwrap();
+    let head = b"HTTP/1.1 429 Full\r\nRetry-After: 0.1\r\n\r\n";
+    endpoint.get_mut().write_all(head).unwrap();
+    socket2::SockRef::from(endpoint.get_ref())
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
+    drop(endpoint);
+    wait_for("the notification or another call", || {
+        process.platform.notification(&id).is_some() || listener.accept().is_ok()
+    });
+    let notification = process.platform.notification(&id);
+    assert_eq!(
+        notification.map(|n| n["result"].clone()),
+        Some(json!("dead"))
+    );
+}
