Shutdown: scan for attempts in flight only where the old code did

Cause: the facts of the rule on ending were collected whole in each iteration of the loop, so from 2.3 s after SIGTERM all pending messages were scanned for an attempt in flight even with clients connected; the code before stopped at the cheap checks, because such a scan once took more time than the messages. Change: connected clients end the check first, and the scan is made only in the last phase; the rule and its run-time check are the same.

--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -99,7 +99,7 @@
     }
     // A request whose first bytes are read here gets a timeout of its own.
     let input = read(runtime, id);
-    if input.is_ok() && has_call_to_repeat(runtime, id) {
+    if input.is_ok() && waits_for_repeat(runtime, id) {
         // A request may have arrived; it is read once the call succeeds.
         return put_off_timeout(runtime, id);
     }
@@ -110,7 +110,7 @@
 }
 
 /// Whether a client's connection may not be closed because a call on it failed and is repeated.
-fn has_call_to_repeat(runtime: &mut Runtime, id: ConnectionId) -> bool {
+fn waits_for_repeat(runtime: &mut Runtime, id: ConnectionId) -> bool {
     may_close(runtime, id, CloseReason::Overdue) == Err(Prohibition::InputUnread)
 }
 
@@ -133,7 +133,7 @@
         if runtime.connections.flush(id).is_err() {
             return close(runtime, id, CloseReason::CallFailed);
         }
-        if has_call_to_repeat(runtime, id) {
+        if waits_for_repeat(runtime, id) {
             // The error reply is sent once the call succeeds.
             return put_off_timeout(runtime, id);
         }
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -148,7 +148,8 @@
     /// Scans messages and connections only from `ClosingClients` on: with a large backlog, a scan in each iteration of
     /// the event loop took more time than processing the messages.
     fn is_idle(&self, delivery: &Delivery) -> bool {
-        if self.phase < ShutdownPhase::ClosingClients {
+        if self.phase < ShutdownPhase::ClosingClients || delivery.runtime.connections.has_clients()
+        {
             return false;
         }
         may_end_process(self.process_facts(delivery)).is_ok()
@@ -174,7 +175,8 @@
             // A client that is still connected is in the middle of a request, has not read its reply, or has not closed its
             // side.
             has_clients: runtime.connections.has_clients(),
-            has_attempts: runtime.messages().any_in_flight(),
+            // While attempts may start, the number of messages below tells it without a scan.
+            has_attempts: !may_start_attempts && runtime.messages().any_in_flight(),
             // Records that are not written are lost with the process.
             has_pending_work: runtime.has_pending_writes()
                 || (may_start_attempts
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -25,6 +25,9 @@
         runtime.connections.len(),
         cpu_time() / NANOS_PER_MS
     );
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
     let counters: Vec<String> = diagnostic_counters(runtime)
         .iter()
         .filter(|counter| counter.value > 0)
