--- a/crates/daemon/tests/transient_failures.rs
+++ b/crates/daemon/tests/transient_failures.rs
@@ -31,6 +31,18 @@
     (process, faults)
 }
 
+/// A dispatcher that is not started, and the listener of its only endpoint, of destination 7, for tests that write the
+/// response themselves.
+fn with_listener() -> (DispatcherProcess, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let mut process = DispatcherProcess::new(program!(), &[]);
+    process.config["known"]["servers"] = json!([
+        {"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"}
+    ]);
+    (process, listener)
+}
+
 /// Writes a request and returns the reply, or why there was none.
 fn reply_to_put(client: &mut Client, id: &str) -> String {
     client.writer.set_read_timeout(Some(REPLY_TIMEOUT)).unwrap();
@@ -420,12 +432,7 @@
 /// delivery was written, and the next process reported the message as failed.
 #[test]
 fn a_shutdown_waits_for_records_that_cannot_be_written_for_a_moment() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap().to_string();
-    let mut process = DispatcherProcess::new(program!(), &[]);
-    process.config["known"]["servers"] = json!([
-        {"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"}
-    ]);
+    let (mut process, listener) = with_listener();
     let faults = Faults::new(&process.dir, 1);
     process.start_with_faults(&faults);
     let id = process.client().message("payment", 7, 20_000, "once");
@@ -465,12 +472,7 @@
 /// a message that may have run was sent again.
 #[test]
 fn a_response_that_ends_with_a_reset_is_not_complete() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap().to_string();
-    let mut process = DispatcherProcess::new(program!(), &[]);
-    process.config["known"]["servers"] = json!([
-        {"id": "e0", "addr": addr, "zone": "north", "kind": "shops", "cell": 7, "state": "up"}
-    ]);
+    let (mut process, listener) = with_listener();
     process.start();
     let id = process.client().message("payment", 7, 8_000, "once");
     let mut endpoint = accept(&listener);
