--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod process;
+mod quota;
 mod second_process;
 mod world;
 
@@ -186,6 +187,7 @@
     let site = Site::new(root.into(), trouble);
     let verdict = match case.as_str() {
         "second-process" => second_process::run(&site),
+        "quota" => quota::run(&site),
         _ => Err(format!("no such case: {case}")),
     };
     let (code, text) = match verdict.unwrap_or_else(Verdict::NotRun) {
