Review, case 3: the two processes of an upgrade break the order of a key

During an upgrade both processes take messages at the clients' address, and each keeps the turns of the ordering keys in its own memory (startup.rs, shared_listener; core state/keys.rs). A message goes out while an earlier one with its key, taken on by the other process, is still out.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,9 +1,11 @@
 //! The cases of the review: `review-standin CASE ROOT RECORD`. `TROUBLE=0` leaves the disruption out. Ends with 1 if
 //! the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod order;
 mod process;
 mod quota;
 mod second_process;
+mod settings;
 mod world;
 
 use process::{Process, Start};
@@ -44,28 +46,8 @@
         Site { root, folder, listen: free_address(), world: World::start(), trouble }
     }
 
-    /// Writes the configuration: the settings of `ljubljana-depot`, for one dispatcher.
-    pub fn write_config(&self, disk_mb: f64, lifetime_ms: u64) {
-        let services = format!(
-            "[{{\"name\":\"notice\",\"repeat\":\"deduplicated\",\"window-ns\":8000000000,\"dedup-scope\":\"all\",\
-             \"worth\":1.0,\"aim-ns\":2000000000,\"deadline-ns\":{0},\"late-share\":0.4}},\
-             {{\"name\":\"payment\",\"repeat\":\"at_most_once\",\"window-ns\":5000000000,\"dedup-scope\":\"all\",\
-             \"worth\":2.0,\"aim-ns\":4000000000,\"deadline-ns\":{0},\"late-share\":0.3}}]",
-            lifetime_ms * 1_000_000
-        );
-        let settings = format!(
-            "{{\"balancers\":3,\"position\":0,\"dcs\":[\"hall-a\",\"hall-b\",\"hall-c\"],\"my-zone\":\"hall-a\",\
-             \"discovery\":\"pushed\",\"flavors\":[\"grocers\",\"couriers\",\"farms\"],\
-             \"family-info\":{{\"decay\":\"line\",\"own-limits\":[false,true,false],\"per-call\":[1,1,1],\"workers\":13}},\
-             \"guarantees\":{{\"ask-within-ns\":10000000000,\"cold-share\":0.14,\"drain-grace-ns\":2000000000,\
-             \"grace-to-answer-ns\":20000000,\"overload-for-ns\":3000000000,\"ramp-time-ns\":14000000000,\
-             \"tip-multiple\":2.5}},\
-             \"limits\":{{\"cancel\":true,\"connect-timeout-ns\":1000000000,\"keepalive-ns\":15000000000,\
-             \"max-attempts\":6,\"max-open\":268,\"max-retry-after-ns\":3000000000,\"may-probe\":true,\
-             \"retry-after\":true,\"second-copies\":false,\"streams-per-conn\":1}},\
-             \"report\":{{\"columns\":[],\"how\":\"off\"}},\"services\":{services},\"tick-ns\":5000000,\
-             \"weights\":\"rough\"}}"
-        );
+    /// Writes the configuration with these settings.
+    pub fn write_config(&self, settings: &str, disk_mb: f64) {
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":{disk_mb}}},\
@@ -187,6 +169,7 @@
     let site = Site::new(root.into(), trouble);
     let verdict = match case.as_str() {
         "second-process" => second_process::run(&site),
+        "order" => order::run(&site),
         "quota" => quota::run(&site),
         _ => Err(format!("no such case: {case}")),
     };
--- a/review/standin/src/quota.rs
+++ b/review/standin/src/quota.rs
@@ -2,6 +2,7 @@
 
 use crate::process::SIGTERM;
 use crate::world::{Put, run_clients};
+use crate::settings::ljubljana_depot;
 use crate::{Site, Verdict};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -34,13 +35,15 @@
             }
         }
     }
-    site.write_config(DISK_MB, LIFETIME_MS);
+    site.write_config(&ljubljana_depot(LIFETIME_MS), DISK_MB);
     let mut old = site.start_first("old")?;
     let begin = world.now();
     let steady = (0..).map(|n| (begin + n * EVERY_MS, n)).take_while(|(at, _)| *at < CLIENTS_UNTIL);
     let put = |(at, n): (u64, u64)| Put {
         at,
         class: if n % 5 == 0 { "payment" } else { "notice" },
+        tagged: n % 5 != 0,
+        order_key: 0,
         dest: 1 + n % 3,
         lifetime: LIFETIME_MS,
         bytes: BODY_BYTES,
--- a/review/standin/src/second_process.rs
+++ b/review/standin/src/second_process.rs
@@ -2,6 +2,7 @@
 
 use crate::process::SIGTERM;
 use crate::world::{Put, run_clients};
+use crate::settings::ljubljana_depot;
 use crate::{Site, Verdict};
 use std::time::Duration;
 
@@ -28,11 +29,13 @@
             world.endpoint(dest, zone, kind, WORK_MS);
         }
     }
-    site.write_config(3.0, 12_000);
+    site.write_config(&ljubljana_depot(12_000), 3.0);
     let mut old = site.start_first("old")?;
     let put = |at, dest, n: u64| Put {
         at,
         class: if n % 5 == 0 { "payment" } else { "notice" },
+        tagged: n % 5 != 0,
+        order_key: 0,
         dest,
         lifetime: LIFETIME_MS,
         bytes: BODY_BYTES,
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -17,7 +17,10 @@
 pub struct Message {
     pub class: String,
     pub dest: u64,
+    /// The idempotency key; empty in a class without.
     pub key: String,
+    /// The ordering key; 0 for none.
+    pub order_key: u64,
     pub body: Vec<u8>,
     /// When the client sent it, in milliseconds of the run.
     pub sent: u64,
@@ -220,10 +223,10 @@
                 return;
             }
             std::thread::sleep(Duration::from_millis(work));
+            let now = self.now();
             if write!(to, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
                 return;
             }
-            let now = self.now();
             if let Some(m) = self.messages.lock().expect("a lock").get_mut(&id) {
                 m.delivered.push(now);
             }
@@ -235,7 +238,7 @@
     pub fn hand_in(&self, to: &str, pool: &Pool, put: &Put) {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("9b1f03aa{:08x}", number);
-        let key = if put.class == "notice" { format!("5c0f6e1a{number:08x}") } else { String::new() };
+        let key = if put.tagged { format!("5c0f6e1a{number:08x}") } else { String::new() };
         let body = vec![b'a' + (number % 26) as u8; put.bytes];
         let mut fields = format!("c={},d={}", put.class, put.lifetime);
         if !key.is_empty() {
@@ -243,7 +246,8 @@
         }
         fields += &format!(",dest={}", put.dest);
         let mut command = b"*5\r\n".to_vec();
-        for word in [b"MSG.PUT".as_slice(), b"0000000000000000", id.as_bytes(), fields.as_bytes(), &body] {
+        let order_key = format!("{:016x}", put.order_key);
+        for word in [b"MSG.PUT".as_slice(), order_key.as_bytes(), id.as_bytes(), fields.as_bytes(), &body] {
             command.extend(format!("${}\r\n", word.len()).as_bytes());
             command.extend(word);
             command.extend(b"\r\n");
@@ -252,6 +256,7 @@
             class: put.class.to_string(),
             dest: put.dest,
             key,
+            order_key: put.order_key,
             body,
             sent: self.now(),
             lifetime: put.lifetime,
@@ -289,6 +294,10 @@
 pub struct Put {
     pub at: u64,
     pub class: &'static str,
+    /// Whether the class has an idempotency key.
+    pub tagged: bool,
+    /// The ordering key; 0 for none.
+    pub order_key: u64,
     pub dest: u64,
     pub lifetime: u64,
     pub bytes: usize,
