--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -39,11 +39,17 @@
 
 impl Site {
     fn new(root: PathBuf, trouble: bool) -> Site {
-        let folder = std::env::temp_dir().join(format!("bellsill-review-{}", std::process::id()));
+        let folder = folder();
         for name in ["state", "tmp"] {
             std::fs::create_dir_all(folder.join(name)).expect("a temporary folder");
         }
-        Site { root, folder, listen: free_address(), world: World::start(), trouble }
+        Site {
+            root,
+            folder,
+            listen: free_address(),
+            world: World::start(),
+            trouble,
+        }
     }
 
     /// Writes the configuration with these settings.
@@ -92,13 +98,17 @@
     /// `ANSWER_GRACE` after its time, or by `excused_until`. The run must have gone on until then.
     pub fn judge_lost(&self, excused_until: u64) -> Verdict {
         let messages = self.world.messages.lock().expect("a lock").clone();
-        let taken: Vec<(&String, &Message)> = messages.iter().filter(|m| m.1.taken.is_some()).collect();
+        let taken: Vec<(&String, &Message)> =
+            messages.iter().filter(|m| m.1.taken.is_some()).collect();
         let due = |m: &Message| (m.deadline() + ANSWER_GRACE).max(excused_until);
         let now = self.world.now();
         if taken.is_empty() || taken.iter().any(|m| due(m.1) > now) {
             return Verdict::NotRun("no message was taken on, or the run was too short".into());
         }
-        let lost: Vec<_> = taken.iter().filter(|(_, m)| m.end().is_none_or(|end| end > due(m))).collect();
+        let lost: Vec<_> = taken
+            .iter()
+            .filter(|(_, m)| m.end().is_none_or(|end| end > due(m)))
+            .collect();
         let never = lost.iter().filter(|(_, m)| m.end().is_none()).count();
         let uncalled = lost.iter().filter(|(_, m)| m.calls.is_empty()).count();
         self.world.note(format!(
@@ -118,7 +128,11 @@
                 m.end().map_or("none".into(), |end| format!("{end} ms")),
             ));
         }
-        if lost.is_empty() { Verdict::Held } else { Verdict::Broken }
+        if lost.is_empty() {
+            Verdict::Held
+        } else {
+            Verdict::Broken
+        }
     }
 
     fn write_record(&self, path: &Path, verdict: &str) {
@@ -148,6 +162,11 @@
     }
 }
 
+/// The case's own temporary folder.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("bellsill-review-{}", std::process::id()))
+}
+
 /// A free loopback address.
 fn free_address() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -160,10 +179,15 @@
         eprintln!("usage: review-standin CASE ROOT RECORD");
         std::process::exit(2);
     };
+    // A case that fails by itself could not run. The processes end with this one (see `Process::start`).
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("the case could not run: {panic}");
+        std::fs::remove_dir_all(folder()).ok();
+        std::process::exit(2);
+    }));
     std::thread::spawn(|| {
         std::thread::sleep(TIME_LIMIT);
-        eprintln!("the case took too long");
-        std::process::exit(2);
+        panic!("it took too long");
     });
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let site = Site::new(root.into(), trouble);
@@ -178,11 +202,17 @@
         Verdict::Broken => (1, "the rule was broken".to_string()),
         Verdict::NotRun(why) => (2, format!("the case could not run: {why}")),
     };
-    let text = format!("{case}, {} the disruption: {text}", if trouble { "with" } else { "without" });
+    let text = format!(
+        "{case}, {} the disruption: {text}",
+        if trouble { "with" } else { "without" }
+    );
     site.write_record(Path::new(record), &text);
     std::fs::remove_dir_all(&site.folder).ok();
     println!("{text}");
     let lines = site.world.lines.lock().expect("a lock");
-    lines.iter().filter(|l| l.1.starts_with("result: ")).for_each(|l| println!("{}", l.1));
+    lines
+        .iter()
+        .filter(|l| l.1.starts_with("result: "))
+        .for_each(|l| println!("{}", l.1));
     std::process::exit(code);
 }
--- a/review/standin/src/order.rs
+++ b/review/standin/src/order.rs
@@ -71,7 +71,11 @@
         client.join().map_err(|_| "a client failed")?;
     }
     world.sleep_until(CLIENTS_UNTIL + LIFETIME_MS + 500);
-    world.note(format!("platform: {} answers `ready`: {}", old.name, old.call("ready")));
+    world.note(format!(
+        "platform: {} answers `ready`: {}",
+        old.name,
+        old.call("ready")
+    ));
     Ok(judge_order(site, from))
 }
 
@@ -84,7 +88,9 @@
     let mut pairs = 0;
     for (later_id, later) in messages.iter().filter(|m| m.1.sent + WORK_MS < SIGTERM_AT) {
         for (id, m) in messages.iter().filter(|m| m.1.order_key == later.order_key) {
-            if m.taken.is_none_or(|taken| taken <= from || taken >= later.sent) {
+            if m.taken
+                .is_none_or(|taken| taken <= from || taken >= later.sent)
+            {
                 continue;
             }
             pairs += 1;
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -20,7 +20,10 @@
 /// The `run` command of `deploy/balancer.toml` in the repository's root.
 pub fn run_command(root: &Path) -> String {
     let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
-    let line = text.lines().find(|l| l.starts_with("run = ")).expect("run in the deploy file");
+    let line = text
+        .lines()
+        .find(|l| l.starts_with("run = "))
+        .expect("run in the deploy file");
     let rest = &line[line.find('"').expect("a quote") + 1..];
     rest[..rest.find('"').expect("a closing quote")].to_string()
 }
--- a/review/standin/src/quota.rs
+++ b/review/standin/src/quota.rs
@@ -1,8 +1,8 @@
 //! An upgrade while the endpoints of one destination hang and the messages that wait for it take up disk space.
 
 use crate::process::SIGTERM;
-use crate::world::{Put, run_clients};
 use crate::settings::ljubljana_depot;
+use crate::world::{Put, run_clients};
 use crate::{Site, Verdict};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -38,22 +38,30 @@
     site.write_config(&ljubljana_depot(LIFETIME_MS), DISK_MB);
     let mut old = site.start_first("old")?;
     let begin = world.now();
-    let steady = (0..).map(|n| (begin + n * EVERY_MS, n)).take_while(|(at, _)| *at < CLIENTS_UNTIL);
+    let steady = (0..)
+        .map(|n| (begin + n * EVERY_MS, n))
+        .take_while(|(at, _)| *at < CLIENTS_UNTIL);
     let put = |(at, n): (u64, u64)| Put {
         at,
-        class: if n % 5 == 0 { "payment" } else { "notice" },
-        tagged: n % 5 != 0,
+        class: if n.is_multiple_of(5) {
+            "payment"
+        } else {
+            "notice"
+        },
+        tagged: !n.is_multiple_of(5),
         order_key: 0,
         dest: 1 + n % 3,
         lifetime: LIFETIME_MS,
         bytes: BODY_BYTES,
-        fresh: n % 2 == 0,
+        fresh: n.is_multiple_of(2),
     };
     let clients = run_clients(world, &site.listen, steady.map(put).collect());
 
     let hang = |hangs: bool| {
         if site.trouble {
-            hanging.iter().for_each(|e| e.hangs.store(hangs, Ordering::SeqCst));
+            hanging
+                .iter()
+                .for_each(|e| e.hangs.store(hangs, Ordering::SeqCst));
             world.note(format!("the endpoints of destination 1 hang: {hangs}"));
         }
     };
@@ -84,6 +92,9 @@
     if let Some(status) = new.ended() {
         return Err(format!("new has ended: {status}"));
     }
-    world.note(format!("platform: new answers `ready`: {}", new.call("ready")));
+    world.note(format!(
+        "platform: new answers `ready`: {}",
+        new.call("ready")
+    ));
     Ok(site.judge_lost(SIGTERM_AT + KILL_AFTER + 1_500))
 }
--- a/review/standin/src/second_process.rs
+++ b/review/standin/src/second_process.rs
@@ -1,8 +1,8 @@
 //! An upgrade that fails: the new process is killed while the old one serves on.
 
 use crate::process::SIGTERM;
-use crate::world::{Put, run_clients};
 use crate::settings::ljubljana_depot;
+use crate::world::{Put, run_clients};
 use crate::{Site, Verdict};
 use std::time::Duration;
 
@@ -33,19 +33,28 @@
     let mut old = site.start_first("old")?;
     let put = |at, dest, n: u64| Put {
         at,
-        class: if n % 5 == 0 { "payment" } else { "notice" },
-        tagged: n % 5 != 0,
+        class: if n.is_multiple_of(5) {
+            "payment"
+        } else {
+            "notice"
+        },
+        tagged: !n.is_multiple_of(5),
         order_key: 0,
         dest,
         lifetime: LIFETIME_MS,
         bytes: BODY_BYTES,
-        fresh: n % 2 == 0,
+        fresh: n.is_multiple_of(2),
     };
     let begin = world.now();
-    let steady = (0..).map(|n| (begin + n * EVERY_MS, n)).take_while(|(at, _)| *at < CLIENTS_UNTIL);
+    let steady = (0..)
+        .map(|n| (begin + n * EVERY_MS, n))
+        .take_while(|(at, _)| *at < CLIENTS_UNTIL);
     let mut puts: Vec<Put> = steady.map(|(at, n)| put(at, 1 + n % 3, n)).collect();
     // A clump comes from clients of its own, each with a new connection.
-    puts.extend((0..CLUMP).map(|n| Put { fresh: true, ..put(CLUMP_AT + 2 * n, 2, n) }));
+    puts.extend((0..CLUMP).map(|n| Put {
+        fresh: true,
+        ..put(CLUMP_AT + 2 * n, 2, n)
+    }));
     let clients = run_clients(world, &site.listen, puts);
 
     world.sleep_until(UPGRADE_AT);
@@ -55,7 +64,10 @@
     }
     world.note("platform: new is ready");
     world.sleep_until(KILL_AT);
-    world.note(format!("platform: new answers `ready`: {}", new.call("ready")));
+    world.note(format!(
+        "platform: new answers `ready`: {}",
+        new.call("ready")
+    ));
     if site.trouble {
         new.kill();
         world.note("the new process is killed (SIGKILL); the old one serves on");
@@ -71,6 +83,10 @@
     if let Some(status) = serving.ended() {
         return Err(format!("{} has ended: {status}", serving.name));
     }
-    world.note(format!("platform: {} answers `ready`: {}", serving.name, serving.call("ready")));
+    world.note(format!(
+        "platform: {} answers `ready`: {}",
+        serving.name,
+        serving.call("ready")
+    ));
     Ok(site.judge_lost(KILL_AT + 3_700 + 1_500))
 }
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -94,7 +94,10 @@
 
     /// Adds a line to the record.
     pub fn note(&self, line: impl Into<String>) {
-        self.lines.lock().expect("a lock").push((self.now(), line.into()));
+        self.lines
+            .lock()
+            .expect("a lock")
+            .push((self.now(), line.into()));
     }
 
     /// Starts an endpoint whose calls take this long.
@@ -117,7 +120,9 @@
         });
         all.push(Arc::clone(&endpoint));
         let (world, served) = (Arc::clone(self), Arc::clone(&endpoint));
-        serve(listener, move |stream| world.serve_calls(stream, &served, work));
+        serve(listener, move |stream| {
+            world.serve_calls(stream, &served, work)
+        });
         endpoint
     }
 
@@ -132,11 +137,16 @@
             )
         };
         let entries: Vec<String> = endpoints.iter().map(entry).collect();
-        format!("{{\"version\":41,\"full\":true,\"servers\":[{}]}}", entries.join(","))
+        format!(
+            "{{\"version\":41,\"full\":true,\"servers\":[{}]}}",
+            entries.join(",")
+        )
     }
 
     fn serve_agent(&self, stream: TcpStream) {
-        let Ok(mut to) = stream.try_clone() else { return };
+        let Ok(mut to) = stream.try_clone() else {
+            return;
+        };
         let mut from = BufReader::new(stream);
         while let Some((head, body)) = request(&mut from) {
             let line = head[0].clone();
@@ -144,7 +154,11 @@
                 return self.serve_watch(&mut to, &line);
             } else if line.starts_with("GET /api/targets") {
                 let list = self.list();
-                write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+                write!(
+                    to,
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}",
+                    list.len()
+                )
             } else if line.starts_with("POST /v2/finals") {
                 self.take_notices(&String::from_utf8_lossy(&body));
                 write!(to, "HTTP/1.1 204 No Content\r\n\r\n")
@@ -182,18 +196,24 @@
             let now = self.now();
             match self.messages.lock().expect("a lock").get_mut(&id) {
                 Some(message) => message.notices.push((now, result)),
-                None => self.note(format!("agent: notice for a message that nobody sent: {line}")),
+                None => self.note(format!(
+                    "agent: notice for a message that nobody sent: {line}"
+                )),
             }
         }
     }
 
     fn serve_calls(&self, stream: TcpStream, endpoint: &Endpoint, work: u64) {
         stream.set_nodelay(true).ok();
-        let Ok(mut to) = stream.try_clone() else { return };
+        let Ok(mut to) = stream.try_clone() else {
+            return;
+        };
         let mut from = BufReader::new(stream);
         while let Some((head, body)) = request(&mut from) {
             let value = |name: &str| {
-                let line = head.iter().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "));
+                let line = head
+                    .iter()
+                    .find_map(|l| l.strip_prefix(name)?.strip_prefix(": "));
                 line.unwrap_or("").to_string()
             };
             if !head[0].starts_with("POST /events ") {
@@ -205,14 +225,21 @@
             let id = value("X-Trace-Id");
             let now = self.now();
             let known = match self.messages.lock().expect("a lock").get_mut(&id) {
-                Some(m) if m.dest == endpoint.dest && m.key == value("Idempotency-Key") && m.body == body => {
+                Some(m)
+                    if m.dest == endpoint.dest
+                        && m.key == value("Idempotency-Key")
+                        && m.body == body =>
+                {
                     m.calls.push((now, endpoint.id.clone()));
                     true
                 }
                 _ => false,
             };
             if !known {
-                self.note(format!("{}: a call that no client handed in in this form: {id}", endpoint.id));
+                self.note(format!(
+                    "{}: a call that no client handed in in this form: {id}",
+                    endpoint.id
+                ));
                 write!(to, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").ok();
                 return;
             }
@@ -238,7 +265,11 @@
     pub fn hand_in(&self, to: &str, pool: &Pool, put: &Put) {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("9b1f03aa{:08x}", number);
-        let key = if put.tagged { format!("5c0f6e1a{number:08x}") } else { String::new() };
+        let key = if put.tagged {
+            format!("5c0f6e1a{number:08x}")
+        } else {
+            String::new()
+        };
         let body = vec![b'a' + (number % 26) as u8; put.bytes];
         let mut fields = format!("c={},d={}", put.class, put.lifetime);
         if !key.is_empty() {
@@ -247,7 +278,13 @@
         fields += &format!(",dest={}", put.dest);
         let mut command = b"*5\r\n".to_vec();
         let order_key = format!("{:016x}", put.order_key);
-        for word in [b"MSG.PUT".as_slice(), order_key.as_bytes(), id.as_bytes(), fields.as_bytes(), &body] {
+        for word in [
+            b"MSG.PUT".as_slice(),
+            order_key.as_bytes(),
+            id.as_bytes(),
+            fields.as_bytes(),
+            &body,
+        ] {
             command.extend(format!("${}\r\n", word.len()).as_bytes());
             command.extend(word);
             command.extend(b"\r\n");
@@ -262,8 +299,15 @@
             lifetime: put.lifetime,
             ..Message::default()
         };
-        self.messages.lock().expect("a lock").insert(id.clone(), message);
-        let pooled = if put.fresh { None } else { pool.lock().expect("a lock").pop() };
+        self.messages
+            .lock()
+            .expect("a lock")
+            .insert(id.clone(), message);
+        let pooled = if put.fresh {
+            None
+        } else {
+            pool.lock().expect("a lock").pop()
+        };
         let reused = pooled.is_some();
         let mut answer = ask(pooled.or_else(|| connect(to)), &command);
         if reused && answer.is_none() {
@@ -273,7 +317,12 @@
             Some((line, stream)) => {
                 if line.starts_with('+') {
                     let now = self.now();
-                    self.messages.lock().expect("a lock").get_mut(&id).expect("the message").taken = Some(now);
+                    self.messages
+                        .lock()
+                        .expect("a lock")
+                        .get_mut(&id)
+                        .expect("the message")
+                        .taken = Some(now);
                 } else {
                     self.note(format!("client: {id} turned away: {line}"));
                 }
@@ -306,7 +355,11 @@
 }
 
 /// Hands in each message at its time, each by a thread of its own.
-pub fn run_clients(world: &Arc<World>, to: &str, puts: Vec<Put>) -> Vec<std::thread::JoinHandle<()>> {
+pub fn run_clients(
+    world: &Arc<World>,
+    to: &str,
+    puts: Vec<Put>,
+) -> Vec<std::thread::JoinHandle<()>> {
     let pool: Pool = Arc::default();
     let client = |put: Put| {
         let (world, to, pool) = (Arc::clone(world), to.to_string(), Arc::clone(&pool));
@@ -371,7 +424,8 @@
     }
     let length = head.iter().find_map(|l| {
         let (name, value) = l.split_once(':')?;
-        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().ok())?
+        name.eq_ignore_ascii_case("content-length")
+            .then(|| value.trim().parse().ok())?
     });
     let mut body = vec![0; length.unwrap_or(0)];
     from.read_exact(&mut body).ok()?;
