Open the fault page with openat, which every Linux has, in the preloaded test library

Cause: Linux on arm64 has no `open` call, so `libc::SYS_open` does not exist there and the workspace's tests did not build.

Change: `SYS_open` becomes `SYS_openat` with `AT_FDCWD` as its first argument. Both kinds of machine have that call; no check is touched.

--- a/crates/daemon/tests/preload/page.rs
+++ b/crates/daemon/tests/preload/page.rs
@@ -22,8 +22,13 @@
             if path.is_null() {
                 return None;
             }
-            let file =
-                libc::syscall(libc::SYS_open, path, libc::O_RDWR | libc::O_CLOEXEC, 0) as c_int;
+            let file = libc::syscall(
+                libc::SYS_openat,
+                libc::AT_FDCWD,
+                path,
+                libc::O_RDWR | libc::O_CLOEXEC,
+                0,
+            ) as c_int;
             if file < 0 {
                 return None;
             }
