--- a/review/standin-2/src/dispatcher.rs
+++ b/review/standin-2/src/dispatcher.rs
@@ -8,12 +8,23 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// An address that is free now.
+/// An address that is free now. Each has a loopback address of its own, so that no connection that goes out from the usual
+/// one can take its port before the dispatcher does.
 pub fn free_addr() -> String {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().subsec_nanos();
+    let start = u64::from(std::process::id()) * 251 + u64::from(nanos) / 1000;
+    loop {
+        let n = start + 7919 * NEXT.fetch_add(1, Ordering::SeqCst);
+        let addr = format!("127.{}.{}.{}:6379", 16 + n % 200, n / 200 % 250, n / 50_000 % 250 + 1);
+        if TcpListener::bind(&addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// The command `run` of the deploy file.
