--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case with the stand-ins of review/standin-2; TROUBLE=0 leaves the disruption out.
+# Runs the case with the stand-ins of review/standin-2, which write record.txt here; TROUBLE=0 leaves the disruption out.
 # Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
