Read an indented list in time linear in its length

Cause: documents.rs parsed everything since the first line of a document again for each line of it. The time grew with the square of the list, the watch's time-outs ran out meanwhile, and the list was asked for again.

--- a/crates/discovery-client/tests/discovery/plain_watch.rs
+++ b/crates/discovery-client/tests/discovery/plain_watch.rs
@@ -5,7 +5,9 @@
 };
 use bellsill_discovery_client::backoff::{CONNECT_TIMEOUT, FIRST_LINE_TIMEOUT, SILENCE_TIMEOUT};
 use bellsill_discovery_client::watch::LATE_CALL_TIMEOUT;
-use bellsill_discovery_client::{Command, Received, Timer};
+use bellsill_discovery_client::{CallId, Command, Received, Timer, Watch};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_plain_watch_request_has_fixed_bytes_and_the_last_applied_version() {
@@ -103,3 +105,90 @@
         [b"{\"version\":3}".to_vec(), b"{\"a\":\n1}".to_vec()]
     );
 }
+
+/// The lines of a document as chunks of a few kilobytes, each read before the next one arrives.
+fn receive_in_pieces(watch: &mut Watch, call: CallId, text: &str) -> Vec<Vec<u8>> {
+    const PIECE_BYTES: usize = 4096;
+    let mut documents = receive(watch, SECOND, call, RESPONSE_HEAD).documents;
+    for piece in text.as_bytes().chunks(PIECE_BYTES) {
+        let piece = chunk(std::str::from_utf8(piece).unwrap());
+        documents.extend(receive(watch, SECOND, call, &piece).documents);
+    }
+    documents
+}
+
+/// Guards against a list whose reading takes time quadratic in its lines, during which nobody else is served.
+#[test]
+fn an_indented_list_of_sixty_thousand_endpoints_is_read_in_linear_time() {
+    const ENDPOINTS: usize = 60_000;
+    // A reader that parses everything again for each line needs hours.
+    const TIME_LIMIT: Duration = Duration::from_secs(10);
+    let servers: Vec<_> = (0..ENDPOINTS)
+        .map(|n| json!({"id": format!("e{n}"), "addr": "10.0.0.1:9000", "cell": n, "state": "up"}))
+        .collect();
+    let list = json!({"version": 2, "full": true, "servers": servers});
+    let text = format!("{}\n", serde_json::to_string_pretty(&list).unwrap());
+    let mut watch = plain_watch();
+    let (call, ..) = start(&mut watch);
+    let started = Instant::now();
+    let documents = receive_in_pieces(&mut watch, call, &text);
+    assert!(started.elapsed() < TIME_LIMIT, "{:?}", started.elapsed());
+    assert_eq!(documents.len(), 1);
+    assert_eq!(
+        serde_json::from_slice::<Value>(&documents[0]).unwrap(),
+        list
+    );
+}
+
+/// Guards against lines that begin a document and never end it: they must not hide a later one.
+#[test]
+fn a_document_is_found_behind_lines_that_are_not_one() {
+    const DOCUMENT: &str = r#"{"version":3,"servers":[]}"#;
+    for broken in [
+        "{",
+        "{\"a\":",
+        "{\"a\": 1,",
+        "{\"a\": \"never closed",
+        "{\"a\": \"\\",
+        "{\"a\": \"never\nclosed",
+        "}",
+        "[1, 2]]",
+        "{} {}",
+        "nul",
+        "\u{1}",
+    ] {
+        let mut watch = plain_watch();
+        let (call, ..) = start(&mut watch);
+        let documents = receive_in_pieces(
+            &mut watch,
+            call,
+            &format!("{broken}\n{DOCUMENT}\n{DOCUMENT}\n"),
+        );
+        assert!(
+            documents.contains(&DOCUMENT.as_bytes().to_vec()),
+            "behind {broken:?}"
+        );
+    }
+}
+
+/// Guards against a document that is read differently because of where its lines or its pieces end.
+#[test]
+fn a_document_in_any_layout_is_the_same_document() {
+    let value = json!({"version": 7, "servers": [{"id": "a \"b\" \\ {[", "weight": -1.5e3, "x": [null, true, []]}]});
+    let pretty = serde_json::to_string_pretty(&value).unwrap();
+    for text in [
+        value.to_string(),
+        pretty.clone(),
+        pretty.replace('\n', "\r\n"),
+        pretty.replace('\n', "\n\n \t"),
+        pretty.replace(',', "\n,\n"),
+    ] {
+        let mut watch = plain_watch();
+        let (call, ..) = start(&mut watch);
+        let documents = receive_in_pieces(&mut watch, call, &format!("\n{text}\n\n{text}\n"));
+        assert_eq!(documents.len(), 2, "{text}");
+        for document in documents {
+            assert_eq!(serde_json::from_slice::<Value>(&document).unwrap(), value);
+        }
+    }
+}
