Read heads, chunk lines and commands in time linear in their length

Cause: a response head, a request head, a line of the chunked encoding, an operator's line and a client's command were each parsed from their first byte whenever more had arrived, so in small pieces they cost time quadratic in their length.

Change: the ring buffer remembers how far it holds no line end, and when a parser that begins anew is due (a further line, an eighth more, or all that it asked for). RESP commands have a reader that keeps its place; it replaces the parser in resp.rs.

--- a/crates/control-plane/src/http_server.rs
+++ b/crates/control-plane/src/http_server.rs
@@ -44,12 +44,16 @@
 
 /// Parses the next request, and removes it from the input if it is complete.
 pub(crate) fn receive(input: &mut RingBuffer) -> Received {
+    if !input.is_parse_due(MAX_HEAD_BYTES) {
+        return Received::Incomplete;
+    }
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let bytes = input.make_contiguous();
     let length = match head.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => {
+            input.mark_incomplete();
             return Received::Incomplete;
         }
         Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
@@ -71,6 +75,7 @@
     };
     let total = length + body_length;
     if bytes.len() < total {
+        input.mark_incomplete_until(total);
         return if total > MAX_HEAD_BYTES {
             Received::NeedsCapacity(total)
         } else {
--- a/crates/daemon/src/admin/connections.rs
+++ b/crates/daemon/src/admin/connections.rs
@@ -76,8 +76,7 @@
     let Some(conn) = runtime.connections.get_mut(id) else {
         return AdminInput::Closed;
     };
-    let bytes = conn.input.make_contiguous();
-    let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
+    let Some(end) = conn.input.find_line_end() else {
         if conn.input.len() >= MAX_LINE_BYTES {
             let reply = format!("FAILURE {}\n", RequestError::TooLong);
             conn.output.push(reply.as_bytes());
@@ -86,7 +85,8 @@
         }
         return AdminInput::Waiting;
     };
-    let line = bytes[..end].strip_suffix(b"\r").unwrap_or(&bytes[..end]);
+    let line = &conn.input.make_contiguous()[..end];
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
     let request = if end >= MAX_LINE_BYTES {
         Err(RequestError::TooLong)
     } else {
--- a/crates/daemon/src/client/commands.rs
+++ b/crates/daemon/src/client/commands.rs
@@ -122,7 +122,7 @@
     }
     let full = conn.input.remaining_capacity() == 0;
     let bytes = conn.input.make_contiguous();
-    let (arguments, consumed) = match resp::parse_command(bytes) {
+    let (arguments, consumed) = match conn.command.read(bytes) {
         Ok(Some(command)) => command,
         Ok(None) if !full => return NextCommand::Unavailable,
         invalid => {
--- a/crates/daemon/src/client/resp.rs
+++ b/crates/daemon/src/client/resp.rs
@@ -1,101 +1,22 @@
-//! Parser of RESP2 commands and of the arguments of `MSG.PUT`. The field names of the protocol are used only here.
+//! Parser of the arguments of `MSG.PUT`. The field names of the protocol are used only here.
 
+use crate::command_reader::MAX_ARGUMENT_BYTES;
 use crate::delivery::MAX_BODY_BYTES;
 use std::collections::BTreeMap;
-use std::ops::Range;
 use thiserror::Error;
 
+pub use crate::command_reader::{Command, CommandReader, ProtocolError, parse_command};
+
+/// A body is an argument.
+const _: () = assert!(MAX_ARGUMENT_BYTES == MAX_BODY_BYTES);
+
 /// Maximum length of a complete command.
 pub const MAX_COMMAND_BYTES: usize = MAX_BODY_BYTES + 4 * 1024;
-/// Maximum number of arguments of a command, its name included.
-const MAX_ARGUMENTS: usize = 64;
-/// Maximum length of an inline command and of a line that declares a length.
-const MAX_LINE_BYTES: usize = 1024;
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 64;
 /// Number of digits of a key or message id.
 const HEX_DIGITS: usize = 16;
 
-/// The reason that input is not a valid command; the text is part of the reply.
-#[derive(Debug, PartialEq)]
-pub struct ProtocolError(pub &'static str);
-
-/// The positions of a command's arguments in the input, and the length of the command.
-pub type Command = (Vec<Range<usize>>, usize);
-
-/// The line that begins at `from`, without its end, and the position of the next line.
-fn read_line(bytes: &[u8], from: usize) -> Result<Option<(&[u8], usize)>, ProtocolError> {
-    let rest = &bytes[from..];
-    match rest.iter().position(|&b| b == b'\n') {
-        Some(end) if end > MAX_LINE_BYTES => Err(ProtocolError("a line is too long")),
-        Some(end) => {
-            let text = &rest[..end];
-            Ok(Some((
-                text.strip_suffix(b"\r").unwrap_or(text),
-                from + end + 1,
-            )))
-        }
-        None if rest.len() > MAX_LINE_BYTES => Err(ProtocolError("a line is too long")),
-        None => Ok(None),
-    }
-}
-
-fn parse_length(text: &[u8], max: usize, error: &'static str) -> Result<usize, ProtocolError> {
-    let length = std::str::from_utf8(text)
-        .ok()
-        .and_then(|t| t.parse::<usize>().ok());
-    length
-        .filter(|&n| n <= max && text[0] != b'+')
-        .ok_or(ProtocolError(error))
-}
-
-/// Parses the first command of the input: an array of bulk strings, or an inline command. `None` if it has not arrived
-/// completely.
-pub fn parse_command(bytes: &[u8]) -> Result<Option<Command>, ProtocolError> {
-    let Some((head, mut at)) = read_line(bytes, 0)? else {
-        return Ok(None);
-    };
-    if head.first() != Some(&b'*') {
-        return parse_inline(head).map(|arguments| Some((arguments, at)));
-    }
-    let count = parse_length(&head[1..], MAX_ARGUMENTS, "invalid multibulk length")?;
-    let mut arguments = Vec::with_capacity(count);
-    for _ in 0..count {
-        let Some((head, from)) = read_line(bytes, at)? else {
-            return Ok(None);
-        };
-        if head.first() != Some(&b'$') {
-            return Err(ProtocolError("expected '$'"));
-        }
-        let end = from + parse_length(&head[1..], MAX_BODY_BYTES, "invalid bulk length")?;
-        match bytes.get(end..end + 2) {
-            None => return Ok(None),
-            Some(b"\r\n") => {}
-            Some(_) => return Err(ProtocolError("a bulk string does not end where it should")),
-        }
-        arguments.push(from..end);
-        at = end + 2;
-    }
-    Ok(Some((arguments, at)))
-}
-
-/// Parses an inline command: arguments separated by spaces on one line.
-fn parse_inline(line: &[u8]) -> Result<Vec<Range<usize>>, ProtocolError> {
-    let mut arguments = Vec::new();
-    let mut from = 0;
-    for part in line.split(|b| *b == b' ') {
-        if !part.is_empty() {
-            arguments.push(from..from + part.len());
-        }
-        from += part.len() + 1;
-    }
-    if line.iter().all(|b| (b' '..=b'~').contains(b)) {
-        Ok(arguments)
-    } else {
-        Err(ProtocolError("expected '*'"))
-    }
-}
-
 /// The arguments of `MSG.PUT` without the body.
 #[derive(Debug, PartialEq)]
 pub struct PutCommand {
--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -51,7 +51,7 @@
         return;
     };
     if conn.lingering {
-        conn.input.consume(conn.input.len());
+        conn.discard_input();
         if conn.peer_closed {
             close(runtime, id, CloseReason::PeerClosed);
         } else if read.is_err() || runtime.connections.arm(id).is_err() {
@@ -128,7 +128,7 @@
         return;
     };
     if !conn.input.is_empty() && conn.output.is_empty() {
-        conn.input.consume(conn.input.len());
+        conn.discard_input();
         conn.queue_reply("-ERR the request did not come whole in time\r\n", now);
         if runtime.connections.flush(id).is_err() {
             return close(runtime, id, CloseReason::CallFailed);
--- a/crates/daemon/src/connection/socket.rs
+++ b/crates/daemon/src/connection/socket.rs
@@ -1,6 +1,7 @@
 //! A connection: its socket, its buffers and the state of its peer.
 
 use super::role::Role;
+use crate::command_reader::CommandReader;
 use crate::ring_buffer::RingBuffer;
 use bellsill_core::interface::Nanos;
 use std::net::{SocketAddr, TcpStream};
@@ -29,6 +30,8 @@
     pub(crate) opened_to: Option<SocketAddr>,
     /// Bytes received and not parsed yet.
     pub(crate) input: RingBuffer,
+    /// The progress of parsing a client's command at the beginning of the input.
+    pub(crate) command: CommandReader,
     /// Bytes queued and not sent yet.
     pub(crate) output: RingBuffer,
     /// Whether the TCP handshake is still in progress.
@@ -65,6 +68,12 @@
         self.output.push(reply.as_bytes());
     }
 
+    /// Discards all input.
+    pub(crate) fn discard_input(&mut self) {
+        self.input.consume(self.input.len());
+        self.command = CommandReader::default();
+    }
+
     /// Whether the connection is between requests: both buffers are empty.
     pub(crate) fn is_idle(&self) -> bool {
         self.input.is_empty() && self.output.is_empty()
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -8,6 +8,7 @@
 use super::repeats::PendingRepeats;
 use super::role::Role;
 use super::socket::{BufferBounds, Connection};
+use crate::command_reader::CommandReader;
 use crate::ring_buffer::RingBuffer;
 use crate::slot_table::SlotTable;
 use bellsill_net::call_errors::is_transient;
@@ -137,6 +138,7 @@
             role,
             opened_to: None,
             input: RingBuffer::new(bounds.input),
+            command: CommandReader::default(),
             output: RingBuffer::new(bounds.output),
             connecting,
             close_after_output: false,
--- a/crates/daemon/src/endpoint/exchange.rs
+++ b/crates/daemon/src/endpoint/exchange.rs
@@ -102,7 +102,8 @@
     ) -> Result<Evaluation, MalformedResponse> {
         let request_written = conn.output.is_empty();
         let read = self.read(conn);
-        let starts_with_success = http::starts_with_success(conn.input.make_contiguous());
+        let starts_with_success = conn.input.find_line_end().is_some()
+            && http::starts_with_success(conn.input.make_contiguous());
         let delivered = match &self.head {
             Some(head) => head.status == 200,
             None => starts_with_success,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`endpoint`], `notification`, [`discovery`] | communication with endpoints, with the platform and with discovery |
 //! | [`journal`], [`scope`] | persistent state |
 //! | `action_rules` | what may be sent, closed or ended now, and the count of violations |
-//! | `connection`, `timer` | sockets, the poller, and scheduled timers |
+//! | `connection`, `command_reader`, `timer` | sockets, parsing of commands, the poller, and scheduled timers |
 #![deny(unsafe_code)]
 
 pub use bellsill_discovery_client::backoff;
@@ -23,6 +23,7 @@
 pub mod client;
 pub mod clock;
 pub mod command_line;
+mod command_reader;
 mod connection;
 mod delivery;
 pub mod discovery;
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -104,11 +104,17 @@
     buffer: &mut RingBuffer,
 ) -> Result<Option<ResponseHead>, MalformedResponse> {
     loop {
+        if !buffer.is_parse_due(MAX_HEAD_BYTES) {
+            return Ok(None);
+        }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut headers);
         let length = match response.parse(buffer.make_contiguous()) {
             Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if buffer.len() < MAX_HEAD_BYTES => return Ok(None),
+            Ok(httparse::Status::Partial) if buffer.len() < MAX_HEAD_BYTES => {
+                buffer.mark_incomplete();
+                return Ok(None);
+            }
             _ => return Err(MalformedResponse),
         };
         let head = parse_head(&response)?;
@@ -283,14 +289,13 @@
 
     /// Removes a line of the chunked encoding from the buffer and evaluates it. Returns whether the line was complete.
     fn take_line(&mut self, buffer: &mut RingBuffer) -> Result<bool, MalformedResponse> {
-        let bytes = buffer.make_contiguous();
-        let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
+        let Some(end) = buffer.find_line_end() else {
             return match buffer.len() < MAX_HEAD_BYTES {
                 true => Ok(false),
                 false => Err(MalformedResponse),
             };
         };
-        let line = bytes[..end].trim_ascii();
+        let line = buffer.make_contiguous()[..end].trim_ascii();
         *self = match self {
             Body::ChunkEnd if line.is_empty() => Body::Chunked(0),
             Body::ChunkEnd => return Err(MalformedResponse),
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -5,6 +5,7 @@
 use bellsill_net::http::{self, Body};
 use bellsill_net::ring_buffer::RingBuffer;
 use property::check;
+use std::time::{Duration, Instant};
 
 #[test]
 fn arbitrary_bytes_do_not_panic_the_parser() {
@@ -131,3 +132,80 @@
         );
     }
 }
+
+/// Feeds a head to the parser in pieces of this length. Returns the first result other than "incomplete".
+fn parse_in_pieces(
+    head: &[u8],
+    piece_bytes: usize,
+) -> Result<Option<http::ResponseHead>, http::MalformedResponse> {
+    let mut buffer = RingBuffer::new(64 * 1024);
+    for piece in head.chunks(piece_bytes) {
+        assert!(buffer.push(piece));
+        match http::take_response_head(&mut buffer) {
+            Ok(None) => {}
+            result => return result,
+        }
+    }
+    Ok(None)
+}
+
+/// Guards against a head that is read differently because of where its pieces end.
+#[test]
+fn a_head_in_pieces_is_the_same_head() {
+    let heads: [&[u8]; 7] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        b"HTTP/1.1 200 OK\nContent-Length: 5\n\n",
+        b"\r\n\n\r\nHTTP/1.1 429 Full\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nbad header\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\n\r\n",
+        b"\x01\r\n\r\n",
+    ];
+    for head in heads {
+        let whole = parse_in_pieces(head, head.len());
+        assert_ne!(whole, Ok(None));
+        for piece_bytes in 1..head.len() {
+            assert_eq!(parse_in_pieces(head, piece_bytes), whole, "{piece_bytes}");
+        }
+    }
+}
+
+/// Guards against a head whose reading costs time quadratic in its pieces.
+#[test]
+fn heads_and_chunk_lines_that_arrive_byte_by_byte_are_read_in_linear_time() {
+    // A reader that begins anew for each byte looks at 130 million bytes and more for each of the inputs.
+    const ROUNDS: usize = 20;
+    const TIME_LIMIT: Duration = Duration::from_secs(2);
+    const LENGTH: usize = 16 * 1024 - 100;
+    let started = Instant::now();
+    let short_fields = "a: b\r\n".repeat(60);
+    let long_field = format!("a: {}", "b".repeat(LENGTH));
+    let many_line_ends = "\r\n".repeat(LENGTH / 2);
+    let many_heads = "HTTP/1.1 102 Wait\r\n\r\n".repeat(LENGTH / 21);
+    for head in [
+        format!("HTTP/1.1 200 {}\r\n\r\n", "x".repeat(LENGTH)),
+        format!("HTTP/1.1 200 OK\r\n{long_field}\r\n\r\n"),
+        format!(
+            "HTTP/1.1 200 OK\r\n{short_fields}{}\r\n\r\n",
+            &long_field[..LENGTH - short_fields.len()]
+        ),
+        format!("{many_line_ends}HTTP/1.1 200 OK\r\n\r\n"),
+        format!("{many_heads}HTTP/1.1 200 OK\r\n\r\n"),
+    ] {
+        for _ in 0..ROUNDS {
+            let parsed = parse_in_pieces(head.as_bytes(), 1).unwrap().unwrap();
+            assert_eq!(parsed.status, 200);
+        }
+    }
+    let chunk_lines = format!("0;{}\r\n\r\n", "x".repeat(LENGTH));
+    for _ in 0..ROUNDS {
+        let mut buffer = RingBuffer::new(64 * 1024);
+        let mut body = Body::Chunked(0);
+        for byte in chunk_lines.bytes() {
+            assert!(buffer.push(&[byte]));
+            body.take(&mut buffer, |_| {}).unwrap();
+        }
+        assert_eq!(body, Body::Done);
+    }
+    assert!(started.elapsed() < TIME_LIMIT, "{:?}", started.elapsed());
+}
