End a flood of empty commands at the client's time-out, and serve others beside it

Cause: an empty command is no activity, so the client's deadline lay in the past. Its handler read on, executed 64 commands and set the timer again, in the past; the pass over the expired timers popped it again at once.

Change: a timer that is set during a pass expires in a later one at the earliest, whichever it is. A client whose time is up is read no more: what has come is executed, 64 commands a turn beside everybody else's, and a reply gives it new time; else it is closed.

Result: a_flood_of_empty_or_unsound_commands_is_ended_and_other_clients_are_served fails before and passes after.

--- a/crates/daemon/src/client/commands.rs
+++ b/crates/daemon/src/client/commands.rs
@@ -45,25 +45,35 @@
     Put(NewMessage),
 }
 
+/// Whether complete commands may be left in the input.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub(super) enum ExecutedCommands {
+    /// Every command that has arrived completely and has space for its reply was executed.
+    All,
+    /// [`MAX_COMMANDS_PER_EVENT`] was reached first; the others are executed after pending events.
+    Limit,
+}
+
 /// Executes the commands that have arrived completely, up to [`MAX_COMMANDS_PER_EVENT`]. An error means that the
 /// connection must be closed for this reason.
 pub(super) fn execute_commands(
     delivery: &mut Delivery,
     id: ConnectionId,
     policy: ClientPolicy,
-) -> Result<(), CloseReason> {
+) -> Result<ExecutedCommands, CloseReason> {
     let now = delivery.runtime.now;
-    let mut left = MAX_COMMANDS_PER_EVENT;
-    loop {
+    let mut executed = ExecutedCommands::All;
+    for count in 0.. {
         let Some(conn) = delivery.runtime.connections.get_mut(id) else {
-            return Ok(());
+            return Ok(ExecutedCommands::All);
         };
-        if left == 0 {
+        if count == MAX_COMMANDS_PER_EVENT {
             // The other commands wait until pending events of other connections are handled.
             delivery.runtime.timers.set(Timer::ReadClient(id), now + 1);
+            executed = ExecutedCommands::Limit;
             break;
         }
-        left -= 1;
         match next_command(conn, now, policy) {
             NextCommand::Unavailable => break,
             NextCommand::Executed => {}
@@ -78,16 +88,32 @@
             conn.close_after_output = true;
         }
     }
-    flush_or_close(&mut delivery.runtime, id, left == 0)
+    flush_or_close(&mut delivery.runtime, id, executed)?;
+    Ok(executed)
+}
+
+/// The time by which a client has to send its next command or read its replies.
+pub(super) fn deadline(conn: &Connection) -> Nanos {
+    let timeout = if conn.replied && conn.is_idle() {
+        IDLE_TIMEOUT
+    } else {
+        REQUEST_TIMEOUT
+    };
+    conn.last_active + timeout
 }
 
-/// Sends the queued replies. Closes the connection if that is due, unless output is left or commands may be left
-/// (`limit_reached`); otherwise restarts its timeout.
+/// Sends the queued replies. Closes the connection if that is due, unless output or commands may be left; otherwise
+/// restarts its timeout.
 fn flush_or_close(
     runtime: &mut Runtime,
     id: ConnectionId,
-    limit_reached: bool,
+    executed: ExecutedCommands,
 ) -> Result<(), CloseReason> {
+    let now = runtime.now;
+    if let Some(conn) = runtime.connections.get_mut(id) {
+        // A reply gives a client that was overdue new time.
+        conn.overdue &= deadline(conn) <= now;
+    }
     if runtime.connections.flush(id).is_err() {
         return Err(CloseReason::CallFailed);
     }
@@ -95,13 +121,8 @@
         return Ok(());
     };
     let closing = conn.close_after_output || conn.peer_closed;
-    if !conn.output.is_empty() || limit_reached || !closing {
-        let timeout = if conn.replied && conn.is_idle() {
-            IDLE_TIMEOUT
-        } else {
-            REQUEST_TIMEOUT
-        };
-        let at = conn.last_active + timeout;
+    if !conn.output.is_empty() || executed == ExecutedCommands::Limit || !closing {
+        let at = deadline(conn);
         runtime.timers.set(Timer::Connection(id), at);
         return Ok(());
     }
--- a/crates/daemon/src/client/session.rs
+++ b/crates/daemon/src/client/session.rs
@@ -2,7 +2,7 @@
 
 use super::close_reason::CloseReason;
 use super::closing::{close, close_gracefully, close_if_idle, may_close};
-use super::commands::execute_commands;
+use super::commands::{ExecutedCommands, deadline, execute_commands};
 use super::policy::ClientPolicy;
 use crate::action_rules::Prohibition;
 use crate::connection::ConnectionId;
@@ -27,6 +27,9 @@
     let Some(conn) = runtime.connections.get_mut(id) else {
         return Ok(Input::Nothing);
     };
+    if conn.overdue && !conn.lingering {
+        return Ok(Input::Nothing);
+    }
     let before = conn.input.len();
     if conn.replied && conn.is_idle() {
         // The timeout of the client's next command starts now.
@@ -58,7 +61,8 @@
             close(runtime, id, CloseReason::CallFailed);
         }
     } else {
-        execute_or_close(delivery, id, policy, &read);
+        // Commands that are left are executed when their timer expires.
+        let _all_or_limit = execute_or_close(delivery, id, policy, &read);
     }
 }
 
@@ -77,21 +81,23 @@
     id: ConnectionId,
     policy: ClientPolicy,
     read: &io::Result<Input>,
-) {
+) -> ExecutedCommands {
     // Commands that arrived before the connection broke still get their replies, as far as these can be sent.
     if read.is_err()
         && let Some(conn) = delivery.runtime.connections.get_mut(id)
     {
         conn.peer_closed = true;
     }
-    if let Err(reason) = execute_commands(delivery, id, policy) {
+    execute_commands(delivery, id, policy).unwrap_or_else(|reason| {
         close(&mut delivery.runtime, id, reason);
-    }
+        ExecutedCommands::All
+    })
 }
 
 /// Handles a client's timeout: for its first command, the rest of a command, reading a reply, or staying connected between
 /// requests. Without these timeouts, clients that send nothing, send half a command or read no replies would hold their
 /// connections forever. A merely slow client is closed too, but commands that have arrived by now are executed first.
+/// Nothing more is read meanwhile, so a client that never stops sending is closed as well.
 pub(crate) fn handle_timeout(delivery: &mut Delivery, id: ConnectionId, policy: ClientPolicy) {
     let runtime = &mut delivery.runtime;
     if runtime.connections.get(id).is_some_and(|c| c.lingering) {
@@ -103,9 +109,15 @@
         // A request may have arrived; it is read once the call succeeds.
         return put_off_timeout(runtime, id);
     }
-    match input {
-        Ok(Input::Nothing) => close_overdue(runtime, id),
-        read => execute_or_close(delivery, id, policy, &read),
+    let executed = execute_or_close(delivery, id, policy, &input);
+    let runtime = &mut delivery.runtime;
+    let now = runtime.now;
+    let Some(conn) = runtime.connections.get_mut(id).filter(|c| !c.lingering) else {
+        return;
+    };
+    conn.overdue = deadline(conn) <= now;
+    if conn.overdue && executed == ExecutedCommands::All {
+        close_overdue(runtime, id);
     }
 }
 
--- a/crates/daemon/src/connection/registration.rs
+++ b/crates/daemon/src/connection/registration.rs
@@ -121,8 +121,8 @@
     }
 
     /// Arms the connection in the poller. While the input buffer is full, or the output buffer is more than half full
-    /// because the peer does not read, the connection is not watched for input. An error means that the connection cannot
-    /// be registered at all.
+    /// because the peer does not read, or its time is up, the connection is not watched for input. An error means that the
+    /// connection cannot be registered at all.
     pub(crate) fn arm(&mut self, id: ConnectionId) -> io::Result<()> {
         let Some(conn) = self.connections.get_mut(id) else {
             return Ok(());
@@ -131,6 +131,7 @@
         let interest = Interest {
             read: !conn.connecting
                 && !conn.peer_closed
+                && (!conn.overdue || conn.lingering)
                 && conn.input.remaining_capacity() > 0
                 && !peer_reads_slowly,
             write: conn.connecting || !conn.output.is_empty(),
--- a/crates/daemon/src/connection/socket.rs
+++ b/crates/daemon/src/connection/socket.rs
@@ -42,6 +42,8 @@
     pub(crate) peer_closed: bool,
     /// Whether the sending side is shut down; input is discarded until the peer closes its side too.
     pub(crate) lingering: bool,
+    /// Whether a client's time is up. Its commands that have arrived are executed, but nothing more is read.
+    pub(crate) overdue: bool,
     /// When the connection was established or last used.
     pub(crate) last_active: Nanos,
     /// When a client last sent something.
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -144,6 +144,7 @@
             close_after_output: false,
             peer_closed: false,
             lingering: false,
+            overdue: false,
             last_active: 0,
             last_received: 0,
             replied: false,
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -100,6 +100,7 @@
     /// ran.
     fn expire_timers(&mut self) {
         let now = self.delivery.runtime.now;
+        self.delivery.runtime.timers.start_pass(now);
         let mut wakeup = false;
         while let Some(timer) = self.delivery.runtime.timers.pop_expired(now) {
             if timer == Timer::Wakeup {
--- a/crates/daemon/tests/clients.rs
+++ b/crates/daemon/tests/clients.rs
@@ -8,7 +8,8 @@
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::time::Duration;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 #[test]
 fn split_and_pipelined_input_gets_replies_in_order_and_is_delivered() {
@@ -321,3 +322,87 @@
                 .any(|c| c.header("X-Trace-Id") == crossing)
     );
 }
+
+/// Sends the input over and over at full speed until the dispatcher closes the connection or the time is over. Returns
+/// whether it was closed.
+fn flood(address: &str, prefix: &[u8], input: &[u8], time: Duration) -> bool {
+    const WRITE_BYTES: usize = 64 * 1024;
+    let input = input.repeat(WRITE_BYTES / input.len());
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(prefix).unwrap();
+    let mut replies = stream.try_clone().unwrap();
+    std::thread::spawn(move || std::io::copy(&mut replies, &mut std::io::sink()));
+    let started = Instant::now();
+    while started.elapsed() < time {
+        if stream.write_all(&input).is_err() {
+            return true;
+        }
+    }
+    false
+}
+
+/// Guards against a client that floods the dispatcher with commands that have no reply, or with unsound ones: from its
+/// timeout on nobody else was served, because its timer was set in the past and handled again in the same pass.
+#[test]
+fn a_flood_of_empty_or_unsound_commands_is_ended_and_other_clients_are_served() {
+    // Bad clients get their error or close within 3 s; as much again is allowed for the sending side to notice.
+    const FLOOD_TIME: Duration = Duration::from_secs(6);
+    const REPLY_LIMIT: Duration = Duration::from_millis(500);
+    let e = Endpoint::start(OK);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.start();
+    let floods: [(&[u8], &[u8]); 7] = [
+        (b"", b"\n"),
+        (b"", b"\r\n"),
+        (b"", b"*0\r\n"),
+        (b"", b"\n\r\n*0\r\n  \r\n"),
+        (b"\n", b"*1\r\n$0\r\n\r\n"),
+        (b"", b"NO SUCH COMMAND\r\n"),
+        (b"", b"\x01"),
+    ];
+    for (prefix, input) in floods {
+        let address = process.listen.clone();
+        let flooding = std::thread::spawn(move || flood(&address, prefix, input, FLOOD_TIME));
+        while !flooding.is_finished() {
+            let started = Instant::now();
+            let mut client = process.client();
+            assert_eq!(client.send(b"PING\r\n"), "+PONG");
+            let id = client.message("notice", 7, 8000, "beside the flood");
+            wait_for("the delivery beside the flood", || e.received(&id) == 1);
+            assert!(
+                started.elapsed() < REPLY_LIMIT,
+                "{input:?}: {:?}",
+                started.elapsed()
+            );
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        assert!(
+            flooding.join().unwrap(),
+            "the flood of {input:?} was not ended"
+        );
+    }
+}
+
+/// Guards against a request behind empty commands that is thrown away, and against one that is left unanswered because its
+/// client was late.
+#[test]
+fn a_request_among_many_empty_commands_gets_its_reply() {
+    const EMPTY_COMMANDS: usize = 10_000;
+    let e = Endpoint::start(OK);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.start();
+    let mut client = process.client();
+    // Its time is up soon; what has arrived by then is executed.
+    client.writer.write_all(b"\n").unwrap();
+    std::thread::sleep(Duration::from_millis(2_500));
+    let id = new_id();
+    let mut input = b"\n".repeat(EMPTY_COMMANDS);
+    input.extend(put(&id, "c=notice,d=8000,k=a,dest=7", "x"));
+    input.extend(b"\n".repeat(EMPTY_COMMANDS));
+    client.writer.write_all(&input).unwrap();
+    assert_eq!(client.line(), "+OK");
+    wait_for("the message", || e.received(&id) == 1);
+    // The reply has given the client new time.
+    std::thread::sleep(Duration::from_millis(3_000));
+    assert_eq!(client.send(b"PING\r\n"), "+PONG");
+}
--- a/crates/net/src/timer_queue.rs
+++ b/crates/net/src/timer_queue.rs
@@ -7,6 +7,8 @@
 pub struct TimerQueue<K> {
     by_deadline: BTreeSet<(Nanos, K)>,
     deadlines: BTreeMap<K, Nanos>,
+    /// The earliest deadline that a timer is set to.
+    earliest: Nanos,
 }
 
 impl<K> Default for TimerQueue<K> {
@@ -14,13 +16,21 @@
         TimerQueue {
             by_deadline: BTreeSet::new(),
             deadlines: BTreeMap::new(),
+            earliest: 0,
         }
     }
 }
 
 impl<K: Ord + Copy> TimerQueue<K> {
+    /// Starts a pass over the timers that have expired by `now`. A timer that is set from now on expires after `now` at the
+    /// earliest: one whose handler sets it again in the past would otherwise keep the pass from ending.
+    pub fn start_pass(&mut self, now: Nanos) {
+        self.earliest = self.earliest.max(now + 1);
+    }
+
     /// Sets the deadline of a timer and replaces an earlier setting.
     pub fn set(&mut self, timer: K, deadline: Nanos) {
+        let deadline = deadline.max(self.earliest);
         self.cancel(timer);
         self.deadlines.insert(timer, deadline);
         self.by_deadline.insert((deadline, timer));
--- a/crates/net/tests/timer_queue.rs
+++ b/crates/net/tests/timer_queue.rs
@@ -32,3 +32,24 @@
     }
     check(200, property as fn(Vec<(u8, u16)>) -> bool);
 }
+
+/// Guards against a pass over the expired timers that never ends, because a handler sets its timer in the past.
+#[test]
+fn a_timer_that_is_set_in_the_past_expires_in_the_next_pass() {
+    const NOW: Nanos = 100;
+    let mut timers = TimerQueue::default();
+    timers.set(1, NOW - 1);
+    timers.set(2, NOW);
+    timers.start_pass(NOW);
+    let mut expired = Vec::new();
+    while let Some(timer) = timers.pop_expired(NOW) {
+        expired.push(timer);
+        timers.set(timer, 0);
+        timers.set(3, NOW);
+    }
+    assert_eq!(expired, [1, 2]);
+    assert_eq!(timers.next_deadline(), Some(NOW + 1));
+    timers.start_pass(NOW + 1);
+    let next: Vec<i32> = std::iter::from_fn(|| timers.pop_expired(NOW + 1)).collect();
+    assert_eq!(next, [1, 2, 3]);
+}
