Stop executing an operator's lines once their replies have no space

Cause: an operator who sends calls without end and reads no replies, or reads them too late, had all lines of the input buffer executed in one turn, also after the connection was to be closed because a reply did not fit.

Change: what is left of the input is discarded then.

Before, one connection went on with replies missing; now it is closed and counted as before.

--- a/crates/daemon/src/admin/connections.rs
+++ b/crates/daemon/src/admin/connections.rs
@@ -76,6 +76,11 @@
     let Some(conn) = runtime.connections.get_mut(id) else {
         return AdminInput::Closed;
     };
+    if conn.close_after_output {
+        // The replies do not fit into the output buffer: the peer does not read them.
+        conn.input.consume(conn.input.len());
+        return AdminInput::Waiting;
+    }
     let Some(end) = conn.input.find_line_end() else {
         if conn.input.len() >= MAX_LINE_BYTES {
             let reply = format!("FAILURE {}\n", RequestError::TooLong);
