Send replies that fill the output buffer, then go on with the commands behind them

What callers saw: a client that sent 4,000 PINGs of 900 bytes at once and read all replies was told at reply 3,978 that its request had not come whole in time.

Cause: commands wait while the output buffer has no space for a reply. With the replies sent at once and the input buffer full, neither a read nor a write was waited for, so the next thing that happened was the time-out.

Change: the replies are sent and the execution goes on, unless the peer doesn't read; then it goes on with the next write.

Result: a_client_that_sends_many_commands_with_long_replies_gets_them_all fails before, at reply 3,978, and passes after.

--- a/crates/daemon/src/client/commands.rs
+++ b/crates/daemon/src/client/commands.rs
@@ -29,8 +29,10 @@
 
 /// The state of the next command in the input.
 enum NextCommand {
-    /// No command is complete, or none can be executed now.
+    /// No command is complete, or the session is over.
     Unavailable,
+    /// The replies before it have to be sent first.
+    NoReplyCapacity,
     /// The command was executed, and its reply is queued.
     Executed,
     /// The reply is sent once the message is accepted or rejected.
@@ -76,6 +78,11 @@
         }
         match next_command(conn, now, policy) {
             NextCommand::Unavailable => break,
+            NextCommand::NoReplyCapacity => {
+                if !send_replies(&mut delivery.runtime, id)? {
+                    break;
+                }
+            }
             NextCommand::Executed => {}
             NextCommand::Put(new) => put_message(delivery, id, new),
         }
@@ -92,6 +99,16 @@
     Ok(executed)
 }
 
+/// Sends the queued replies. Returns whether there is capacity for another one; if not, the connection is handled again once
+/// the peer has read some.
+fn send_replies(runtime: &mut Runtime, id: ConnectionId) -> Result<bool, CloseReason> {
+    if runtime.connections.flush(id).is_err() {
+        return Err(CloseReason::CallFailed);
+    }
+    let conn = runtime.connections.get(id);
+    Ok(conn.is_some_and(|c| c.output.remaining_capacity() >= MIN_REPLY_CAPACITY))
+}
+
 /// The time by which a client has to send its next command or read its replies.
 pub(super) fn deadline(conn: &Connection) -> Nanos {
     let timeout = if conn.replied && conn.is_idle() {
@@ -135,12 +152,12 @@
 
 /// Executes the next command of the input, if it is complete; `MSG.PUT` is only parsed.
 fn next_command(conn: &mut Connection, now: Nanos, policy: ClientPolicy) -> NextCommand {
-    if conn.close_after_output
-        || conn.input.is_empty()
-        || conn.output.remaining_capacity() < MIN_REPLY_CAPACITY
-    {
+    if conn.close_after_output || conn.input.is_empty() {
         return NextCommand::Unavailable;
     }
+    if conn.output.remaining_capacity() < MIN_REPLY_CAPACITY {
+        return NextCommand::NoReplyCapacity;
+    }
     let full = conn.input.remaining_capacity() == 0;
     let bytes = conn.input.make_contiguous();
     let (arguments, consumed) = match conn.command.read(bytes) {
--- a/crates/daemon/tests/clients.rs
+++ b/crates/daemon/tests/clients.rs
@@ -406,3 +406,23 @@
     std::thread::sleep(Duration::from_millis(3_000));
     assert_eq!(client.send(b"PING\r\n"), "+PONG");
 }
+
+/// Guards against a client that waits for replies to commands that have arrived: with its input buffer full and its replies
+/// just sent, no event came, and it was closed with its commands unanswered.
+#[test]
+fn a_client_that_sends_many_commands_with_long_replies_gets_them_all() {
+    const COMMANDS: usize = 4_000;
+    const TEXT_BYTES: usize = 900;
+    let mut process = DispatcherProcess::new(program!(), &[]);
+    process.start();
+    let mut client = process.client();
+    let text = "x".repeat(TEXT_BYTES);
+    let input = format!("PING {text}\r\n").repeat(COMMANDS);
+    let mut writer = client.writer.try_clone().unwrap();
+    let writing = std::thread::spawn(move || writer.write_all(input.as_bytes()));
+    for reply in 0..COMMANDS {
+        assert_eq!(client.line(), format!("${TEXT_BYTES}"), "reply {reply}");
+        assert_eq!(client.line(), text, "reply {reply}");
+    }
+    writing.join().unwrap().unwrap();
+}
