See the end of a client's connection behind requests that are still unread

Cause: the end of a connection was seen by reading up to it. With the buffer full it lay behind unread requests, and only the kernel knew.

Change: a read that fills the buffer asks the kernel as well (poll with POLLRDHUP). No message is accepted then, but every request is read on and gets its reply. If the call fails, the process does as before.

--- a/crates/daemon/src/client/commands.rs
+++ b/crates/daemon/src/client/commands.rs
@@ -232,7 +232,7 @@
         .runtime
         .connections
         .get(id)
-        .is_some_and(|c| !c.peer_closed);
+        .is_some_and(|c| !c.has_peer_left());
     let NewMessage { put, body } = new;
     let class = delivery.class_index(&put.class);
     let message = JournaledMessage {
--- a/crates/daemon/src/connection/socket.rs
+++ b/crates/daemon/src/connection/socket.rs
@@ -40,6 +40,8 @@
     pub(crate) close_after_output: bool,
     /// Whether the peer has shut down its sending side.
     pub(crate) peer_closed: bool,
+    /// Whether the peer has shut down its sending side, but input in front of that end is still unread.
+    pub(crate) has_unread_end: bool,
     /// Whether the sending side is shut down; input is discarded until the peer closes its side too.
     pub(crate) lingering: bool,
     /// Whether a client's time is up. Its commands that have arrived are executed, but nothing more is read.
@@ -70,6 +72,11 @@
         self.output.push(reply.as_bytes());
     }
 
+    /// Whether the peer has shut down its sending side or closed the connection, by what was known at the last read.
+    pub(crate) fn has_peer_left(&self) -> bool {
+        self.peer_closed || self.has_unread_end
+    }
+
     /// Discards all input.
     pub(crate) fn discard_input(&mut self) {
         self.input.consume(self.input.len());
--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -12,9 +12,11 @@
 use crate::ring_buffer::RingBuffer;
 use crate::slot_table::SlotTable;
 use bellsill_net::call_errors::is_transient;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use polling::{Event, Events, Poller};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
 
 /// An event reported by the poller.
@@ -143,6 +145,7 @@
             connecting,
             close_after_output: false,
             peer_closed: false,
+            has_unread_end: false,
             lingering: false,
             overdue: false,
             last_active: 0,
@@ -232,6 +235,8 @@
         match read_twice(|| conn.input.read_from(&mut conn.stream)) {
             Ok(ended) => {
                 conn.peer_closed |= ended;
+                let is_full = conn.input.remaining_capacity() == 0;
+                conn.has_unread_end = !ended && is_full && has_hung_up(&conn.stream);
                 Ok(())
             }
             Err(e) => self.handle_failure(SocketCall::Read, id, role, e),
@@ -278,6 +283,15 @@
     }
 }
 
+/// Whether the kernel has the end of the peer's sending side, even behind unread input. If the call fails, the end is found
+/// once the input was read.
+fn has_hung_up(stream: &TcpStream) -> bool {
+    let ended = PollFlags::from_bits_retain(libc::POLLRDHUP);
+    let mut fds = [PollFd::new(stream.as_fd(), ended)];
+    let ready = poll(&mut fds, PollTimeout::ZERO);
+    ready.is_ok_and(|count| count > 0)
+}
+
 /// Whether this error of `connect` means that the handshake is in progress; an interrupted one continues too.
 fn connect_in_progress(e: &io::Error) -> bool {
     e.raw_os_error() == Some(libc::EINPROGRESS)
