Accept a message once where a request comes again at the other process of an upgrade

Cause: the ids of accepted and of recently ended messages are in the memory of the process that accepted them.

Change: a process reads what others append to their journals, at each admission while there are other journals, and answers a known id as within one process.

--- a/crates/daemon/src/delivery/admission.rs
+++ b/crates/daemon/src/delivery/admission.rs
@@ -94,7 +94,9 @@
         if !self.may_have_endpoints(message.destination) {
             return Err(Rejection::UnknownDestination);
         }
-        if self.runtime.messages.is_known(message.id) {
+        if self.runtime.messages.is_known(message.id)
+            || self.runtime.journal.is_known_elsewhere(message.id)
+        {
             return Ok(Admission::Duplicate);
         }
         let admitted = self
--- a/crates/daemon/src/journal/directory.rs
+++ b/crates/daemon/src/journal/directory.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
+use std::time::SystemTime;
 
 /// The file name of the first journal; the others append a number to it.
 const BASE_NAME: &str = "mails";
@@ -96,6 +97,11 @@
         0..MAX_JOURNALS
     }
 
+    /// The time at which a file was last created, removed or renamed, on the wall clock.
+    pub(super) fn modified(&self) -> io::Result<SystemTime> {
+        std::fs::metadata(&self.path)?.modified()
+    }
+
     /// The indexes of the journals whose files exist.
     pub(super) fn existing_journals(&self) -> io::Result<Vec<usize>> {
         let mut existing = vec![];
--- a/crates/daemon/src/journal/journal_set.rs
+++ b/crates/daemon/src/journal/journal_set.rs
@@ -6,6 +6,7 @@
 use super::contents::Recovered;
 use super::directory::JournalDirectory;
 use super::error::JournalError;
+use super::listing::JournalListing;
 use super::record;
 use super::writer::JournalWriter;
 use bellsill_core::interface::MessageId;
@@ -15,6 +16,7 @@
 pub(super) struct JournalSet {
     own: JournalWriter,
     adopted: Vec<JournalWriter>,
+    listing: JournalListing,
     /// The failed writes of journals that were removed since.
     failures_of_removed: u64,
 }
@@ -25,6 +27,7 @@
         JournalSet {
             own,
             adopted: vec![],
+            listing: JournalListing::default(),
             failures_of_removed: 0,
         }
     }
@@ -43,10 +46,18 @@
 
     /// The indexes of all existing journals that this process does not hold.
     pub(super) fn other_journals(&self) -> io::Result<Vec<usize>> {
-        let is_other = |index: &usize| self.journals().all(|journal| !journal.holds(*index));
-        let mut others = self.directory().existing_journals()?;
-        others.retain(is_other);
-        Ok(others)
+        Ok(self.without_held(self.directory().existing_journals()?))
+    }
+
+    /// Like [`JournalSet::other_journals`], but the directory is listed only if it has changed.
+    pub(super) fn other_journals_listed(&mut self) -> io::Result<Vec<usize>> {
+        let journals = self.listing.update(self.own.directory())?.to_vec();
+        Ok(self.without_held(journals))
+    }
+
+    fn without_held(&self, mut journals: Vec<usize>) -> Vec<usize> {
+        journals.retain(|&index| self.journals().all(|journal| !journal.holds(index)));
+        journals
     }
 
     /// Whether there are files of other journals than the own one.
--- a/crates/daemon/src/journal/mod.rs
+++ b/crates/daemon/src/journal/mod.rs
@@ -17,9 +17,11 @@
 mod error;
 mod file;
 mod journal_set;
+mod listing;
 mod live_records;
 mod load;
 mod merged;
+mod other_journals;
 mod record;
 mod replay;
 mod writer;
@@ -32,6 +34,7 @@
 use bellsill_core::interface::{MessageId, Nanos};
 use directory::JournalDirectory;
 use journal_set::JournalSet;
+use other_journals::OtherJournals;
 use std::io;
 use std::path::Path;
 use writer::JournalWriter;
@@ -40,6 +43,7 @@
 pub struct MessageJournal {
     journals: JournalSet,
     adopter: Adopter,
+    others: OtherJournals,
     /// Messages that had already ended according to the journals read since the last call of
     /// [`MessageJournal::take_resolved`].
     resolved: Vec<MessageId>,
@@ -67,6 +71,7 @@
         let journal = MessageJournal {
             journals: JournalSet::new(own),
             adopter: Adopter::new(capacity_bytes),
+            others: OtherJournals::default(),
             resolved: loaded.replayed.resolved.into(),
         };
         Ok((journal, loaded.replayed.recovered))
@@ -84,6 +89,18 @@
         }
     }
 
+    /// Whether a process that shares the state directory has accepted a message with this id, which is pending there or
+    /// ended recently.
+    pub fn is_known_elsewhere(&mut self, id: MessageId) -> bool {
+        match self.journals.other_journals_listed() {
+            Ok(others) => self.others.contains(self.journals.directory(), &others, id),
+            Err(e) => {
+                log::debug!("message journal: cannot look for other journals: {e}");
+                false
+            }
+        }
+    }
+
     /// Returns the messages that had already ended according to the journals read since the last call.
     pub fn take_resolved(&mut self) -> Vec<MessageId> {
         std::mem::take(&mut self.resolved)
--- a/crates/daemon/src/journal/record.rs
+++ b/crates/daemon/src/journal/record.rs
@@ -4,6 +4,7 @@
 use super::contents::{JournaledAttempt, JournaledMessage, Resolution};
 use crate::clock::ClockReading;
 use bellsill_core::interface::{MessageId, Nanos};
+use std::ops::Range;
 
 /// The size of the header before a payload: its length and checksum, four bytes each.
 const HEADER_BYTES: usize = 8;
@@ -286,6 +287,24 @@
     })
 }
 
+/// Decodes all complete records, with the range of each. After bytes that are not a complete record it searches for the next
+/// one.
+pub(super) fn decode_all(bytes: &[u8]) -> impl Iterator<Item = (Record<'_>, Range<usize>)> {
+    let mut offset = 0;
+    std::iter::from_fn(move || {
+        while offset < bytes.len() {
+            let start = offset;
+            let Some((record, length)) = decode_first(&bytes[start..]) else {
+                offset += 1;
+                continue;
+            };
+            offset += length;
+            return Some((record, start..offset));
+        }
+        None
+    })
+}
+
 /// Decodes the record at the start of these bytes, and returns it with its length; `None` if they do not start with a
 /// complete record.
 pub(super) fn decode_first(bytes: &[u8]) -> Option<(Record<'_>, usize)> {
--- a/crates/daemon/src/journal/replay.rs
+++ b/crates/daemon/src/journal/replay.rs
@@ -94,21 +94,11 @@
 /// Replays all complete records. After bytes that are not a complete record it searches for the next one.
 pub(super) fn replay(bytes: &[u8]) -> Replayed {
     let mut replay = Replay::default();
-    let (mut offset, mut complete_bytes) = (0, 0);
-    let (mut skipped_bytes, mut damaged_bytes) = (0, 0);
-    while offset < bytes.len() {
-        match record::decode_first(&bytes[offset..]) {
-            Some((record, length)) => {
-                replay.apply(record);
-                damaged_bytes += std::mem::take(&mut skipped_bytes);
-                offset += length;
-                complete_bytes = offset;
-            }
-            None => {
-                skipped_bytes += 1;
-                offset += 1;
-            }
-        }
+    let (mut complete_bytes, mut damaged_bytes) = (0, 0);
+    for (record, range) in record::decode_all(bytes) {
+        replay.apply(record);
+        damaged_bytes += range.start - complete_bytes;
+        complete_bytes = range.end;
     }
     Replayed {
         recovered: Recovered {
--- a/crates/daemon/tests/repeated_requests.rs
+++ b/crates/daemon/tests/repeated_requests.rs
@@ -1,7 +1,7 @@
 //! Requests whose client has left, and requests that come again: each message runs once.
 
-use bellsill_test_support::client::{new_id, put};
-use bellsill_test_support::dispatcher_process::DispatcherProcess;
+use bellsill_test_support::client::{connect, new_id, put};
+use bellsill_test_support::dispatcher_process::{DispatcherProcess, KillOnDrop};
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::program;
 use bellsill_test_support::wait::wait_for;
@@ -112,3 +112,76 @@
     std::thread::sleep(SETTLE_TIME);
     assert_eq!(e.received(&id), 1);
 }
+
+/// An upgrade in which each process has an address of its own, so that the test knows which one gets a request.
+struct Upgrade {
+    process: DispatcherProcess,
+    old_address: String,
+    _old: KillOnDrop,
+}
+
+impl Upgrade {
+    /// Starts the new process beside the old one.
+    fn begin(mut process: DispatcherProcess) -> Upgrade {
+        let old_address = process.listen.clone();
+        let old = KillOnDrop(process.child.take().unwrap());
+        process.config["listen"] = process.admin_addr(1).into();
+        process.config["mgmt"] = process.admin_addr(2).into();
+        process.start_second_process();
+        Upgrade {
+            process,
+            old_address,
+            _old: old,
+        }
+    }
+
+    fn new_address(&self) -> &str {
+        self.process.config["listen"].as_str().unwrap()
+    }
+}
+
+fn submit(address: &str, id: &str) -> String {
+    connect(address).unwrap().send(&payment(id, "x"))
+}
+
+/// Guards against a message that runs twice because its request came again at the new process of an upgrade while the old
+/// one has it.
+#[test]
+fn a_pending_request_that_comes_again_at_the_new_process_of_an_upgrade_runs_once() {
+    let e = Endpoint::start(Behavior::Hangs);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.start();
+    let id = new_id();
+    assert_eq!(submit(&process.listen, &id), "+OK");
+    wait_for("the attempt", || e.received(&id) == 1);
+    let upgrade = Upgrade::begin(process);
+    assert_eq!(submit(upgrade.new_address(), &id), "+OK");
+    std::thread::sleep(SETTLE_TIME);
+    assert_eq!(e.received(&id), 1);
+}
+
+/// Guards against a message that runs twice because its request came again at the other process of an upgrade, in either
+/// direction, after it had ended.
+#[test]
+fn an_ended_request_that_comes_again_at_the_other_process_of_an_upgrade_runs_once() {
+    let e = Endpoint::start(OK);
+    let mut process = DispatcherProcess::new(program!(), &[(&e, 7)]);
+    process.start();
+    let before = new_id();
+    assert_eq!(submit(&process.listen, &before), "+OK");
+    wait_for("the delivery", || e.received(&before) == 1);
+    let upgrade = Upgrade::begin(process);
+    let (old, new) = (upgrade.old_address.as_str(), upgrade.new_address());
+    assert_eq!(submit(new, &before), "+OK");
+    let mut ids = vec![before];
+    for (first, second) in [(new, old), (old, new), (new, old), (old, new)] {
+        let id = new_id();
+        assert_eq!(submit(first, &id), "+OK");
+        wait_for("the delivery", || e.received(&id) > 0);
+        assert_eq!(submit(second, &id), "+OK");
+        ids.push(id);
+    }
+    std::thread::sleep(SETTLE_TIME);
+    let received: Vec<usize> = ids.iter().map(|id| e.received(id)).collect();
+    assert_eq!(received, vec![1; ids.len()]);
+}
