Limit the memory of all unfinished requests of a control process together

Cause: the input of each connection was limited, all together were not: 8,192 clients that stop in the middle of a head of 160 KiB could take 1.3 GB.

Change: unfinished requests between 4 and 160 KiB may take 32 MiB together (longer ones are limited to sixteen). Beyond that the clients that have been at theirs for the longest time are closed, counted and logged. It is added up after each MiB received, so that many clients with small pieces cost no more.

--- a/crates/control-plane/src/clients.rs
+++ b/crates/control-plane/src/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: reads requests, writes responses and streams lines to watchers.
 
-use crate::connections::{BufferBounds, ConnectionId, Purpose, WriteOutcome};
+use crate::connections::{BufferBounds, Connection, ConnectionId, Purpose, WriteOutcome};
 use crate::context::Context;
 use crate::http_server::{self, MAX_HEAD_BYTES, Received, Request, Response, WATCH_HEAD};
 use crate::time::SECOND;
@@ -18,6 +18,12 @@
 const MAX_UNSENT_BYTES: usize = 64 * 1024;
 /// The maximum number of connections whose input has been grown beyond [`MAX_HEAD_BYTES`] for a long body.
 const MAX_LONG_BODIES: usize = 16;
+/// The maximum memory of unfinished requests, not counting those up to [`SMALL_REQUEST_BYTES`] each, and long bodies.
+const MAX_PARTIAL_REQUEST_BYTES: usize = 32 * 1024 * 1024;
+/// The length up to which an unfinished request is not closed for memory.
+const SMALL_REQUEST_BYTES: usize = 4 * 1024;
+/// The memory of unfinished requests is added up again after this many received bytes.
+const MEMORY_CHECK_BYTES: usize = 1024 * 1024;
 /// A watch with unsent output is closed if none of it can be written for this long.
 const WATCHER_READ_TIMEOUT: Nanos = 3 * SECOND;
 /// A connection with an incomplete request or unsent output is closed if no response was queued and no output was written
@@ -31,6 +37,8 @@
 pub(crate) struct Clients {
     /// The connection of each watcher.
     watch_connections: HashMap<WatcherId, ConnectionId>,
+    /// The number of bytes received since the memory of unfinished requests was added up.
+    unchecked_bytes: usize,
 }
 
 /// Whether reading of a long body continues now.
@@ -60,9 +68,44 @@
 
     /// Reads available input from a client; closes the connection on an error.
     pub(crate) fn receive(&mut self, context: &mut Context, id: ConnectionId) {
+        let before = input_length(context, id);
         match context.connections.read(id) {
             Ok(()) => context.connections.mark_unflushed(id),
-            Err(_) => self.close(context, id),
+            Err(_) => return self.close(context, id),
+        }
+        self.unchecked_bytes += input_length(context, id) - before;
+        if self.unchecked_bytes >= MEMORY_CHECK_BYTES {
+            self.unchecked_bytes = 0;
+            self.limit_partial_requests(context);
+        }
+    }
+
+    /// Closes the clients that have been at a large request for the longest time, while all incomplete requests together
+    /// may take more than [`MAX_PARTIAL_REQUEST_BYTES`] before the next check. The number of long bodies is limited.
+    fn limit_partial_requests(&mut self, context: &mut Context) {
+        let is_large = |connection: &Connection| {
+            connection.purpose == Purpose::Client
+                && connection.input.len() > SMALL_REQUEST_BYTES
+                && connection.input_bound() <= MAX_HEAD_BYTES
+        };
+        let clients = context.connections.iter();
+        let mut large: Vec<_> = clients
+            .filter(|(_, c)| is_large(c))
+            .map(|(id, c)| (c.last_progress, id, c.input.len()))
+            .collect();
+        let mut total: usize = large.iter().map(|(_, _, length)| length).sum();
+        large.sort_unstable();
+        for (_, oldest, length) in large {
+            if total <= MAX_PARTIAL_REQUEST_BYTES - MEMORY_CHECK_BYTES {
+                break;
+            }
+            total -= length;
+            context.metrics.closed_slow += 1;
+            log::warn!(
+                "closed a client in the middle of a request of {length} bytes so far: all unfinished requests exceed \
+                 {MAX_PARTIAL_REQUEST_BYTES} bytes"
+            );
+            self.close(context, oldest);
         }
     }
 
@@ -283,3 +326,9 @@
         self.respond(context, id, response);
     }
 }
+
+/// The number of received bytes of a connection that are not handled yet; 0 if it is closed.
+fn input_length(context: &mut Context, id: ConnectionId) -> usize {
+    let connection = context.connections.get_mut(id);
+    connection.map_or(0, |connection| connection.input.len())
+}
--- a/crates/control-plane/tests/serving.rs
+++ b/crates/control-plane/tests/serving.rs
@@ -312,3 +312,41 @@
     second.until_filled(8);
     assert_eq!(leader.metrics()["watchers"], 1);
 }
+
+/// Guards against a process that is killed for its memory because hundreds of clients stop in the middle of a large request.
+#[test]
+fn clients_that_stop_in_the_middle_of_large_requests_take_a_limited_amount_of_memory() {
+    const CLIENTS: usize = 400;
+    const HEAD_BYTES: usize = 150_000;
+    const MAX_PARTIAL_REQUEST_BYTES: usize = 32 * 1024 * 1024;
+    let (place, state) = (
+        ReservedAddress::reserve(),
+        tempfile::tempdir().expect("temp directory"),
+    );
+    let leader = place.start_leader(state.path());
+    leader.declare();
+    let head = format!("GET /{}", "x".repeat(HEAD_BYTES));
+    let mut clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let mut client = connect(place.address);
+            // The last clients are read before the next one comes.
+            client
+                .write_all(head.as_bytes())
+                .expect("a client that is read");
+            assert_eq!(request(place.address, "GET", "/v2/figures", "").0, 200);
+            client
+        })
+        .collect();
+    let open = clients.iter_mut().filter_map(|client| {
+        client.set_nonblocking(true).expect("a socket");
+        let error = client.read(&mut [0]).err()?;
+        (error.kind() == std::io::ErrorKind::WouldBlock).then_some(())
+    });
+    let open = open.count();
+    assert!(
+        open * HEAD_BYTES <= MAX_PARTIAL_REQUEST_BYTES,
+        "{open} are open"
+    );
+    assert!(open > CLIENTS / 4, "{open} are open");
+    leader.write(&entry(7, Up));
+}
