--- a/crates/daemon/src/journal/adoption.rs
+++ b/crates/daemon/src/journal/adoption.rs
@@ -4,11 +4,11 @@
 
 use super::adoption_history::{AdoptionCounters, AdoptionHistory, Failure};
 use super::contents::Recovered;
-use super::directory::Lock;
 use super::journal_set::JournalSet;
 use super::load::load;
 use super::writer::JournalWriter;
 use crate::clock;
+use crate::file_lock::Lock;
 use bellsill_core::interface::{MessageId, Nanos};
 use std::fs::File;
 use std::io;
--- a/crates/daemon/src/journal/compaction.rs
+++ b/crates/daemon/src/journal/compaction.rs
@@ -1,7 +1,8 @@
 //! Decides when a journal is compacted and how far it may grow. Obsolete records are removed only by writing a new file
 //! next to the old one, and both files count towards the disk quota until the new one replaces the old.
 
-use super::directory::{ONE_BLOCK, OtherUsage, disk_bytes};
+use super::directory::{ONE_BLOCK, OtherUsage};
+use crate::disk_space::disk_bytes;
 
 /// Files up to this length are not compacted for their ratio of obsolete records.
 const MIN_COMPACTION_BYTES: u64 = 256 * 1024;
--- a/crates/daemon/src/journal/directory.rs
+++ b/crates/daemon/src/journal/directory.rs
@@ -1,11 +1,12 @@
 //! The journals of a state directory: their file names and locks, and the disk usage of all other files.
 
 use crate::clock;
+use crate::disk_space::disk_bytes;
+use crate::file_lock::{Lock, try_lock_at};
 use crate::scope::SCOPE_FILE;
 use bellsill_core::interface::Nanos;
-use std::fs::{File, OpenOptions, TryLockError};
+use std::fs::{File, OpenOptions};
 use std::io;
-use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
 
@@ -13,55 +14,12 @@
 const BASE_NAME: &str = "mails";
 /// The maximum number of journals in a state directory.
 const MAX_JOURNALS: usize = 8;
-/// Files occupy whole blocks of the disk.
-const BLOCK_BYTES: u64 = 512;
 /// While no other journal exists, the directory is scanned at most once per this interval, in nanoseconds.
 const SCAN_INTERVAL: Nanos = 20_000_000;
 
-/// The disk space of a file of this length, in whole blocks.
-pub(super) const fn disk_bytes(length: u64) -> u64 {
-    length.div_ceil(BLOCK_BYTES) * BLOCK_BYTES
-}
-
 /// The size of one block, the allowance for rounding up to whole blocks.
 pub(super) const ONE_BLOCK: u64 = disk_bytes(1);
 
-/// The result of locking a journal's file.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[must_use]
-pub(super) enum Lock {
-    /// This process holds the lock until the file is closed.
-    Acquired,
-    /// Another process holds the lock, or the file is no longer the one at its path.
-    HeldElsewhere,
-}
-
-/// Locks a file against other processes: two processes that write the same journal would each recover the other's
-/// messages. On a file system without locks nothing prevents that. After an error it is not known who holds the lock.
-pub(super) fn try_lock(file: &File) -> io::Result<Lock> {
-    match file.try_lock() {
-        Ok(()) => Ok(Lock::Acquired),
-        Err(TryLockError::WouldBlock) => Ok(Lock::HeldElsewhere),
-        Err(TryLockError::Error(e)) if has_no_locks(&e) => Ok(Lock::Acquired),
-        Err(TryLockError::Error(e)) => Err(e),
-    }
-}
-
-/// Whether this error of locking a file means that its file system has no locks.
-fn has_no_locks(error: &io::Error) -> bool {
-    matches!(
-        error.raw_os_error(),
-        Some(libc::ENOSYS | libc::EOPNOTSUPP | libc::EINVAL)
-    )
-}
-
-/// Whether the open file is still the one at that path. Another process may have replaced or removed it after it was
-/// opened and before it was locked.
-fn is_file_at(file: &File, path: &Path) -> bool {
-    let at_path = std::fs::metadata(path).map(|metadata| metadata.ino());
-    matches!((at_path, file.metadata()), (Ok(at_path), Ok(file)) if at_path == file.ino())
-}
-
 /// A state directory; its journals are identified by index.
 #[derive(Clone)]
 pub(super) struct JournalDirectory {
@@ -116,12 +74,10 @@
         Ok(existing)
     }
 
-    /// Locks a journal's open file, and checks that it is still the one at its path.
+    /// Locks a journal's open file, and checks that it is still the one at its path. Two processes that write the same
+    /// journal would each recover the other's messages.
     pub(super) fn lock_journal(&self, index: usize, file: &File) -> io::Result<Lock> {
-        match try_lock(file)? {
-            Lock::Acquired if is_file_at(file, &self.journal_path(index)) => Ok(Lock::Acquired),
-            _ => Ok(Lock::HeldElsewhere),
-        }
+        try_lock_at(file, &self.journal_path(index))
     }
 
     /// Opens and locks the first journal that no other process holds.
--- a/crates/daemon/src/journal/file.rs
+++ b/crates/daemon/src/journal/file.rs
@@ -1,7 +1,8 @@
 //! The file of a journal: appends records, truncates an incomplete one, and replaces the file.
 
-use super::directory::{JournalDirectory, Lock, try_lock};
+use super::directory::JournalDirectory;
 use super::error::JournalError;
+use crate::file_lock::{Lock, try_lock};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::Path;
