Record what a process is told of the endpoint list, for the next one and one beside it

What callers saw: an endpoint of one destination had gone and one of another served at its address.

The list in force was in memory alone. The next process began with `known`, as old as the start of an earlier one, or with the `scope` file, up to 5 s old.

Change: every update is written to a log in the state directory before it is applied: `endpoints`, or `scope.updates` beside `scope`. The next process applies it on top of `known` or `scope`, unless `known` is newer; one beside it follows it. Damaged and half lines are skipped, missed versions asked for again, and without space the list is saved once there is some.

--- a/crates/daemon/src/delivery/configuration.rs
+++ b/crates/daemon/src/delivery/configuration.rs
@@ -34,7 +34,7 @@
     /// Applies a document of an unscoped watch.
     fn apply_plain_document(&mut self, document: &[u8]) {
         match serde_json::from_slice::<Value>(document) {
-            Ok(json) => self.apply_json_list(&json),
+            Ok(json) => self.apply_received_list(document, &json),
             Err(e) => log::warn!("discovery: skipped a line that is not valid JSON: {e}"),
         }
     }
@@ -45,29 +45,23 @@
         id: ConnectionId,
         document: &[u8],
     ) -> Result<(), ScopedLineError> {
+        self.record_line(document);
         let (discovery, mut io) = self.discovery_and_io();
         let applied = discovery.apply(&mut io, id, document)?;
         self.apply_changes(&applied);
         Ok(())
     }
 
-    /// Applies the endpoints known at startup: the entries of the scoped list or, without a scoped configuration, `known`
-    /// from the platform's file.
-    pub(crate) fn apply_known_list(&mut self, known: &Value) {
-        let Some(list) = self.discovery.scoped_list() else {
-            return self.apply_json_list(known);
-        };
-        let applied = Applied {
-            changed: list.entries().cloned().collect(),
-            ..Applied::default()
+    fn apply_received_list(&mut self, document: &[u8], json: &Value) {
+        let Some(list) = endpoint_list::read(json, self.discovery.names()) else {
+            return;
         };
-        self.apply_changes(&applied);
-    }
-
-    fn apply_json_list(&mut self, json: &Value) {
-        if let Some(list) = endpoint_list::read(json, self.discovery.names()) {
-            self.apply_list(&list);
+        if self.is_outdated(&list) {
+            return;
         }
+        self.record_list(&list, document, json);
+        self.apply_list(&list);
+        self.compact_updates();
     }
 
     /// Applies changes of the scoped configuration. A dropped destination that has pending messages is looked up again.
@@ -91,7 +85,7 @@
         }
     }
 
-    fn apply_list(&mut self, list: &EndpointList) {
+    pub(super) fn apply_list(&mut self, list: &EndpointList) {
         let dispatcher = &self.dispatcher;
         let update = self
             .runtime
--- a/crates/daemon/src/delivery/coordinator.rs
+++ b/crates/daemon/src/delivery/coordinator.rs
@@ -4,6 +4,7 @@
 use crate::connection::ConnectionId;
 use crate::discovery::Discovery;
 use crate::io::Io;
+use crate::update_log::UpdateLog;
 use bellsill_core::control::Dispatcher;
 use bellsill_core::interface::{ClassSettings, Nanos, Settings};
 use std::collections::BTreeSet;
@@ -19,6 +20,11 @@
     pub(super) class_names: Vec<String>,
     /// The names of the endpoints that an operator has disabled.
     pub(super) disabled: BTreeSet<String>,
+    /// The updates of the configuration, for the next process.
+    pub(super) updates: UpdateLog,
+    /// The version of a list that another process has received and the own watch may not have; reset when the watch is
+    /// opened anew.
+    pub(super) shared_version: Option<u64>,
     /// Set once the decision logic is no longer called. Messages still pending are left to the next process.
     pub(super) stopped: bool,
 }
@@ -30,6 +36,7 @@
         discovery: Discovery,
         runtime: Runtime,
         disabled: BTreeSet<String>,
+        updates: UpdateLog,
     ) -> Delivery {
         Delivery {
             classes: settings.classes.clone(),
@@ -38,6 +45,8 @@
             runtime,
             discovery,
             disabled,
+            updates,
+            shared_version: None,
             stopped: false,
         }
     }
@@ -80,13 +89,19 @@
 
     /// Changes the address of discovery, which also receives the notifications.
     pub(crate) fn relocate_discovery(&mut self, addr: SocketAddr) {
+        self.shared_version = None;
+        let is_moved = self.discovery.scoped_list().is_none() && self.discovery.address() != addr;
         let (discovery, mut io) = self.discovery_and_io();
         discovery.relocate(&mut io, addr);
+        if is_moved {
+            self.restart_log();
+        }
         self.runtime.relocate_notifications(addr);
     }
 
     /// Reopens the watch of the configuration.
     pub(crate) fn reconnect_watch(&mut self) {
+        self.shared_version = None;
         let (discovery, mut io) = self.discovery_and_io();
         discovery.reconnect(&mut io);
     }
--- a/crates/daemon/src/delivery/mod.rs
+++ b/crates/daemon/src/delivery/mod.rs
@@ -10,6 +10,7 @@
 mod pending;
 mod recovery;
 mod runtime;
+mod updates;
 
 pub(crate) use admission::{Admission, Rejection};
 pub(crate) use coordinator::Delivery;
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -56,6 +56,16 @@
         self.watch.list()
     }
 
+    /// The server of the watch.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.watch.address()
+    }
+
+    /// The version up to which the list is known.
+    pub(crate) fn version(&self) -> u64 {
+        self.watch.version()
+    }
+
     /// The counters of the watch's calls.
     pub(crate) fn counters(&self) -> Counters {
         self.watch.counters()
--- a/crates/daemon/src/endpoint/list.rs
+++ b/crates/daemon/src/endpoint/list.rs
@@ -108,6 +108,7 @@
             return Ok(None);
         }
         let endpoint = self.register(listed, addr);
+        self.row_mut(endpoint).weight = listed.weight;
         if self.addr(endpoint) != addr {
             self.row_mut(endpoint).addr = addr;
             relocated.push(endpoint);
--- a/crates/daemon/src/endpoint/registry.rs
+++ b/crates/daemon/src/endpoint/registry.rs
@@ -4,6 +4,7 @@
 use crate::connection::ConnectionId;
 use crate::endpoint_list::ListedEndpoint;
 use bellsill_core::interface::{EndpointId, Nanos};
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -14,6 +15,8 @@
     pub(super) addr: SocketAddr,
     pub(super) zone: String,
     kind: String,
+    /// The weight by the list, which is kept to write the list again.
+    pub(super) weight: Option<f64>,
     pub(super) serving: bool,
     /// The destination under which the endpoint was listed; none once the endpoint is removed.
     pub(super) destination: Option<u64>,
@@ -21,6 +24,42 @@
     pub(super) idle: Vec<ConnectionId>,
 }
 
+/// The entry of an endpoint in discovery's form.
+#[derive(Serialize)]
+struct JsonEntry<'a> {
+    id: &'a str,
+    addr: SocketAddr,
+    zone: &'a str,
+    kind: &'a str,
+    #[serde(rename = "cell")]
+    destination: Option<u64>,
+    state: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    weight: Option<f64>,
+}
+
+/// A list in discovery's form.
+#[derive(Serialize)]
+struct JsonList<'a> {
+    version: u64,
+    full: bool,
+    servers: Vec<JsonEntry<'a>>,
+}
+
+impl Endpoint {
+    fn json_entry(&self) -> JsonEntry<'_> {
+        JsonEntry {
+            id: &self.name,
+            addr: self.addr,
+            zone: &self.zone,
+            kind: &self.kind,
+            destination: self.destination,
+            state: if self.serving { "up" } else { "draining" },
+            weight: self.weight,
+        }
+    }
+}
+
 /// The endpoints known to the decision logic, and the connections to them that have no attempt.
 #[derive(Default)]
 pub struct EndpointRegistry {
@@ -74,6 +113,7 @@
             addr,
             zone: listed.zone.clone(),
             kind: listed.kind.clone(),
+            weight: listed.weight,
             serving: false,
             destination: Some(listed.destination),
             idle: vec![],
@@ -146,6 +186,17 @@
         (0..self.rows.len() as u32).map(EndpointId)
     }
 
+    /// The list as it is in force, in discovery's form.
+    pub(crate) fn to_json(&self, version: u64) -> String {
+        let rows = self.rows.iter().filter(|row| !row.name.is_empty());
+        let list = JsonList {
+            version,
+            full: true,
+            servers: rows.map(Endpoint::json_entry).collect(),
+        };
+        serde_json::to_string(&list).expect("a list serializes to JSON without errors")
+    }
+
     /// The number of endpoints that are serving.
     pub fn serving(&self) -> usize {
         self.rows.iter().filter(|row| row.serving).count()
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -6,7 +6,7 @@
 use crate::connection::{ConnectionId, PollEvent, Role};
 use crate::delivery::Delivery;
 use crate::reload::{Configuration, ReloadOutcome};
-use crate::scope::{SAVE_INTERVAL, ScopeFile};
+use crate::scope::{SAVE_INTERVAL, SaveOutcome, ScopeFile};
 use crate::shutdown::{Shutdown, ShutdownPhase};
 use crate::signals::{SignalFlags, Signals};
 use crate::start::StartConfig;
@@ -158,11 +158,9 @@
             Timer::Reload => self.reload(),
             Timer::AcceptClients => self.accept_clients(),
             Timer::ShutdownPhase => self.shutdown.advance(delivery, &mut self.clients),
-            Timer::SaveScope => {
-                self.set_timer(Timer::SaveScope, SAVE_INTERVAL);
-                self.save_scope();
-            }
+            Timer::SaveConfiguration => self.save_configuration(),
             Timer::AdoptJournals => {
+                delivery.apply_shared_updates();
                 let status = delivery.adopt_journals();
                 self.set_timer(Timer::AdoptJournals, status.check_interval());
             }
@@ -193,10 +191,32 @@
         let _more = self.clients.accept(&mut self.delivery.runtime);
     }
 
+    /// Saves the scope file, or the list of which an update could not be recorded.
+    fn save_configuration(&mut self) {
+        if self.scope_file.is_some() {
+            self.set_timer(Timer::SaveConfiguration, SAVE_INTERVAL);
+            self.save_scope();
+        } else {
+            self.delivery.retry_updates();
+        }
+    }
+
+    /// Saves the scope file. The updates that it includes are removed from the log afterwards, or before if the quota has
+    /// no space for both.
     fn save_scope(&mut self) {
-        let list = self.delivery.discovery().scoped_list();
-        if let (Some(file), Some(list)) = (&mut self.scope_file, list) {
-            file.save(list);
+        let delivery = &mut self.delivery;
+        let list = delivery.discovery().scoped_list();
+        let (Some(file), Some(list)) = (&mut self.scope_file, list) else {
+            return;
+        };
+        let Some(encoded) = file.encode_changes(list) else {
+            return delivery.clear_updates();
+        };
+        if file.exceeds_quota(&encoded, delivery.updates_bytes()) {
+            delivery.clear_updates();
+        }
+        if file.save(&encoded) == SaveOutcome::Saved {
+            delivery.clear_updates();
         }
     }
 
--- a/crates/daemon/src/journal/compaction.rs
+++ b/crates/daemon/src/journal/compaction.rs
@@ -9,6 +9,9 @@
 /// A file is compacted once it is longer than this multiple of its live records.
 const COMPACTION_RATIO: u64 = 4;
 
+/// The endpoint list may take this fraction of the quota from the reserve, which is a quarter of it.
+const CONFIGURATION_RESERVE_DIVISOR: u64 = 6;
+
 /// A snapshot of the file lengths that decide about compaction and capacity.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct DiskUsage {
@@ -29,6 +32,13 @@
         self.capacity_bytes / 4 * 3
     }
 
+    /// The part of the endpoint list that the reserve has space for, so that a list of usual size leaves messages as much
+    /// space as they have without one.
+    fn configuration_bytes_in_reserve(&self) -> u64 {
+        let limit = self.capacity_bytes / CONFIGURATION_RESERVE_DIVISOR;
+        self.others.configuration_bytes.min(limit)
+    }
+
     /// Whether the live records including a new one, and a compacted copy of them, fit outside the reserve.
     pub(super) fn has_capacity_for_live(&self, record_bytes: u64) -> bool {
         2 * (disk_bytes(self.live_bytes + record_bytes) + ONE_BLOCK) <= self.unreserved_bytes()
@@ -39,7 +49,7 @@
     pub(super) fn keeps_reserve(&self, record_bytes: u64) -> bool {
         if self.others.has_journals {
             let total_bytes = disk_bytes(self.file_bytes + record_bytes) + self.others.bytes;
-            total_bytes <= self.unreserved_bytes()
+            total_bytes - self.configuration_bytes_in_reserve() <= self.unreserved_bytes()
         } else {
             self.leaves_space_for_compaction(record_bytes)
         }
--- a/crates/daemon/src/journal/directory.rs
+++ b/crates/daemon/src/journal/directory.rs
@@ -4,6 +4,7 @@
 use crate::disk_space::disk_bytes;
 use crate::file_lock::{Lock, try_lock_at};
 use crate::scope::SCOPE_FILE;
+use crate::update_log::ENDPOINTS_FILE;
 use bellsill_core::interface::Nanos;
 use std::fs::{File, OpenOptions};
 use std::io;
@@ -137,6 +138,9 @@
                     metadata => metadata?.len(),
                 };
                 usage.bytes += disk_bytes(length);
+                if name.starts_with(ENDPOINTS_FILE) {
+                    usage.configuration_bytes += disk_bytes(length);
+                }
                 usage.has_journals |= name.starts_with(BASE_NAME) && length > 0;
             }
         }
@@ -149,6 +153,8 @@
 pub(super) struct OtherUsage {
     /// The total size of the files, in whole blocks.
     pub(super) bytes: u64,
+    /// The part of it that is the endpoint list.
+    pub(super) configuration_bytes: u64,
     /// Whether another process's journal, which may grow, is among the files.
     pub(super) has_journals: bool,
 }
@@ -161,6 +167,11 @@
 }
 
 impl OtherFiles {
+    /// Notes that this process has written another file: the next use scans the directory.
+    pub(super) fn forget(&mut self) {
+        self.scanned_at = None;
+    }
+
     /// Returns the usage: scanned on every call while another journal exists, otherwise at most [`SCAN_INTERVAL`] old.
     pub(super) fn usage(&mut self, directory: &JournalDirectory, own: usize) -> OtherUsage {
         let now = clock::now();
--- a/crates/daemon/src/journal/journal_set.rs
+++ b/crates/daemon/src/journal/journal_set.rs
@@ -142,6 +142,18 @@
         });
     }
 
+    /// Notes that this process has written another file of the directory.
+    pub(super) fn other_files_changed(&mut self) {
+        self.journals_mut()
+            .for_each(JournalWriter::other_files_changed);
+    }
+
+    /// Compacts the journals that consist mostly of obsolete records, as far as the quota has space for the copies.
+    pub(super) fn compact_mostly_obsolete(&mut self) {
+        self.journals_mut()
+            .for_each(JournalWriter::compact_if_mostly_obsolete);
+    }
+
     /// The number of failed writes.
     pub(super) fn failures(&self) -> u64 {
         self.failures_of_removed + self.journals().map(JournalWriter::failures).sum::<u64>()
--- a/crates/daemon/src/journal/mod.rs
+++ b/crates/daemon/src/journal/mod.rs
@@ -159,6 +159,16 @@
         })
     }
 
+    /// Notes that this process has written another file of the state directory, so that its size counts from now on.
+    pub fn other_files_changed(&mut self) {
+        self.journals.other_files_changed();
+    }
+
+    /// Frees disk space for another file of the state directory, as far as obsolete records occupy it.
+    pub fn free_space(&mut self) {
+        self.journals.compact_mostly_obsolete();
+    }
+
     /// What operators are shown of the adoptions so far.
     pub fn adoption_counters(&self) -> AdoptionCounters {
         self.adopter.counters()
--- a/crates/daemon/src/journal/writer.rs
+++ b/crates/daemon/src/journal/writer.rs
@@ -399,6 +399,11 @@
         Ok(())
     }
 
+    /// Notes that this process has written another file of the directory.
+    pub(super) fn other_files_changed(&mut self) {
+        self.other_files.forget();
+    }
+
     fn disk_usage(&mut self) -> DiskUsage {
         DiskUsage {
             file_bytes: self.file.complete_bytes(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`client`], [`admin`] | client and operator sessions |
 //! | `delivery` | the decision logic, pending messages, attempts in flight, admission, recovery |
 //! | [`endpoint`], `notification`, [`discovery`] | communication with endpoints, with the platform and with discovery |
-//! | [`journal`], [`scope`] | persistent state |
+//! | [`journal`], [`scope`], [`update_log`] | persistent state |
 //! | `action_rules` | what may be sent, closed or ended now, and the count of violations |
 //! | `connection`, `command_reader`, `timer` | sockets, parsing of commands, the poller, and scheduled timers |
 #![deny(unsafe_code)]
@@ -49,3 +49,4 @@
 mod startup;
 mod status;
 mod timer;
+pub mod update_log;
--- a/crates/daemon/src/scope.rs
+++ b/crates/daemon/src/scope.rs
@@ -10,8 +10,7 @@
 
 /// The name of the file in the state directory.
 pub const SCOPE_FILE: &str = "scope";
-/// How often a changed list is saved, in nanoseconds. After a restart the configuration may be out of date by up to
-/// this interval.
+/// How often a changed list is saved, in nanoseconds. What changes in between is in the update log.
 pub const SAVE_INTERVAL: Nanos = 5_000_000_000;
 /// The fraction of the disk quota for the file and its replacement together.
 const DISK_QUOTA_FRACTION: f64 = 0.5;
@@ -27,6 +26,22 @@
     pub failed: u64,
 }
 
+/// The result of saving a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub enum SaveOutcome {
+    /// The list was written.
+    Saved,
+    /// The list could not be written.
+    Failed,
+}
+
+/// A list in the format of the file.
+pub struct EncodedList {
+    bytes: Vec<u8>,
+    revision: u64,
+}
+
 /// The scope file of one dispatcher.
 pub struct ScopeFile {
     path: PathBuf,
@@ -106,15 +121,28 @@
         self.saved_revision != Some(list.revision())
     }
 
-    /// Saves the list if it has changed since it was last saved.
-    pub fn save(&mut self, list: &ScopedList) {
-        if !self.has_unsaved_changes(list) {
-            return;
-        }
-        match self.write(&list.to_bytes(&self.dispatcher)) {
+    /// Encodes the list if it has changed since it was last saved.
+    pub fn encode_changes(&self, list: &ScopedList) -> Option<EncodedList> {
+        self.has_unsaved_changes(list).then(|| EncodedList {
+            bytes: list.to_bytes(&self.dispatcher),
+            revision: list.revision(),
+        })
+    }
+
+    /// Whether the file, its replacement by this list and `updates_bytes` of the update log exceed their share of the
+    /// quota.
+    pub fn exceeds_quota(&self, list: &EncodedList, updates_bytes: u64) -> bool {
+        let file_bytes = std::fs::metadata(&self.path).map_or(0, |metadata| metadata.len());
+        file_bytes + list.bytes.len() as u64 + updates_bytes > 2 * self.max_bytes as u64
+    }
+
+    /// Saves an encoded list. An error is logged.
+    pub fn save(&mut self, list: &EncodedList) -> SaveOutcome {
+        match self.write(&list.bytes) {
             Ok(()) => {
                 self.counters.saved += 1;
-                self.saved_revision = Some(list.revision());
+                self.saved_revision = Some(list.revision);
+                SaveOutcome::Saved
             }
             Err(e) => {
                 self.counters.failed += 1;
@@ -122,6 +150,7 @@
                     "{}: cannot save the scope file, its previous version is kept: {e}",
                     self.path.display()
                 );
+                SaveOutcome::Failed
             }
         }
     }
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -16,9 +16,9 @@
 use crate::start::StartConfig;
 use crate::start_retry;
 use crate::timer::{SHARED_STATE_CHECK_INTERVAL, STATUS_INTERVAL, Timer};
+use crate::update_log::{Record, UpdateLog};
 use bellsill_core::interface::Settings;
 use bellsill_discovery_client::{ScopedList, ScopedOptions, Watch};
-use serde_json::Value;
 use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -53,6 +53,7 @@
     let now = clock::now();
     let (wake, flags) = signals.split();
     let (watch, scope_file) = build_watch(&config, &flags);
+    let (updates, recorded) = open_updates(&config, &flags, scope_file.is_some())?;
     let stored = read_state(&config, &flags, scope_file.is_some())?;
     let disabled_file = DisabledFile::new(&config.state);
     let mut runtime = Runtime::new(
@@ -74,13 +75,13 @@
         ..config.platform.settings
     };
     let discovery = Discovery::new(watch, config.platform.names);
-    let mut delivery = Delivery::new(settings, discovery, runtime, stored.disabled);
-    initialize_delivery(
-        &mut delivery,
-        &config.known,
-        config.platform.drain_grace,
-        stored.recovered,
-    );
+    let mut delivery = Delivery::new(settings, discovery, runtime, stored.disabled, updates);
+    match &config.installation {
+        None => delivery.apply_initial_list(&config.known, &recorded),
+        Some(installation) => delivery.apply_initial_scope(installation, &recorded),
+    }
+    delivery.start_watch(config.platform.drain_grace);
+    delivery.recover(stored.recovered);
     set_timers(&mut delivery.runtime, scope_file.is_some(), stored.adoption);
     delivery.report_attempt_ends();
     delivery.runtime.send_notifications();
@@ -99,23 +100,29 @@
     })
 }
 
-/// Applies the known endpoints, then opens the watch, then recovers the messages of an earlier process.
-fn initialize_delivery(
-    delivery: &mut Delivery,
-    known: &Value,
-    drain_grace: u64,
-    recovered: Recovered,
-) {
-    delivery.apply_known_list(known);
-    delivery.start_watch(drain_grace);
-    delivery.recover(recovered);
+/// Opens the update log, and reads what earlier processes have recorded.
+fn open_updates(
+    config: &StartConfig,
+    flags: &SignalFlags,
+    has_scope_file: bool,
+) -> io::Result<(UpdateLog, Vec<Record>)> {
+    let open = if has_scope_file {
+        UpdateLog::of_scope
+    } else {
+        UpdateLog::of_endpoints
+    };
+    let mut updates = open(&config.state, config.disk_bytes, &config.known);
+    let operation = "read the recorded updates of the configuration";
+    let recorded = start_retry::retry_transient(flags.shutdown(), operation, || updates.load())
+        .map_err(|e| add_operation(operation, &e))?;
+    Ok((updates, recorded))
 }
 
 fn set_timers(runtime: &mut Runtime, has_scope_file: bool, adoption: AdoptionStatus) {
     let (now, timers) = (runtime.now, &mut runtime.timers);
     timers.set(Timer::StatusLog, now + STATUS_INTERVAL);
     if has_scope_file {
-        timers.set(Timer::SaveScope, now + SAVE_INTERVAL);
+        timers.set(Timer::SaveConfiguration, now + SAVE_INTERVAL);
     }
     timers.set(Timer::AdoptJournals, now + adoption.check_interval());
 }
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -45,6 +45,6 @@
     JournalRetry,
     /// Destinations are due to be looked up again.
     LookupRetry,
-    /// The scope file is due to be saved.
-    SaveScope,
+    /// The scope file is due to be saved, or the list of which an update could not be recorded.
+    SaveConfiguration,
 }
--- a/crates/daemon/tests/scoped_configuration.rs
+++ b/crates/daemon/tests/scoped_configuration.rs
@@ -2,62 +2,11 @@
 
 use bellsill_test_support::client::{connect, new_id, put};
 use bellsill_test_support::control_stand_in::{BUCKETS, Control};
-use bellsill_test_support::dispatcher_process::DispatcherProcess;
 use bellsill_test_support::endpoint::{Behavior, Endpoint, OK};
 use bellsill_test_support::faults::{EIO, Faults, words};
 use bellsill_test_support::program;
+use bellsill_test_support::scoped_dispatcher::ScopedDispatcher;
 use bellsill_test_support::wait::wait_for;
-use std::path::PathBuf;
-use std::process::Command;
-
-/// A dispatcher `d1` in zone `north`; the zone `south` is in another region.
-struct ScopedDispatcher {
-    process: DispatcherProcess,
-    installation: PathBuf,
-}
-
-impl ScopedDispatcher {
-    fn new(control: &[&str], cache_destinations: usize) -> ScopedDispatcher {
-        let mut process = DispatcherProcess::new(program!(), &[]);
-        process.config["mgmt"] = process.admin_addr(0).into();
-        let installation = process.dir.join("installation.toml");
-        let addresses: Vec<String> = control.iter().map(|addr| format!("{addr:?}")).collect();
-        let text = format!(
-            "dispatcher = \"d1\"\nzone = \"north\"\ncontrol = [{}]\nbuckets_per_region = {BUCKETS}\n\
-             cache_destinations = {cache_destinations}\n\
-             zones = [{{name = \"north\", region = \"a\"}}, {{name = \"south\", region = \"b\"}}]\n",
-            addresses.join(", ")
-        );
-        std::fs::write(&installation, text).unwrap();
-        ScopedDispatcher {
-            process,
-            installation,
-        }
-    }
-
-    fn command(&self) -> Command {
-        let mut command = self.process.command("serve");
-        command.arg("--installation").arg(&self.installation);
-        command
-    }
-
-    fn start(&mut self) {
-        let command = self.command();
-        self.process.start_command(command);
-    }
-
-    /// Stops the process with SIGTERM, on which it saves its scope file.
-    fn stop(&mut self) {
-        self.process.signal(rustix::process::Signal::TERM);
-        let mut child = self.process.child.take().unwrap();
-        assert!(child.wait().unwrap().success());
-    }
-
-    /// The value of one of the dispatcher's `scope` metrics.
-    fn scope(&self, name: &str) -> u64 {
-        self.process.metric(&format!("scope.{name}"))
-    }
-}
 
 fn count_calls(endpoint: &Endpoint, body: &str) -> usize {
     endpoint
@@ -96,7 +45,7 @@
 fn entries_of_its_buckets_are_cached_and_changes_are_followed() {
     let (first, second, control) = (Endpoint::start(OK), Endpoint::start(OK), Control::start());
     control.write("e0", &first.addr, "north", 7, true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     wait_for("complete buckets", || {
         dispatcher.scope("complete_buckets") == u64::from(BUCKETS)
@@ -119,7 +68,7 @@
     let (endpoint, control) = (Endpoint::start(OK), Control::start());
     control.write("e0", &endpoint.addr, "south", 47, true);
     control.fail_lookups(true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     let mut client = dispatcher.process.client();
     let mut accepted = Vec::new();
@@ -158,7 +107,7 @@
         Control::start(),
     );
     control.write("e0", &endpoint.addr, "north", 7, true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     wait_for("complete buckets", || {
         dispatcher.scope("complete_buckets") == u64::from(BUCKETS)
@@ -189,7 +138,7 @@
 #[test]
 fn a_message_for_a_missing_destination_ends_at_its_deadline_and_the_next_one_is_rejected() {
     let control = Control::start();
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     let mut client = dispatcher.process.client();
     let id = client.message("payment", 47, 1000, "no endpoint");
@@ -210,7 +159,7 @@
     let (held, cached, control) = (Endpoint::start(OK), Endpoint::start(OK), Control::start());
     control.write("e0", &held.addr, "north", 7, true);
     control.write("e1", &cached.addr, "south", 47, true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     let mut client = dispatcher.process.client();
     client.message("notice", 7, 8000, "before");
@@ -221,7 +170,7 @@
     drop(client);
     dispatcher.stop();
     // No process listens on port 1.
-    let unreachable = ScopedDispatcher::new(&["127.0.0.1:1"], 8);
+    let unreachable = ScopedDispatcher::new(program!(), &["127.0.0.1:1"], 8);
     std::fs::copy(&unreachable.installation, &dispatcher.installation).unwrap();
     dispatcher.start();
     let mut client = dispatcher.process.client();
@@ -238,7 +187,7 @@
     // The watch resumes from its version once the control process is reachable.
     drop(client);
     dispatcher.stop();
-    let reachable = ScopedDispatcher::new(&[&control.addr], 8);
+    let reachable = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     std::fs::copy(&reachable.installation, &dispatcher.installation).unwrap();
     dispatcher.start();
     let query = control.wait_for_watch_query(1);
@@ -254,12 +203,12 @@
 fn a_scope_file_that_cannot_be_read_for_a_moment_is_read_again() {
     let (e, control) = (Endpoint::start(OK), Control::start());
     control.write("e0", &e.addr, "north", 7, true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     submit_until_delivered(&dispatcher, &e, 7, "before");
     dispatcher.stop();
     // No process listens on port 1.
-    let unreachable = ScopedDispatcher::new(&["127.0.0.1:1"], 8);
+    let unreachable = ScopedDispatcher::new(program!(), &["127.0.0.1:1"], 8);
     std::fs::copy(&unreachable.installation, &dispatcher.installation).unwrap();
     let faults = Faults::new(&dispatcher.process.dir, 1);
     let mut command = dispatcher.command();
@@ -279,7 +228,7 @@
 fn a_damaged_scope_file_is_rejected_and_fetched_again() {
     let (endpoint, control) = (Endpoint::start(OK), Control::start());
     control.write("e0", &endpoint.addr, "north", 7, true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     wait_for("complete buckets", || {
         dispatcher.scope("complete_buckets") == u64::from(BUCKETS)
@@ -312,7 +261,7 @@
             true,
         );
     }
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 2);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 2);
     dispatcher.start();
     let mut client = dispatcher.process.client();
     for (n, endpoint) in endpoints.iter().enumerate() {
@@ -345,7 +294,7 @@
     let (endpoint, control) = (Endpoint::start(OK), Control::start());
     control.write("e0", &endpoint.addr, "south", 47, true);
     control.fail_lookups(true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     dispatcher
         .process
@@ -367,7 +316,7 @@
     for cell in 41..=44 {
         control.write(&format!("e{cell}"), &endpoint.addr, "south", cell, true);
     }
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 3);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 3);
     dispatcher.start();
     let mut client = dispatcher.process.client();
     client.message("notice", 40, 20_000, "waits");
@@ -399,7 +348,7 @@
 fn a_line_that_cannot_be_applied_ends_the_watch_and_changes_nothing() {
     let (endpoint, control) = (Endpoint::start(OK), Control::start());
     control.write("e0", &endpoint.addr, "north", 7, true);
-    let mut dispatcher = ScopedDispatcher::new(&[&control.addr], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &[&control.addr], 8);
     dispatcher.start();
     wait_for("complete buckets", || {
         dispatcher.scope("complete_buckets") == u64::from(BUCKETS)
@@ -423,7 +372,7 @@
 #[test]
 fn the_known_list_is_used_where_there_is_no_scope_file() {
     let endpoint = Endpoint::start(OK);
-    let mut dispatcher = ScopedDispatcher::new(&["127.0.0.1:1"], 8);
+    let mut dispatcher = ScopedDispatcher::new(program!(), &["127.0.0.1:1"], 8);
     dispatcher.process.config["known"]["servers"] = vec![endpoint.entry("e0", 7, "up")].into();
     dispatcher.start();
     dispatcher
@@ -477,7 +426,7 @@
 
 #[test]
 fn an_invalid_installation_file_is_rejected_with_the_name_of_the_field() {
-    let process = ScopedDispatcher::new(&["127.0.0.1:7400"], 8);
+    let process = ScopedDispatcher::new(program!(), &["127.0.0.1:7400"], 8);
     let good = std::fs::read_to_string(&process.installation).unwrap();
     let check = |text: &str| {
         std::fs::write(&process.installation, text).unwrap();
--- a/crates/directory/src/line.rs
+++ b/crates/directory/src/line.rs
@@ -50,6 +50,13 @@
     pub version: Version,
 }
 
+impl EndpointEntry {
+    /// Whether the endpoint takes no new messages.
+    pub fn stops(&self) -> bool {
+        self.state != EndpointState::Up
+    }
+}
+
 /// One line of a scoped watch. Every field but `version` and `servers` may be absent.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ScopedLine {
--- a/crates/discovery-client/src/plain_source.rs
+++ b/crates/discovery-client/src/plain_source.rs
@@ -33,6 +33,10 @@
         self.address
     }
 
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     pub(crate) fn set_version(&mut self, version: u64) {
         self.version = version;
     }
--- a/crates/discovery-client/src/scoped_list.rs
+++ b/crates/discovery-client/src/scoped_list.rs
@@ -78,6 +78,20 @@
         list
     }
 
+    /// A copy of the state that is saved and restored.
+    pub fn copy(&self, layout: Arc<dyn BucketMap>, cache_destinations: usize) -> ScopedList {
+        let saved = SavedList {
+            log: self.log.clone(),
+            version: self.version,
+            epoch: self.epoch,
+            complete: self.complete_buckets().collect(),
+            filling: self.filling_buckets().collect(),
+            cached: self.known_destinations().collect(),
+            entries: self.entries().cloned().collect(),
+        };
+        ScopedList::restore(layout, cache_destinations, saved)
+    }
+
     /// The id of the log that [`version`](ScopedList::version) refers to; empty before the first line of a control
     /// process.
     pub fn log(&self) -> &str {
--- a/crates/discovery-client/src/source.rs
+++ b/crates/discovery-client/src/source.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// The version up to which the list is known.
+    pub(crate) fn version(&self) -> u64 {
+        match self {
+            Source::Plain(source) => source.version(),
+            Source::Scoped(source) => source.list().version().0,
+        }
+    }
+
     /// The request for a watch that continues from the known state.
     pub(crate) fn request(&mut self) -> WatchRequest {
         match self {
--- a/crates/discovery-client/src/watch.rs
+++ b/crates/discovery-client/src/watch.rs
@@ -75,6 +75,16 @@
         Some((self.calls.serving()?, self.source.address()))
     }
 
+    /// The server that is connected to now, or was last.
+    pub fn address(&self) -> SocketAddr {
+        self.source.address()
+    }
+
+    /// The version of the list: the last one set, or that of the list of a scoped watch.
+    pub fn version(&self) -> u64 {
+        self.source.version()
+    }
+
     /// Starts the watch. Until the first response the dispatcher routes by the configuration that it started with, so
     /// the first call is made within half of `drain_grace` at the latest.
     pub fn start(&mut self, now: Nanos, drain_grace: Nanos) -> Vec<Command> {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod installation;
 pub mod ledger;
 pub mod platform;
+pub mod scoped_dispatcher;
 pub mod soak;
 pub mod stand_in;
 pub mod wait;
