Say which count is wrong where the diagnostics of closed connections are checked

Change: it ends at once with the counts if more than one client was closed, or one for its time-out. No check is weaker.

--- a/crates/daemon/tests/admin_and_configuration.rs
+++ b/crates/daemon/tests/admin_and_configuration.rs
@@ -377,7 +377,13 @@
     let closed_before = process.diagnostic("client_closes.peer_closed");
     drop(client);
     wait_for("the close", || {
-        process.diagnostic("client_closes.peer_closed") == closed_before + 1
+        let closed = process.diagnostic("client_closes.peer_closed");
+        let overdue = process.diagnostic("client_closes.overdue");
+        assert!(
+            closed <= closed_before + 1 && overdue == 0,
+            "{closed_before} closed before, {closed} now, {overdue} overdue"
+        );
+        closed == closed_before + 1
     });
     assert_eq!(process.diagnostic("client_closes.call_failed"), 0);
 }
