--- a/crates/daemon/src/journal/adoption.rs
+++ b/crates/daemon/src/journal/adoption.rs
@@ -99,9 +99,11 @@
     ) -> io::Result<()> {
         let directory = journals.directory().clone();
         let Some(mut file) = directory.open_other(other)? else {
+            self.history.not_unowned(other);
             return Ok(());
         };
         if directory.lock_journal(other, &file)? == Lock::HeldElsewhere {
+            self.history.not_unowned(other);
             result.is_incomplete = true;
             return Ok(());
         }
--- a/crates/daemon/src/journal/adoption_history.rs
+++ b/crates/daemon/src/journal/adoption_history.rs
@@ -60,6 +60,11 @@
         Failure::First
     }
 
+    /// Records that a journal has an owner, or does not exist: earlier failures say nothing about a later one.
+    pub(super) fn not_unowned(&mut self, index: usize) {
+        self.unowned_since.remove(&index);
+    }
+
     /// Records that a journal was adopted, and returns how long it may have had no owner.
     pub(super) fn adopted(&mut self, index: usize, written_at: Nanos, now: Nanos) -> Nanos {
         let since = self.may_be_unowned_since(index, written_at);
--- a/crates/daemon/tests/journal_file.rs
+++ b/crates/daemon/tests/journal_file.rs
@@ -548,6 +548,28 @@
     assert_eq!(messages[7].attempts.len(), 1);
 }
 
+/// Guards against a time without an owner that is counted from a failure before the journal had one.
+#[test]
+fn a_failed_adoption_before_a_journal_had_an_owner_does_not_count() {
+    const OWNED_TIME: Duration = Duration::from_secs(1);
+    let directory = TempDirectory::new("owned-after-failure");
+    let (mut journal, _) = MessageJournal::open(&directory.0, 1_000_000).unwrap();
+    let other_path = directory.0.join("mails.1");
+    std::fs::create_dir(&other_path).unwrap();
+    assert!(adopt(&mut journal).1);
+    assert_eq!(journal.adoption_counters().failed_attempts, 1);
+    std::fs::remove_dir(&other_path).unwrap();
+    let (mut other, _) = MessageJournal::open(&directory.0, 1_000_000).unwrap();
+    other.append_accepted(&message(1)).unwrap();
+    std::thread::sleep(OWNED_TIME);
+    assert!(adopt(&mut journal).1);
+    drop(other);
+    adopt(&mut journal);
+    let counters = journal.adoption_counters();
+    assert_eq!(counters.adopted, 1);
+    assert!(Duration::from_nanos(counters.longest_unowned) < OWNED_TIME / 2);
+}
+
 #[test]
 fn a_message_beyond_the_quota_fails_with_disk_quota() {
     let directory = TempDirectory::new("quota");
