--- a/crates/daemon/src/admin/diagnostics.rs
+++ b/crates/daemon/src/admin/diagnostics.rs
@@ -2,11 +2,9 @@
 
 use crate::action_rules::RestrictedAction;
 use crate::client::CloseReason;
+use crate::clock::NANOS_PER_MS;
 use crate::connection::SocketCall;
 use crate::delivery::{Rejection, Runtime};
-use bellsill_core::interface::Nanos;
-
-const NANOS_PER_MS: Nanos = 1_000_000;
 
 /// A counter with its name.
 pub(crate) struct DiagnosticCounter {
--- a/crates/daemon/src/client/commands.rs
+++ b/crates/daemon/src/client/commands.rs
@@ -4,6 +4,7 @@
 use super::closing::{IDLE_TIMEOUT, REQUEST_TIMEOUT, linger};
 use super::policy::ClientPolicy;
 use super::resp::{self, MAX_COMMAND_BYTES, PutCommand};
+use crate::clock::NANOS_PER_MS;
 use crate::connection::{Connection, ConnectionId};
 use crate::delivery::{Admission, Delivery, Rejection, Runtime};
 use crate::journal::JournaledMessage;
@@ -19,7 +20,6 @@
 const MAX_ERROR_REPLIES: u32 = 16;
 /// No command is executed while the output buffer has less free space than this; the client has to read replies first.
 const MIN_REPLY_CAPACITY: usize = MAX_COMMAND_BYTES / 2;
-const NANOS_PER_MS: Nanos = 1_000_000;
 
 /// A message that a client submits.
 struct NewMessage {
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -8,6 +8,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 const NANOS_PER_SECOND: Nanos = 1_000_000_000;
+/// A millisecond, in nanoseconds.
+pub(crate) const NANOS_PER_MS: Nanos = 1_000_000;
 /// The clock's value at the boot of the machine: 30 days, so that times before the boot can be represented too, such as
 /// that of an attempt before a restart of the machine.
 const TIME_AT_BOOT: Nanos = 30 * 24 * 3_600 * NANOS_PER_SECOND;
--- a/crates/daemon/src/delivery/attempts.rs
+++ b/crates/daemon/src/delivery/attempts.rs
@@ -3,6 +3,7 @@
 use super::message::{DeliveryState, MAX_BODY_BYTES};
 use super::runtime::Runtime;
 use crate::action_rules::{RequestFacts, RestrictedAction, may_send_request};
+use crate::clock::NANOS_PER_MS;
 use crate::connection::{BufferBounds, ConnectionId, Role, is_transient};
 use crate::endpoint::{
     ConnectionReuse, Evaluation, RESPONSE_TIMEOUT, ResponseReader, UnassignedState,
@@ -10,7 +11,7 @@
 use crate::http::{self, InvalidLoadReport, MalformedResponse};
 use crate::message_slot::MessageSlot;
 use crate::timer::Timer;
-use bellsill_core::interface::{AttemptEnd, EndpointId, Nanos, Outcome};
+use bellsill_core::interface::{AttemptEnd, EndpointId, Outcome};
 use std::io;
 
 /// The maximum size of a request head.
@@ -19,7 +20,6 @@
     input: http::MAX_HEAD_BYTES,
     output: MAX_BODY_BYTES + REQUEST_HEAD_BYTES,
 };
-const NANOS_PER_MS: Nanos = 1_000_000;
 
 /// Whether the response to an attempt has determined its outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/journal/adoption.rs
+++ b/crates/daemon/src/journal/adoption.rs
@@ -7,14 +7,12 @@
 use super::journal_set::JournalSet;
 use super::load::load;
 use super::writer::JournalWriter;
-use crate::clock;
+use crate::clock::{self, NANOS_PER_MS};
 use crate::file_lock::Lock;
 use bellsill_core::interface::{MessageId, Nanos};
 use std::fs::File;
 use std::io;
 
-const NANOS_PER_MS: Nanos = 1_000_000;
-
 /// The result of adopting the other journals of the state directory.
 #[derive(Default)]
 pub(super) struct AdoptionResult {
--- a/crates/daemon/src/notification/sender.rs
+++ b/crates/daemon/src/notification/sender.rs
@@ -2,6 +2,7 @@
 
 use super::queue::{MIN_BACKOFF, Notifications};
 use crate::action_rules::{NotificationFacts, may_send_notification};
+use crate::clock::NANOS_PER_MS;
 use crate::connection::{BufferBounds, ConnectionId, Role};
 use crate::http::{self, Body, MalformedResponse};
 use crate::io::Io;
@@ -9,7 +10,6 @@
 use bellsill_core::interface::{MessageId, Nanos};
 use std::net::SocketAddr;
 
-const NANOS_PER_MS: Nanos = 1_000_000;
 /// The timeout of a response.
 const RESPONSE_TIMEOUT: Nanos = 400_000_000;
 /// The maximum backoff. The backoff doubles with each failure.
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -2,21 +2,21 @@
 
 use crate::action_rules::{ProcessFacts, RestrictedAction, may_end_process};
 use crate::client::{self, AcceptStatus, ClientPolicy, Clients};
+use crate::clock::NANOS_PER_MS;
 use crate::delivery::Delivery;
 use crate::timer::Timer;
 use bellsill_core::interface::Nanos;
 
-const MS: Nanos = 1_000_000;
 /// How long after the signal clients are accepted: the platform keeps sending new ones for 400 ms. Connected clients
 /// are served for as long as the platform allows, because closing them early would move all their messages to other
 /// dispatchers.
-const ACCEPT_CLIENTS_UNTIL: Nanos = 500 * MS;
+const ACCEPT_CLIENTS_UNTIL: Nanos = 500 * NANOS_PER_MS;
 /// How long after the signal connected clients are served.
-const SERVE_CLIENTS_UNTIL: Nanos = 2_300 * MS;
+const SERVE_CLIENTS_UNTIL: Nanos = 2_300 * NANOS_PER_MS;
 /// How long after the signal new attempts are started.
-const CLOSE_CLIENTS_UNTIL: Nanos = 2_900 * MS;
+const CLOSE_CLIENTS_UNTIL: Nanos = 2_900 * NANOS_PER_MS;
 /// The deadline for the process to exit; the platform kills it 3.7 s after the signal.
-const FINISH_BY: Nanos = 3_500 * MS;
+const FINISH_BY: Nanos = 3_500 * NANOS_PER_MS;
 
 /// The phases of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,10 +1,9 @@
 //! The periodic status line in the log.
 
 use crate::admin::diagnostic_counters;
+use crate::clock::NANOS_PER_MS;
 use crate::delivery::Runtime;
 
-const NANOS_PER_MS: u64 = 1_000_000;
-
 /// The CPU time of this process in nanoseconds; 0 if `/proc/self/schedstat` cannot be read.
 fn cpu_time() -> u64 {
     let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
