Split the connection of a control process from the table of connections

Change: connection.rs has the connection, its id, its purpose and its buffers. No behaviour changes.

--- a/crates/control-plane/src/clients.rs
+++ b/crates/control-plane/src/clients.rs
@@ -1,6 +1,7 @@
 //! Client connections: reads requests, writes responses and streams lines to watchers.
 
-use crate::connections::{BufferBounds, Connection, ConnectionId, Purpose, WriteOutcome};
+use crate::connection::{BufferBounds, Connection, ConnectionId, Purpose};
+use crate::connections::WriteOutcome;
 use crate::context::Context;
 use crate::http_server::{self, MAX_HEAD_BYTES, Received, Request, Response, WATCH_HEAD};
 use crate::time::SECOND;
--- a/crates/control-plane/src/follower.rs
+++ b/crates/control-plane/src/follower.rs
@@ -1,7 +1,8 @@
 //! A follower: replicates the complete configuration through a watch on the leader, and sends the leader heartbeats of
 //! the dispatchers that have a watch at this process.
 
-use crate::connections::{BufferBounds, ConnectionId, Connections, Purpose};
+use crate::connection::{BufferBounds, ConnectionId, Purpose};
+use crate::connections::Connections;
 use crate::context::Context;
 use crate::presence::Heartbeat;
 use crate::replica::Replica;
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod process;
 
 mod clients;
+mod connection;
 mod connections;
 mod context;
 mod follower;
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -4,7 +4,8 @@
 
 use crate::clients::Clients;
 use crate::config::{Config, Role};
-use crate::connections::{self, ConnectionId, Connections, PollEvent, Purpose};
+use crate::connection::{ConnectionId, Purpose};
+use crate::connections::{self, Connections, PollEvent};
 use crate::context::Context;
 use crate::follower::Follower;
 use crate::http_server::{Request, Response};
