Take a client for gone only by the flags that the kernel reports

Cause: the poll for the end behind unread requests went by the number of ready sockets. A socket that is reported for another reason, such as an error of the call's own, would have had its client's messages refused.

Change: POLLRDHUP (for which nix has no name) or POLLHUP has to be reported.

--- a/crates/daemon/src/connection/table.rs
+++ b/crates/daemon/src/connection/table.rs
@@ -288,8 +288,12 @@
 fn has_hung_up(stream: &TcpStream) -> bool {
     let ended = PollFlags::from_bits_retain(libc::POLLRDHUP);
     let mut fds = [PollFd::new(stream.as_fd(), ended)];
-    let ready = poll(&mut fds, PollTimeout::ZERO);
-    ready.is_ok_and(|count| count > 0)
+    if !poll(&mut fds, PollTimeout::ZERO).is_ok_and(|count| count > 0) {
+        return false;
+    }
+    // nix has no name for `POLLRDHUP`, and returns no flags at all if it is among them.
+    let found = fds[0].revents();
+    found.is_none_or(|flags| flags.contains(PollFlags::POLLHUP))
 }
 
 /// Whether this error of `connect` means that the handshake is in progress; an interrupted one continues too.
